Add the workspace, the checks and the messages between processes

Change: npm workspace of twelve small libraries, dprint, eslint, TypeScript and vitest under 'npm run check', and the protocol library with its codec.

--- /dev/null
+++ b/packages/protocol/src/control-message.ts
@@ -0,0 +1,123 @@
+import type { ConfigurationChange } from "./configuration.js";
+import type { DatabaseView } from "./endpoint.js";
+import type { Host } from "./host.js";
+import type { Term } from "./position.js";
+
+/** First message on every connection between two processes, in both directions. */
+export interface Hello {
+    readonly kind: "hello";
+    readonly protocol: number;
+    readonly host: Host;
+}
+
+/** Entry host to leader: asks for one lease that covers all databases. */
+export interface RenewLease {
+    readonly kind: "renewLease";
+    readonly sequence: number;
+    /** Configuration number in force at the sender, and since when in ms of wall-clock time. */
+    readonly configurationNumber: number;
+    readonly configurationSince: number;
+    /** Version of the last view received; the leader sends what changed since. */
+    readonly viewVersion: number;
+    readonly draining: boolean;
+}
+
+/** Leader to entry host: answers one renewal. The lease runs from the moment the renewal was sent. */
+export interface LeaseGranted {
+    readonly kind: "leaseGranted";
+    readonly sequence: number;
+    readonly durationMs: number;
+}
+
+/** Any control host that does not lead, or cannot grant now. */
+export interface LeaseRefused {
+    readonly kind: "leaseRefused";
+    readonly sequence: number;
+    readonly leader: string | undefined;
+}
+
+/** Leader to entry host: no write of this database may be acknowledged under this or an older term. */
+export interface Revoke {
+    readonly kind: "revoke";
+    readonly database: string;
+    readonly term: Term;
+}
+
+export interface Revoked {
+    readonly kind: "revoked";
+    readonly database: string;
+    readonly term: Term;
+}
+
+/** Leader to entry host: the databases that changed since the version that the host last had. */
+export interface ViewUpdate {
+    readonly kind: "viewUpdate";
+    readonly version: number;
+    /** True when this is the whole view and replaces what the host knew. */
+    readonly complete: boolean;
+    readonly databases: readonly DatabaseView[];
+    /** Entry hosts that share the connection limits, sorted by id; undefined when unchanged. */
+    readonly hosts: readonly Host[] | undefined;
+}
+
+/** Leader to entry host: the newest accepted configuration. */
+export interface ConfigurationUpdate {
+    readonly kind: "configurationUpdate";
+    readonly change: ConfigurationChange;
+}
+
+export const Suspicion = {
+    /** The endpoint closed or refused the connection. */
+    Closed: "closed",
+    /** Several probes in a row went unanswered. */
+    Silent: "silent",
+    Reachable: "reachable",
+} as const;
+export type Suspicion = (typeof Suspicion)[keyof typeof Suspicion];
+
+/** Entry host to leader: its view of one primary changed, or was asked for. */
+export interface EndpointObservation {
+    readonly kind: "endpointObservation";
+    readonly database: string;
+    readonly endpoint: string;
+    readonly term: Term;
+    readonly suspicion: Suspicion;
+}
+
+/** Leader to entry host: probe this endpoint now and report. */
+export interface ConfirmEndpoint {
+    readonly kind: "confirmEndpoint";
+    readonly database: string;
+    readonly endpoint: string;
+    readonly term: Term;
+}
+
+/** A request to the leader made on behalf of an HTTP or command-line client. */
+export interface LeaderRequest {
+    readonly kind: "leaderRequest";
+    readonly id: number;
+    /** Key of the leader's table of request handlers. */
+    readonly name: string;
+    readonly body: unknown;
+}
+
+export interface LeaderReply {
+    readonly kind: "leaderReply";
+    readonly id: number;
+    readonly ok: boolean;
+    readonly body: unknown;
+}
+
+export type ControlMessage =
+    | Hello
+    | RenewLease
+    | LeaseGranted
+    | LeaseRefused
+    | Revoke
+    | Revoked
+    | ViewUpdate
+    | ConfigurationUpdate
+    | EndpointObservation
+    | ConfirmEndpoint
+    | LeaderRequest
+    | LeaderReply;
--- /dev/null
+++ b/packages/protocol/src/message-table.ts
@@ -0,0 +1,49 @@
+import type { AgreementMessage } from "./agreement-message.js";
+import type { ControlMessage } from "./control-message.js";
+
+/** Every message between processes. */
+export type Message = AgreementMessage | ControlMessage;
+
+/** A message's `kind`. */
+export type MessageKind = Message["kind"];
+
+/**
+ * Numbers on the wire. A number is never reused: a process of an older version answers an unknown one with a
+ * decode error and keeps the connection.
+ */
+export const MESSAGE_IDS = {
+    hello: 1,
+    renewLease: 2,
+    leaseGranted: 3,
+    leaseRefused: 4,
+    revoke: 5,
+    revoked: 6,
+    viewUpdate: 7,
+    configurationUpdate: 8,
+    endpointObservation: 9,
+    confirmEndpoint: 10,
+    leaderRequest: 11,
+    leaderReply: 12,
+    preVote: 20,
+    preVoteReply: 21,
+    vote: 22,
+    voteReply: 23,
+    append: 24,
+    appendReply: 25,
+    snapshotChunk: 26,
+    snapshotReply: 27,
+} as const satisfies Record<MessageKind, number>;
+
+const KINDS_BY_ID: ReadonlyMap<number, MessageKind> = new Map(
+    Object.entries(MESSAGE_IDS).map(([kind, id]) => [id, kind as MessageKind]),
+);
+
+/** Returns the kind that a number on the wire stands for. */
+export function kindOf(id: number): MessageKind | undefined {
+    return KINDS_BY_ID.get(id);
+}
+
+/** True for the messages that only control hosts exchange. */
+export function isAgreementMessage(message: Message): message is AgreementMessage {
+    return MESSAGE_IDS[message.kind] >= MESSAGE_IDS.preVote;
+}
--- /dev/null
+++ b/packages/protocol/tests/codec.test.ts
@@ -0,0 +1,66 @@
+import fc from "fast-check";
+import { describe, expect, it } from "vitest";
+import { decodeMessage, encodeMessage, formatPosition, type Message, parsePosition } from "../src/index.js";
+
+const SEED = 20_261_204;
+
+describe("codec", () => {
+    it("returns an error value for arbitrary bytes instead of throwing", () => {
+        fc.assert(
+            fc.property(fc.uint8Array({ maxLength: 200 }), bytes => {
+                const decoded = decodeMessage(bytes);
+                return decoded.ok || decoded.error.kind !== "tooLarge";
+            }),
+            { seed: SEED, numRuns: 5_000 },
+        );
+    });
+
+    it("keeps undefined, large numbers and bytes apart, which a lossy codec would merge", () => {
+        const messages: readonly Message[] = [
+            { kind: "leaseRefused", sequence: 2 ** 40, leader: undefined },
+            {
+                kind: "append",
+                term: 1,
+                previousIndex: 0,
+                previousTerm: 0,
+                commitIndex: 0,
+                sentAt: 1.5,
+                entries: [{ index: 1, term: 1, payload: new Uint8Array([0, 255]) }],
+            },
+        ];
+        for (const message of messages) {
+            const decoded = decodeMessage(encodeMessage(message));
+            expect(decoded.ok).toBe(true);
+            if (decoded.ok) {
+                expect(comparable(decoded.message)).toEqual(comparable(message));
+            }
+        }
+    });
+
+    it("names an unknown message number, so that a newer peer is told apart from a damaged frame", () => {
+        const known = encodeMessage({ kind: "revoked", database: "orders", term: 1 });
+        const unknown = Uint8Array.from(known);
+        unknown[1] = 99;
+        expect(decodeMessage(unknown)).toEqual({ ok: false, error: { kind: "unknownMessage", id: 99 } });
+    });
+});
+
+describe("position", () => {
+    it("round-trips positions beyond 32 bits, where bitwise arithmetic would overflow", () => {
+        fc.assert(
+            fc.property(fc.maxSafeNat(), position => parsePosition(formatPosition(position)) === position),
+            { seed: SEED, numRuns: 2_000 },
+        );
+        expect(parsePosition("16/B374D848")).toBe(0x16_B374_D848);
+        expect(parsePosition("nonsense")).toBeUndefined();
+    });
+});
+
+/** Makes undefined and bytes visible to a deep comparison. */
+function comparable(message: Message): unknown {
+    return JSON.parse(JSON.stringify(message, replacer));
+}
+
+function replacer(_key: string, value: unknown): unknown {
+    return value instanceof Uint8Array ? [...value] : value === undefined ? "undefined" : value;
+}
--- /dev/null
+++ b/scripts/check.mjs
@@ -0,0 +1,55 @@
+// Runs every gate of the repository in order and stops at the first failure. The last line counts the tests.
+import { spawnSync } from "node:child_process";
+import { mkdtempSync, readFileSync, rmSync } from "node:fs";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+
+const reportFolder = mkdtempSync(join(tmpdir(), "medlarledge-check-"));
+const reportFile = join(reportFolder, "tests.json");
+const steps = [
+    ["install", "npm", ["ci", "--prefer-offline"]],
+    ["format", "npx", ["--no-install", "dprint", "check"]],
+    ["lint", "npx", ["--no-install", "eslint", "--max-warnings", "0", "."]],
+    ["types", "npx", ["--no-install", "tsc", "--noEmit"]],
+    ["tests", "npx", [
+        "--no-install",
+        "vitest",
+        "run",
+        "--reporter=default",
+        "--reporter=json",
+        `--outputFile.json=${reportFile}`,
+    ]],
+];
+
+let failed = false;
+const skipInstall = process.argv.includes("--skip-install");
+for (const [name, command, args] of steps) {
+    if (name === "install" && skipInstall) {
+        continue;
+    }
+    const startedAt = Date.now();
+    const result = spawnSync(command, args, { stdio: "inherit" });
+    console.log(`check: ${name} ${result.status === 0 ? "passed" : "failed"} in ${Date.now() - startedAt} ms`);
+    if (result.status !== 0) {
+        failed = true;
+        break;
+    }
+}
+
+console.log(closingLine());
+rmSync(reportFolder, { recursive: true, force: true });
+process.exit(failed ? 1 : 0);
+
+/** Reads the test counts; a gate that failed before the tests counts as one failure. */
+function closingLine() {
+    try {
+        const report = JSON.parse(readFileSync(reportFile, "utf8"));
+        const broken = report.testResults.filter(file =>
+            file.status === "failed" && file.assertionResults.length === 0
+        );
+        return `${report.numPassedTests} passed, ${report.numFailedTests + broken.length} failed`;
+    }
+    catch {
+        return "0 passed, 1 failed";
+    }
+}
