--- a/packages/protocol/tests/codec.test.ts
+++ b/packages/protocol/tests/codec.test.ts
@@ -57,10 +57,15 @@
 });
 
 /** Makes undefined and bytes visible to a deep comparison. */
-function comparable(message: Message): unknown {
-    return JSON.parse(JSON.stringify(message, replacer));
-}
-
-function replacer(_key: string, value: unknown): unknown {
-    return value instanceof Uint8Array ? [...value] : value === undefined ? "undefined" : value;
+function comparable(value: unknown): unknown {
+    if (value instanceof Uint8Array) {
+        return { bytes: [...value] };
+    }
+    if (Array.isArray(value)) {
+        return value.map(comparable);
+    }
+    if (typeof value === "object" && value !== null) {
+        return Object.fromEntries(Object.entries(value).map(([key, field]) => [key, comparable(field)]));
+    }
+    return value === undefined ? "undefined" : value;
 }
