--- a/packages/protocol/src/control-message.ts
+++ b/packages/protocol/src/control-message.ts
@@ -108,6 +108,36 @@
     readonly body: unknown;
 }
 
+/** Entry host to the host that manages an endpoint's slots: how many statements wait or run here. */
+export interface SlotRequest {
+    readonly kind: "slotRequest";
+    readonly database: string;
+    readonly endpoint: string;
+    /** Slots wanted in total, those already held included. */
+    readonly wanted: number;
+    /** Slots that the sender still holds; it never runs more statements than this. */
+    readonly held: number;
+    readonly sequence: number;
+}
+
+/** Answer to one request: the number that the host may hold for the stated time, counted from the request. */
+export interface SlotGrant {
+    readonly kind: "slotGrant";
+    readonly database: string;
+    readonly endpoint: string;
+    readonly granted: number;
+    readonly durationMs: number;
+    readonly sequence: number;
+}
+
+/** Managing host to holder: reduce to this number as soon as running statements end. */
+export interface SlotRecall {
+    readonly kind: "slotRecall";
+    readonly database: string;
+    readonly endpoint: string;
+    readonly keep: number;
+}
+
 export type ControlMessage =
     | Hello
     | RenewLease
@@ -120,4 +150,7 @@
     | EndpointObservation
     | ConfirmEndpoint
     | LeaderRequest
-    | LeaderReply;
+    | LeaderReply
+    | SlotRequest
+    | SlotGrant
+    | SlotRecall;
