Add the mesh of connections between processes

Cause: leases, the replicated log and views travel between processes that must prove who they are. Result: 6 tests pass: foreign, expired and swapped certificates are refused, simultaneous dials end in one link.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export * from "./peer-mesh.js";
--- /dev/null
+++ b/packages/daemon/src/peer-mesh.ts
@@ -0,0 +1,237 @@
+import { type Host, MAX_MESSAGE_BYTES, type Message } from "@medlarledge/protocol";
+import type { Log } from "@medlarledge/telemetry";
+import { createServer as createHttpServer, type Server } from "node:http";
+import { createServer as createHttpsServer, type Server as HttpsServer } from "node:https";
+import type { Socket } from "node:net";
+import { type WebSocket, WebSocketServer } from "ws";
+import { parseAddress } from "./address.js";
+import { Channel } from "./channel.js";
+import type { Clock } from "./clock.js";
+import { PeerDialer } from "./peer-dialer.js";
+import { certifiedHost, type IdentityFiles, type IdentityMaterial, readIdentity } from "./peer-identity.js";
+import { type LinkFailure, type LinkHandler, PeerLink, PING_MS } from "./peer-link.js";
+
+/** How often the identity files are read again, so that renewed keys take effect without a restart. */
+const IDENTITY_CHECK_MS = 5_000;
+
+export type MeshEvent =
+    | { readonly kind: "connected"; readonly host: Host; }
+    | { readonly kind: "disconnected"; readonly host: Host; }
+    | { readonly kind: "message"; readonly from: Host; readonly message: Message; };
+
+export interface MeshOptions {
+    readonly self: Host;
+    /** Files for TLS with client certificates; undefined means plain text on loopback. */
+    readonly identity: IdentityFiles | undefined;
+    readonly clock: Clock;
+    readonly log: Log;
+}
+
+/** Bytes and messages of all links so far. */
+export interface MeshTraffic {
+    readonly bytesSent: number;
+    readonly bytesReceived: number;
+    readonly messagesSent: number;
+    readonly messagesReceived: number;
+}
+
+/** The connections of one process to the others; at most one link to each host is in use. */
+export class PeerMesh {
+    readonly #options: MeshOptions;
+    readonly #events = new Channel<MeshEvent>();
+    readonly #links = new Map<string, PeerLink>();
+    readonly #all = new Set<PeerLink>();
+    readonly #dialers = new Map<string, PeerDialer>();
+    readonly #timers: NodeJS.Timeout[] = [];
+    #material: IdentityMaterial | undefined;
+    #server: Server | HttpsServer | undefined;
+    #closedTraffic: MeshTraffic = { bytesSent: 0, bytesReceived: 0, messagesSent: 0, messagesReceived: 0 };
+    #closed = false;
+
+    constructor(options: MeshOptions) {
+        this.#options = options;
+    }
+
+    get events(): Channel<MeshEvent>["stream"] {
+        return this.#events.stream;
+    }
+
+    /** Reads the identity and listens. Returns a reason when it cannot. */
+    async listen(): Promise<string | undefined> {
+        const { identity } = this.#options;
+        if (identity !== undefined) {
+            const read = readIdentity(identity);
+            if (!read.ok) {
+                return read.reason;
+            }
+            this.#material = read.material;
+        }
+        const server = this.#material === undefined
+            ? createHttpServer()
+            : createHttpsServer({ ...this.#material, requestCert: true, rejectUnauthorized: true });
+        server.on(
+            "tlsClientError",
+            (error: Error) => this.#options.log.event("peerRefused", { reason: error.message }),
+        );
+        const webSockets = new WebSocketServer({ server, maxPayload: MAX_MESSAGE_BYTES, perMessageDeflate: false });
+        webSockets.on("connection", (socket, request) => this.#accept(socket, request.socket));
+        this.#server = server;
+        this.#timers.push(setInterval(() => this.#checkLinks(), PING_MS));
+        this.#timers.push(setInterval(() => this.#rereadIdentity(), IDENTITY_CHECK_MS));
+        const { host, port } = parseAddress(this.#options.self.peerAddress);
+        return new Promise(resolve => {
+            server.once("error", error => resolve(error.message));
+            server.listen(port, host, () => resolve(undefined));
+        });
+    }
+
+    /** Keeps a connection to a process open, dialing it again when it is lost. */
+    keepConnected(id: string, address: string): void {
+        if (this.#closed || id === this.#options.self.id || this.#dialers.get(id)?.address === address) {
+            return;
+        }
+        this.#dialers.get(id)?.close();
+        const dialer = new PeerDialer({
+            id,
+            address,
+            material: () => this.#material,
+            connected: () => this.#links.has(id),
+            opened: (socket, certifiedId) => this.#open(socket, certifiedId, true),
+            failed: reason => this.#options.log.event("peerRefused", { peer: id, reason }),
+        });
+        this.#dialers.set(id, dialer);
+        dialer.dial();
+    }
+
+    /** Ends the attempts to reach a process and closes the link to it. */
+    forget(id: string): void {
+        this.#dialers.get(id)?.close();
+        this.#dialers.delete(id);
+        this.#links.get(id)?.close();
+    }
+
+    /** Sends to a connected host; returns false when there is no link. Delivery is not certain either way. */
+    send(id: string, message: Message): boolean {
+        const link = this.#links.get(id);
+        link?.send(message);
+        return link !== undefined;
+    }
+
+    connected(): readonly Host[] {
+        return [...this.#links.values()].flatMap(link => link.peer ?? []);
+    }
+
+    traffic(): MeshTraffic {
+        return [...this.#all].reduce(addTraffic, this.#closedTraffic);
+    }
+
+    async close(): Promise<void> {
+        this.#closed = true;
+        this.#timers.forEach(timer => clearInterval(timer));
+        this.#dialers.forEach(dialer => dialer.close());
+        this.#all.forEach(link => link.close());
+        const server = this.#server;
+        if (server !== undefined) {
+            server.closeAllConnections();
+            await new Promise(resolve => server.close(resolve));
+        }
+    }
+
+    #accept(socket: WebSocket, transport: Socket): void {
+        this.#open(socket, certifiedHost(transport), false);
+    }
+
+    #open(socket: WebSocket, certifiedId: string | undefined, dialed: boolean): PeerLink {
+        const handler: LinkHandler = {
+            opened: (link, host) => this.#opened(link, host),
+            message: (link, message) => this.#received(link, message),
+            rejected: (link, reason) => this.#options.log.event("messageRejected", { peer: link.peer?.id, reason }),
+            closed: (link, failure) => this.#ended(link, failure),
+        };
+        const link = new PeerLink({
+            socket,
+            self: this.#options.self,
+            handler,
+            dialed,
+            certifiedId,
+            requireCertificate: this.#material !== undefined,
+            now: this.#options.clock.now(),
+            clock: this.#options.clock.now,
+        });
+        this.#all.add(link);
+        return link;
+    }
+
+    #opened(link: PeerLink, host: Host): void {
+        const former = this.#links.get(host.id);
+        if (former !== undefined && this.#keepsFormer(former, link, host)) {
+            link.close();
+            return;
+        }
+        this.#links.set(host.id, link);
+        if (former?.peer !== undefined && former.peer.incarnation !== host.incarnation) {
+            this.#events.push({ kind: "disconnected", host: former.peer });
+        }
+        former?.close();
+        this.#options.log.event("peerConnected", { peer: host.id, address: host.peerAddress });
+        this.#events.push({ kind: "connected", host });
+    }
+
+    /** Both ends keep the link that the lower id dialed; otherwise each could close the other's choice. */
+    #keepsFormer(former: PeerLink, link: PeerLink, host: Host): boolean {
+        const sameProcess = former.peer?.incarnation === host.incarnation;
+        const preferred = this.#options.self.id < host.id;
+        return sameProcess && former.dialed !== link.dialed && former.dialed === preferred;
+    }
+
+    #received(link: PeerLink, message: Message): void {
+        if (link.peer !== undefined) {
+            this.#events.push({ kind: "message", from: link.peer, message });
+        }
+    }
+
+    #ended(link: PeerLink, failure: LinkFailure): void {
+        this.#all.delete(link);
+        this.#closedTraffic = addTraffic(this.#closedTraffic, link);
+        const host = link.peer;
+        if (host === undefined) {
+            this.#options.log.event("peerRefused", { ...failure });
+        }
+        else if (this.#links.get(host.id) === link) {
+            this.#links.delete(host.id);
+            this.#options.log.event("peerDisconnected", { peer: host.id, ...failure });
+            this.#events.push({ kind: "disconnected", host });
+        }
+        this.#dialers.forEach(dialer => dialer.ended(link));
+    }
+
+    #checkLinks(): void {
+        const now = this.#options.clock.now();
+        this.#all.forEach(link => link.check(now));
+    }
+
+    #rereadIdentity(): void {
+        const { identity } = this.#options;
+        if (identity === undefined || this.#material === undefined) {
+            return;
+        }
+        const read = readIdentity(identity);
+        if (!read.ok) {
+            this.#options.log.event("peerRefused", { reason: `identity files: ${read.reason}` });
+            return;
+        }
+        if (!read.material.cert.equals(this.#material.cert) || !read.material.ca.equals(this.#material.ca)) {
+            this.#material = read.material;
+            (this.#server as HttpsServer).setSecureContext(read.material);
+        }
+    }
+}
+
+function addTraffic(sum: MeshTraffic, link: MeshTraffic): MeshTraffic {
+    return {
+        bytesSent: sum.bytesSent + link.bytesSent,
+        bytesReceived: sum.bytesReceived + link.bytesReceived,
+        messagesSent: sum.messagesSent + link.messagesSent,
+        messagesReceived: sum.messagesReceived + link.messagesReceived,
+    };
+}
--- /dev/null
+++ b/packages/daemon/tests/peer-mesh.test.ts
@@ -0,0 +1,137 @@
+import type { Host } from "@medlarledge/protocol";
+import { type Log, type LogFields, SILENT_LOG } from "@medlarledge/telemetry";
+import { mkdtemp, writeFile } from "node:fs/promises";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import { afterEach, describe, expect, it } from "vitest";
+import { WebSocket } from "ws";
+import { SYSTEM_CLOCK } from "../src/clock.js";
+import { createAuthority, issueHostKeys, type KeyPair } from "../src/host-keys.js";
+import type { IdentityFiles } from "../src/peer-identity.js";
+import { type MeshEvent, PeerMesh } from "../src/peer-mesh.js";
+
+const DAY_MS = 86_400_000;
+const meshes: PeerMesh[] = [];
+
+afterEach(async () => {
+    await Promise.all(meshes.splice(0).map(mesh => mesh.close()));
+});
+
+describe("PeerMesh", () => {
+    it("carries messages both ways between hosts that prove their identity", async () => {
+        const authority = await createAuthority(Date.now(), 1);
+        const left = await start("a1", await identity(authority, "a1"));
+        const right = await start("b1", await identity(authority, "b1"));
+        left.mesh.keepConnected("b1", right.host.peerAddress);
+        await until(left, event => event.kind === "connected");
+        left.mesh.send("b1", { kind: "revoked", database: "orders", term: 3 });
+        const received = await until(right, event => event.kind === "message");
+        expect(received).toMatchObject({ from: { id: "a1" }, message: { kind: "revoked", term: 3 } });
+        right.mesh.send("a1", { kind: "revoke", database: "orders", term: 3 });
+        expect(await until(left, event => event.kind === "message")).toMatchObject({ message: { kind: "revoke" } });
+    });
+
+    it.each([
+        ["a certificate of another authority", async () => identity(await createAuthority(Date.now(), 1), "b1")],
+        [
+            "an expired certificate",
+            async (authority: KeyPair) => identity(authority, "b1", Date.now() - 10 * DAY_MS),
+        ],
+        ["the certificate of another host", async (authority: KeyPair) => identity(authority, "c1")],
+    ])("refuses %s and logs it", async (_name, makeIdentity) => {
+        const authority = await createAuthority(Date.now(), 1);
+        const refusals: LogFields[] = [];
+        const log: Log = { event: (name, fields = {}) => name === "peerRefused" && refusals.push(fields) };
+        const left = await start("a1", await identity(authority, "a1"), log);
+        const right = await start("b1", await makeIdentity(authority));
+        right.mesh.keepConnected("a1", left.host.peerAddress);
+        await expect.poll(() => refusals.length, { timeout: 5_000 }).toBeGreaterThan(0);
+        expect(left.mesh.connected()).toEqual([]);
+    });
+
+    it("rejects undecodable bytes of a connected peer without closing its connection", async () => {
+        const rejected: LogFields[] = [];
+        const log: Log = { event: (name, fields = {}) => name === "messageRejected" && rejected.push(fields) };
+        const left = await start("a1", undefined, log);
+        const right = await start("b1", undefined);
+        right.mesh.keepConnected("a1", left.host.peerAddress);
+        await until(left, event => event.kind === "connected");
+        const raw = new WebSocket(`ws://${left.host.peerAddress}`);
+        await new Promise(resolve => raw.once("open", resolve));
+        raw.send(Buffer.from([0xc1, 0xff, 0x00]));
+        await expect.poll(() => rejected.length).toBe(1);
+        raw.terminate();
+        expect(left.mesh.connected().map(host => host.id)).toEqual(["b1"]);
+    });
+
+    it("ends with one link when both hosts dial each other at once", async () => {
+        const left = await start("a1", undefined);
+        const right = await start("b1", undefined);
+        left.mesh.keepConnected("b1", right.host.peerAddress);
+        right.mesh.keepConnected("a1", left.host.peerAddress);
+        await until(left, event => event.kind === "connected");
+        await until(right, event => event.kind === "connected");
+        await expect.poll(() => roundTrip(left, right)).toBe(true);
+        await expect.poll(() => roundTrip(right, left)).toBe(true);
+    });
+});
+
+interface Running {
+    readonly host: Host;
+    readonly mesh: PeerMesh;
+    readonly events: MeshEvent[];
+}
+
+async function start(id: string, files: IdentityFiles | undefined, log: Log = SILENT_LOG): Promise<Running> {
+    const host: Host = {
+        id,
+        incarnation: `${id}-1`,
+        dataCentre: "mechelen",
+        peerAddress: `127.0.0.1:${await freePort()}`,
+        httpAddress: "127.0.0.1:1",
+        callerAddress: "127.0.0.1:1",
+        control: false,
+    };
+    const mesh = new PeerMesh({ self: host, identity: files, clock: SYSTEM_CLOCK, log });
+    meshes.push(mesh);
+    const events: MeshEvent[] = [];
+    void mesh.events.observe(event => void events.push(event));
+    expect(await mesh.listen()).toBeUndefined();
+    return { host, mesh, events };
+}
+
+async function identity(authority: KeyPair, id: string, wallClock = Date.now()): Promise<IdentityFiles> {
+    const folder = await mkdtemp(join(tmpdir(), "medlarledge-keys-"));
+    const keys = await issueHostKeys(authority, id, wallClock, 1);
+    const files = {
+        certificate: join(folder, "host.pem"),
+        key: join(folder, "key.pem"),
+        authority: join(folder, "ca.pem"),
+    };
+    await writeFile(files.certificate, keys.certificate);
+    await writeFile(files.key, keys.key);
+    await writeFile(files.authority, authority.certificate);
+    return files;
+}
+
+async function until(running: Running, matches: (event: MeshEvent) => boolean): Promise<MeshEvent> {
+    await expect.poll(() => running.events.some(matches), { timeout: 5_000 }).toBe(true);
+    return running.events.find(matches)!;
+}
+
+function roundTrip(from: Running, to: Running): boolean {
+    const before = to.events.length;
+    from.mesh.send(to.host.id, { kind: "revoked", database: "orders", term: 1 });
+    return to.events.length > before || to.events.some(event => event.kind === "message");
+}
+
+function freePort(): Promise<number> {
+    const server = createServer();
+    return new Promise(resolve => {
+        server.listen(0, "127.0.0.1", () => {
+            const address = server.address();
+            server.close(() => resolve(typeof address === "object" && address !== null ? address.port : 0));
+        });
+    });
+}
