--- a/packages/daemon/tests/peer-mesh.test.ts
+++ b/packages/daemon/tests/peer-mesh.test.ts
@@ -1,7 +1,6 @@
 import type { Host } from "@medlarledge/protocol";
 import { type Log, type LogFields, SILENT_LOG } from "@medlarledge/telemetry";
 import { mkdtemp, writeFile } from "node:fs/promises";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterEach, describe, expect, it } from "vitest";
@@ -10,6 +9,7 @@
 import { createAuthority, issueHostKeys, type KeyPair } from "../src/host-keys.js";
 import type { IdentityFiles } from "../src/peer-identity.js";
 import { type MeshEvent, PeerMesh } from "../src/peer-mesh.js";
+import { freePort } from "./free-port.js";
 
 const DAY_MS = 86_400_000;
 const meshes: PeerMesh[] = [];
@@ -125,13 +125,3 @@
     from.mesh.send(to.host.id, { kind: "revoked", database: "orders", term: 1 });
     return to.events.length > before || to.events.some(event => event.kind === "message");
 }
-
-function freePort(): Promise<number> {
-    const server = createServer();
-    return new Promise(resolve => {
-        server.listen(0, "127.0.0.1", () => {
-            const address = server.address();
-            server.close(() => resolve(typeof address === "object" && address !== null ? address.port : 0));
-        });
-    });
-}
--- a/packages/settings/src/host-settings.ts
+++ b/packages/settings/src/host-settings.ts
@@ -41,6 +41,8 @@
     /** Newest first: the first key signs, all verify. */
     sessionKeys: z.array(HEX_KEY).min(1),
     announceKey: HEX_KEY,
+    /** Asked of operators' HTTP calls; needed when the HTTP address is not loopback. */
+    operatorToken: z.string().min(16).optional(),
     tls: tls.optional(),
     /** Certificate shown to callers; without it callers connect in plain text. */
     callerTls: z.strictObject({ certificate: z.string(), key: z.string() }).optional(),
@@ -96,6 +98,9 @@
     if (settings.tls === undefined && !isLoopback(settings.peerAddress)) {
         findings.push(document.findingAt(["peerAddress"], "plain text is accepted on loopback addresses only"));
     }
+    if (settings.operatorToken === undefined && !isLoopback(settings.httpAddress)) {
+        findings.push(document.findingAt(["httpAddress"], "beyond loopback an operatorToken is needed"));
+    }
     if (settings.timing.renewMs * 2 > settings.timing.leaseMs) {
         findings.push(document.findingAt(["timing", "renewMs"], "renewMs must be at most half of leaseMs"));
     }
--- a/packages/settings/tests/host-settings.test.ts
+++ b/packages/settings/tests/host-settings.test.ts
@@ -32,6 +32,7 @@
         ["plain text beyond loopback", { peerAddress: "10.0.0.1:1" }, /loopback/],
         ["missing TLS without consent to plain text", { plaintextPeers: false }, /tls/],
         ["a lease that a single late renewal ends", { timing: { leaseMs: 100, renewMs: 90 } }, /half of leaseMs/],
+        ["operators' calls beyond loopback without a token", { httpAddress: "10.0.0.1:1" }, /operatorToken/],
         ["a host name where an IP number is needed", { httpAddress: "host:1" }, /IP:PORT/],
     ])("refuses %s", (_name, change, pattern) => {
         expect(findings(change).join("\n")).toMatch(pattern);
