Give members of the replicated log their own ids

Cause: a control host that lost its disk must not come back under an id that may have voted, so the host id cannot be the member id.

--- a/packages/protocol/src/agreement-message.ts
+++ b/packages/protocol/src/agreement-message.ts
@@ -92,3 +92,11 @@
     | AppendReply
     | SnapshotChunk
     | SnapshotReply;
+
+/** Carries a message between members. A host that lost its disk has a new member id under the same host id. */
+export interface AgreementEnvelope {
+    readonly kind: "agreement";
+    readonly from: string;
+    readonly to: string;
+    readonly message: AgreementMessage;
+}
--- a/packages/protocol/src/message-table.ts
+++ b/packages/protocol/src/message-table.ts
@@ -1,8 +1,8 @@
-import type { AgreementMessage } from "./agreement-message.js";
+import type { AgreementEnvelope } from "./agreement-message.js";
 import type { ControlMessage } from "./control-message.js";
 
 /** Every message between processes. */
-export type Message = AgreementMessage | ControlMessage;
+export type Message = AgreementEnvelope | ControlMessage;
 
 /** A message's `kind`. */
 export type MessageKind = Message["kind"];
@@ -27,14 +27,7 @@
     slotRequest: 13,
     slotGrant: 14,
     slotRecall: 15,
-    preVote: 20,
-    preVoteReply: 21,
-    vote: 22,
-    voteReply: 23,
-    append: 24,
-    appendReply: 25,
-    snapshotChunk: 26,
-    snapshotReply: 27,
+    agreement: 20,
 } as const satisfies Record<MessageKind, number>;
 
 const KINDS_BY_ID: ReadonlyMap<number, MessageKind> = new Map(
@@ -45,8 +38,3 @@
 export function kindOf(id: number): MessageKind | undefined {
     return KINDS_BY_ID.get(id);
 }
-
-/** True for the messages that only control hosts exchange. */
-export function isAgreementMessage(message: Message): message is AgreementMessage {
-    return MESSAGE_IDS[message.kind] >= MESSAGE_IDS.preVote;
-}
--- a/packages/protocol/tests/codec.test.ts
+++ b/packages/protocol/tests/codec.test.ts
@@ -19,13 +19,18 @@
         const messages: readonly Message[] = [
             { kind: "leaseRefused", sequence: 2 ** 40, leader: undefined },
             {
-                kind: "append",
-                term: 1,
-                previousIndex: 0,
-                previousTerm: 0,
-                commitIndex: 0,
-                sentAt: 1.5,
-                entries: [{ index: 1, term: 1, payload: new Uint8Array([0, 255]) }],
+                kind: "agreement",
+                from: "a1",
+                to: "b1",
+                message: {
+                    kind: "append",
+                    term: 1,
+                    previousIndex: 0,
+                    previousTerm: 0,
+                    commitIndex: 0,
+                    sentAt: 1.5,
+                    entries: [{ index: 1, term: 1, payload: new Uint8Array([0, 255]) }],
+                },
             },
         ];
         for (const message of messages) {
