--- /dev/null
+++ b/packages/agreement/src/election.ts
@@ -0,0 +1,129 @@
+import type { PreVote, PreVoteReply, Vote, VoteReply } from "@medlarledge/protocol";
+import { startLeading } from "./replication.js";
+import type { AgreementState } from "./state.js";
+
+/** Follows the given term; the leader is unknown until it sends an append. */
+export function becomeFollower(state: AgreementState, term: number, now: number): void {
+    if (term > state.term) {
+        state.setHardState({ term, votedFor: undefined });
+    }
+    state.role = "follower";
+    state.leader = undefined;
+    state.votes.clear();
+    state.peers.clear();
+    state.resetElectionDeadline(now);
+}
+
+/** Starts an election when no leader was heard for the random election time. */
+export function electionTick(state: AgreementState, now: number): void {
+    if (now < state.electionDeadline || !state.mayCampaign) {
+        return;
+    }
+    state.role = "candidate";
+    state.phase = "preVote";
+    state.leader = undefined;
+    state.votes = new Set([state.id]);
+    state.resetElectionDeadline(now);
+    const preVote: PreVote = { kind: "preVote", term: state.term + 1, ...lastEntry(state) };
+    otherVoters(state).forEach(to => state.send(to, preVote));
+    startVoteAtQuorum(state, now);
+}
+
+/** The pre-vote changes no state: a member that was cut off learns here that it cannot win. */
+export function handlePreVote(state: AgreementState, from: string, message: PreVote, now: number): void {
+    const granted = message.term > state.term && !hasLeader(state, now) && isUpToDate(state, message);
+    state.send(from, { kind: "preVoteReply", term: granted ? message.term : state.term, granted });
+}
+
+export function handlePreVoteReply(state: AgreementState, from: string, message: PreVoteReply, now: number): void {
+    if (!message.granted) {
+        if (message.term > state.term) {
+            becomeFollower(state, message.term, now);
+        }
+        return;
+    }
+    if (state.role === "candidate" && state.phase === "preVote" && message.term === state.term + 1) {
+        state.votes.add(from);
+        startVoteAtQuorum(state, now);
+    }
+}
+
+/** A vote request of a higher term is ignored while this member has a leader, and does not raise the term. */
+export function handleVote(state: AgreementState, from: string, message: Vote, now: number): void {
+    const ignored = hasLeader(state, now);
+    if (!ignored && message.term > state.term) {
+        becomeFollower(state, message.term, now);
+    }
+    const free = state.votedFor === undefined || state.votedFor === from;
+    const granted = !ignored && message.term === state.term && free && isUpToDate(state, message);
+    if (granted) {
+        state.setHardState({ term: state.term, votedFor: from });
+        state.resetElectionDeadline(now);
+    }
+    state.sendDurable(from, { kind: "voteReply", term: state.term, granted });
+}
+
+export function handleVoteReply(state: AgreementState, from: string, message: VoteReply, now: number): void {
+    if (message.term > state.term) {
+        becomeFollower(state, message.term, now);
+        return;
+    }
+    if (message.granted && message.term === state.term && isVoting(state)) {
+        state.votes.add(from);
+        leadAtQuorum(state, now);
+    }
+}
+
+/** Counts the own vote once it is durable. */
+export function countOwnVote(state: AgreementState, now: number): void {
+    if (isVoting(state) && state.campaignBatch <= state.persistedBatch) {
+        state.votes.add(state.id);
+        leadAtQuorum(state, now);
+    }
+}
+
+function startVoteAtQuorum(state: AgreementState, now: number): void {
+    if (!hasQuorumOfVotes(state)) {
+        return;
+    }
+    state.phase = "vote";
+    state.votes = new Set();
+    state.campaignAt = now;
+    state.campaignBatch = state.nextBatch;
+    state.setHardState({ term: state.term + 1, votedFor: state.id });
+    state.resetElectionDeadline(now);
+    const vote: Vote = { kind: "vote", term: state.term, ...lastEntry(state) };
+    // A request that left before it was durable could be answered after a restart with a shorter log.
+    otherVoters(state).forEach(to => state.sendDurable(to, vote));
+}
+
+function leadAtQuorum(state: AgreementState, now: number): void {
+    if (hasQuorumOfVotes(state) && state.votes.has(state.id)) {
+        startLeading(state, now);
+    }
+}
+
+function hasQuorumOfVotes(state: AgreementState): boolean {
+    return state.log.members.voters.filter(id => state.votes.has(id)).length >= state.quorum;
+}
+
+function isVoting(state: AgreementState): boolean {
+    return state.role === "candidate" && state.phase === "vote";
+}
+
+function hasLeader(state: AgreementState, now: number): boolean {
+    return state.role === "leader" || now - state.leaderContactAt < state.options.electionMs;
+}
+
+function isUpToDate(state: AgreementState, message: PreVote | Vote): boolean {
+    const { lastTerm, lastIndex } = state.log;
+    return message.lastTerm > lastTerm || (message.lastTerm === lastTerm && message.lastIndex >= lastIndex);
+}
+
+function lastEntry(state: AgreementState): { lastIndex: number; lastTerm: number; } {
+    return { lastIndex: state.log.lastIndex, lastTerm: state.log.lastTerm };
+}
+
+function otherVoters(state: AgreementState): readonly string[] {
+    return state.log.members.voters.filter(id => id !== state.id);
+}
--- /dev/null
+++ b/packages/agreement/src/log.ts
@@ -0,0 +1,89 @@
+import type { LogEntry, Members } from "@medlarledge/protocol";
+import type { Snapshot } from "./types.js";
+
+const NO_MEMBERS: Members = { voters: [], learners: [] };
+
+interface MembersAt {
+    readonly index: number;
+    readonly members: Members;
+}
+
+/** The part of the log that is in memory: the entries after `baseIndex`, and the members that they lead to. */
+export class Log {
+    #baseIndex = 0;
+    #baseTerm = 0;
+    #entries: LogEntry[] = [];
+    #members: MembersAt[] = [{ index: 0, members: NO_MEMBERS }];
+
+    get baseIndex(): number {
+        return this.#baseIndex;
+    }
+
+    get lastIndex(): number {
+        return this.#baseIndex + this.#entries.length;
+    }
+
+    get lastTerm(): number {
+        return this.#entries.at(-1)?.term ?? this.#baseTerm;
+    }
+
+    /** The latest members in the log, committed or not. */
+    get members(): Members {
+        return this.#members.at(-1)?.members ?? NO_MEMBERS;
+    }
+
+    /** Index of the entry that set the latest members. */
+    get membersIndex(): number {
+        return this.#members.at(-1)?.index ?? 0;
+    }
+
+    /** Term of the entry at an index, undefined outside of the part in memory. */
+    termAt(index: number): number | undefined {
+        return index === this.#baseIndex ? this.#baseTerm : this.#entries[index - this.#baseIndex - 1]?.term;
+    }
+
+    membersAt(index: number): Members {
+        return this.#members.findLast(at => at.index <= index)?.members ?? NO_MEMBERS;
+    }
+
+    /** Entries from `from` to `to`, both included. */
+    slice(from: number, to: number): readonly LogEntry[] {
+        return this.#entries.slice(from - this.#baseIndex - 1, Math.max(0, to - this.#baseIndex));
+    }
+
+    append(entry: LogEntry): void {
+        this.#entries.push(entry);
+        if (entry.members !== undefined) {
+            this.#members.push({ index: entry.index, members: entry.members });
+        }
+    }
+
+    /** Removes the entries from `index` on. */
+    truncateFrom(index: number): void {
+        this.#entries.length = Math.max(0, index - this.#baseIndex - 1);
+        this.#members = this.#members.filter(at => at.index < index);
+    }
+
+    /** Removes the entries up to `index`, which a snapshot covers. */
+    compact(index: number): void {
+        const term = this.termAt(index);
+        if (term === undefined || index <= this.#baseIndex) {
+            return;
+        }
+        const first = { index, members: this.membersAt(index) };
+        this.#entries = this.#entries.slice(index - this.#baseIndex);
+        this.#baseIndex = index;
+        this.#baseTerm = term;
+        // The original index stays for the latest members, so that their commitment can still be compared.
+        const kept = this.#members.findLast(at => at.index <= index) ?? first;
+        this.#members = [kept, ...this.#members.filter(at => at.index > index)];
+    }
+
+    /** Replaces the whole log by a snapshot. */
+    reset(snapshot: Snapshot): void {
+        this.#baseIndex = snapshot.lastIndex;
+        this.#baseTerm = snapshot.lastTerm;
+        this.#entries = [];
+        this.#members = [{ index: snapshot.lastIndex, members: snapshot.members }];
+    }
+}
--- /dev/null
+++ b/packages/agreement/src/membership.ts
@@ -0,0 +1,40 @@
+import type { Members } from "@medlarledge/protocol";
+import type { AgreementState } from "./state.js";
+import type { ProposalOutcome } from "./types.js";
+
+/** Checks a change of the members; undefined if it may be added to the log. */
+export function refusalOf(state: AgreementState, next: Members): ProposalOutcome | undefined {
+    const current = state.log.members;
+    if (!isOneStep(current, next)) {
+        return "refused";
+    }
+    // Without an own committed entry, an uncommitted change of an earlier leader could be replaced by a second one
+    // whose quorum does not overlap with it.
+    const isOwnTermCommitted = state.log.termAt(state.commitIndex) === state.term;
+    if (state.log.membersIndex > state.commitIndex || !isOwnTermCommitted) {
+        return "busy";
+    }
+    const promoted = next.voters.filter(id => !current.voters.includes(id));
+    return promoted.every(id => isCaughtUp(state, id)) ? undefined : "busy";
+}
+
+/** Learners whose log has reached the commit index and that answered within the election time. */
+export function caughtUpLearners(state: AgreementState, now: number): readonly string[] {
+    const isRecent = (id: string) => now - (state.peers.get(id)?.contact ?? -Infinity) <= state.options.electionMs;
+    return state.log.members.learners.filter(id => isCaughtUp(state, id) && isRecent(id));
+}
+
+function isCaughtUp(state: AgreementState, id: string): boolean {
+    return (state.peers.get(id)?.match ?? -1) >= state.commitIndex;
+}
+
+/** At most one voter is added, which was a learner, or one is removed; learners come and go freely. */
+function isOneStep(current: Members, next: Members): boolean {
+    const added = next.voters.filter(id => !current.voters.includes(id));
+    const removed = current.voters.filter(id => !next.voters.includes(id));
+    const ids = [...next.voters, ...next.learners];
+    return next.voters.length > 0
+        && new Set(ids).size === ids.length
+        && added.length + removed.length <= 1
+        && added.every(id => current.learners.includes(id));
+}
--- /dev/null
+++ b/packages/agreement/src/merge-batches.ts
@@ -0,0 +1,25 @@
+import type { LogEntry } from "@medlarledge/protocol";
+import type { PersistBatch } from "./types.js";
+
+/**
+ * Joins successive batches into one with the same result, so that batches that arrive during a sync share the next
+ * one. A `saveSnapshot` between them must keep its place.
+ */
+export function mergeBatches(batches: readonly PersistBatch[]): PersistBatch {
+    let entries: LogEntry[] = [];
+    let truncateFrom: number | undefined;
+    for (const batch of batches) {
+        const from = batch.truncateFrom;
+        if (from !== undefined) {
+            entries = entries.filter(entry => entry.index < from);
+            truncateFrom = Math.min(from, truncateFrom ?? from);
+        }
+        entries = entries.concat(batch.entries);
+    }
+    const hardState = batches.findLast(batch => batch.hardState !== undefined)?.hardState;
+    return {
+        entries,
+        ...hardState === undefined ? {} : { hardState },
+        ...truncateFrom === undefined ? {} : { truncateFrom },
+    };
+}
--- /dev/null
+++ b/packages/agreement/src/segment.ts
@@ -0,0 +1,197 @@
+import type { LogEntry, Members } from "@medlarledge/protocol";
+import { crc32 } from "node:zlib";
+import type { PersistBatch } from "./types.js";
+
+/*
+ * A segment is a sequence of batches, each written and synced at once.
+ *
+ * batch:  magic u32 | segment u32 | offset in the file u32 | sequence u32 | bytes of the records u32 | CRC-32 u32
+ * record: length u32 | CRC-32 u32 of length, index, term, members and payload |
+ *         index f64 | term f64 | bytes of members u32 | members as JSON | payload
+ *
+ * A record of term 0 truncates the log from its index.
+ */
+const BATCH_MAGIC = 0x4d4c4232;
+const BATCH_HEADER_BYTES = 24;
+const RECORD_HEADER_BYTES = 8;
+const RECORD_FIXED_BYTES = 20;
+const TRUNCATION_TERM = 0;
+// Smallest unit that disks write whole; an unwritten one of a new file reads as zeros.
+const SECTOR_BYTES = 512;
+
+/** Place of a batch. The offset also proves that everything before it was synced. */
+export interface BatchPlace {
+    readonly segment: number;
+    readonly offset: number;
+    readonly sequence: number;
+}
+
+export interface Damage {
+    readonly offset: number;
+    readonly reason: string;
+}
+
+/** What a segment holds. `tornAt` is where an unsynced last write begins; it was never acknowledged. */
+export interface SegmentContent {
+    readonly batches: readonly PersistBatch[];
+    readonly tornAt: number | undefined;
+    readonly damage: Damage | undefined;
+}
+
+/** Encodes a batch as one block of bytes. */
+export function encodeBatch(place: BatchPlace, batch: PersistBatch): Uint8Array {
+    const records = batch.entries.map(encodeRecord);
+    if (batch.truncateFrom !== undefined) {
+        records.unshift(encodeRecord({
+            index: batch.truncateFrom,
+            term: TRUNCATION_TERM,
+            payload: new Uint8Array(),
+        }));
+    }
+    const length = records.reduce((sum, record) => sum + record.byteLength, 0);
+    return Buffer.concat([encodeHeader(place, length), ...records]);
+}
+
+function encodeHeader(place: BatchPlace, length: number): Buffer {
+    const header = Buffer.alloc(BATCH_HEADER_BYTES);
+    header.writeUInt32BE(BATCH_MAGIC, 0);
+    header.writeUInt32BE(place.segment, 4);
+    header.writeUInt32BE(place.offset, 8);
+    header.writeUInt32BE(place.sequence, 12);
+    header.writeUInt32BE(length, 16);
+    header.writeUInt32BE(crc32(header.subarray(0, 20)), 20);
+    return header;
+}
+
+function encodeRecord(entry: LogEntry): Buffer {
+    const members = entry.members === undefined ? Buffer.alloc(0) : Buffer.from(JSON.stringify(entry.members));
+    const length = RECORD_FIXED_BYTES + members.byteLength + entry.payload.byteLength;
+    const record = Buffer.alloc(RECORD_HEADER_BYTES + length);
+    record.writeUInt32BE(length, 0);
+    record.writeDoubleBE(entry.index, 8);
+    record.writeDoubleBE(entry.term, 16);
+    record.writeUInt32BE(members.byteLength, 24);
+    record.set(members, 28);
+    record.set(entry.payload, 28 + members.byteLength);
+    record.writeUInt32BE(recordChecksum(record), 4);
+    return record;
+}
+
+function recordChecksum(record: Buffer): number {
+    return crc32(record.subarray(RECORD_HEADER_BYTES), crc32(record.subarray(0, 4)));
+}
+
+/** Decodes a segment and tells a torn last write from damage to synced data. */
+export function decodeSegment(content: Uint8Array, segment: number): SegmentContent {
+    const bytes = Buffer.from(content.buffer, content.byteOffset, content.byteLength);
+    const batches: PersistBatch[] = [];
+    let offset = 0;
+    while (offset < bytes.byteLength) {
+        const place = { segment, offset, sequence: batches.length };
+        const end = batchEnd(bytes, place);
+        const batch = end === undefined ? undefined : decodeRecords(bytes.subarray(offset + BATCH_HEADER_BYTES, end));
+        if (end === undefined || batch === undefined) {
+            return isTorn(bytes, place, end)
+                ? { batches, tornAt: offset, damage: undefined }
+                : { batches, tornAt: undefined, damage: { offset, reason: "wrong checksum in synced data" } };
+        }
+        batches.push(batch);
+        offset = end;
+    }
+    return { batches, tornAt: undefined, damage: undefined };
+}
+
+/** End of the batch at a place, also when it lies after the end of the file; undefined without a valid header. */
+function batchEnd(bytes: Buffer, place: BatchPlace): number | undefined {
+    const header = bytes.subarray(place.offset, place.offset + BATCH_HEADER_BYTES);
+    if (header.byteLength < BATCH_HEADER_BYTES) {
+        return undefined;
+    }
+    const length = header.readUInt32BE(16);
+    return encodeHeader(place, length).equals(header) ? place.offset + BATCH_HEADER_BYTES + length : undefined;
+}
+
+function decodeRecords(bytes: Buffer): PersistBatch | undefined {
+    const entries: LogEntry[] = [];
+    let truncateFrom: number | undefined;
+    let offset = 0;
+    while (offset < bytes.byteLength) {
+        const entry = decodeRecord(bytes.subarray(offset));
+        if (entry === undefined) {
+            return undefined;
+        }
+        if (entry.value.term === TRUNCATION_TERM) {
+            truncateFrom = entry.value.index;
+        }
+        else {
+            entries.push(entry.value);
+        }
+        offset += entry.bytes;
+    }
+    return truncateFrom === undefined ? { entries } : { truncateFrom, entries };
+}
+
+function decodeRecord(bytes: Buffer): { value: LogEntry; bytes: number; } | undefined {
+    if (bytes.byteLength < RECORD_HEADER_BYTES + RECORD_FIXED_BYTES) {
+        return undefined;
+    }
+    const record = bytes.subarray(0, RECORD_HEADER_BYTES + bytes.readUInt32BE(0));
+    if (record.byteLength < RECORD_HEADER_BYTES + bytes.readUInt32BE(0)) {
+        return undefined;
+    }
+    if (recordChecksum(record) !== record.readUInt32BE(4)) {
+        return undefined;
+    }
+    const payloadAt = 28 + record.readUInt32BE(24);
+    const members = payloadAt === 28
+        ? {}
+        : { members: JSON.parse(record.toString("utf8", 28, payloadAt)) as Members };
+    const value = {
+        index: record.readDoubleBE(8),
+        term: record.readDoubleBE(16),
+        payload: new Uint8Array(record.subarray(payloadAt)),
+        ...members,
+    };
+    return { value, bytes: record.byteLength };
+}
+
+/**
+ * An invalid batch is a torn write only if nothing valid follows it, and if it is shorter than announced or a sector
+ * of it was never written. Every other difference is damage: cutting it off could remove what was acknowledged.
+ */
+function isTorn(bytes: Buffer, place: BatchPlace, end: number | undefined): boolean {
+    if (hasLaterBatch(bytes, place)) {
+        return false;
+    }
+    const isShort = end === undefined
+        ? bytes.byteLength - place.offset < BATCH_HEADER_BYTES
+        : end > bytes.byteLength;
+    const isLast = end === undefined || end >= bytes.byteLength;
+    return isShort || (isLast && hasUnwrittenSector(bytes, place.offset));
+}
+
+function hasLaterBatch(bytes: Buffer, place: BatchPlace): boolean {
+    const magic = Buffer.alloc(4);
+    magic.writeUInt32BE(BATCH_MAGIC, 0);
+    let offset = bytes.indexOf(magic, place.offset + 1);
+    while (offset !== -1 && offset + BATCH_HEADER_BYTES <= bytes.byteLength) {
+        const sequence = bytes.readUInt32BE(offset + 12);
+        if (batchEnd(bytes, { segment: place.segment, offset, sequence }) !== undefined) {
+            return true;
+        }
+        offset = bytes.indexOf(magic, offset + 1);
+    }
+    return false;
+}
+
+function hasUnwrittenSector(bytes: Buffer, from: number): boolean {
+    for (let start = from; start < bytes.byteLength; start += SECTOR_BYTES - start % SECTOR_BYTES) {
+        const end = start + SECTOR_BYTES - start % SECTOR_BYTES;
+        const sector = bytes.subarray(start, end);
+        // A few zeros at the start of the last write are ordinary content, so a part must be as long as a header.
+        if (sector.byteLength >= BATCH_HEADER_BYTES && sector.every(byte => byte === 0)) {
+            return true;
+        }
+    }
+    return false;
+}
--- /dev/null
+++ b/packages/agreement/src/state-file.ts
@@ -0,0 +1,69 @@
+import { uncheck } from "./checked-file.js";
+import type { HardState, Snapshot } from "./types.js";
+
+/** Name of the file that names all others. */
+export const STATE_FILE = "state";
+
+/** Content of the state file: it is replaced as a whole, so its parts always fit together. */
+export interface StateFile {
+    readonly version: 1;
+    readonly memberId: string;
+    readonly term: number;
+    readonly votedFor?: string | undefined;
+    /** Number of the segment in force. */
+    readonly segment: number;
+    /** Last index of the snapshot in force; undefined before the first one. */
+    readonly snapshot?: number | undefined;
+}
+
+export function segmentName(segment: number): string {
+    return `segment-${String(segment).padStart(10, "0")}`;
+}
+
+export function snapshotName(lastIndex: number): string {
+    return `snapshot-${String(lastIndex).padStart(16, "0")}`;
+}
+
+export function encodeStateFile(state: StateFile): Uint8Array {
+    return Buffer.from(JSON.stringify(state));
+}
+
+export function decodeStateFile(
+    content: Uint8Array,
+): { ok: true; state: StateFile; } | { ok: false; reason: string; } {
+    const result = uncheck(content);
+    if (!result.ok) {
+        return result;
+    }
+    const state = JSON.parse(Buffer.from(result.body).toString("utf8")) as StateFile;
+    // The type of `version` holds only for files of this version.
+    return (state.version as number) === 1
+        ? { ok: true, state }
+        : { ok: false, reason: `unknown version ${String(state.version)}` };
+}
+
+export function hardStateOf(state: StateFile): HardState {
+    return { term: state.term, votedFor: state.votedFor };
+}
+
+/** Encodes a snapshot as the length of its description, the description as JSON, and the data. */
+export function encodeSnapshot(snapshot: Snapshot): Uint8Array {
+    const { data, ...description } = snapshot;
+    const text = Buffer.from(JSON.stringify(description));
+    const length = Buffer.alloc(4);
+    length.writeUInt32BE(text.byteLength, 0);
+    return Buffer.concat([length, text, data]);
+}
+
+export function decodeSnapshot(
+    content: Uint8Array,
+): { ok: true; snapshot: Snapshot; } | { ok: false; reason: string; } {
+    const result = uncheck(content);
+    if (!result.ok) {
+        return result;
+    }
+    const body = Buffer.from(result.body.buffer, result.body.byteOffset, result.body.byteLength);
+    const dataAt = 4 + body.readUInt32BE(0);
+    const description = JSON.parse(body.toString("utf8", 4, dataAt)) as Omit<Snapshot, "data">;
+    return { ok: true, snapshot: { ...description, data: new Uint8Array(body.subarray(dataAt)) } };
+}
--- /dev/null
+++ b/packages/agreement/src/store.ts
@@ -0,0 +1,211 @@
+import type { LogEntry, Members } from "@medlarledge/protocol";
+import { replaceFile } from "./checked-file.js";
+import { type AppendFile, type FileSystem, nodeFileSystem } from "./file-system.js";
+import { initialSnapshot } from "./initial-state.js";
+import { encodeBatch } from "./segment.js";
+import { encodeSnapshot, encodeStateFile, hardStateOf, segmentName, snapshotName, STATE_FILE } from "./state-file.js";
+import type { StateFile } from "./state-file.js";
+import { asValue, attempt, type StoreError, StoreFailure } from "./store-error.js";
+import { extendLog, type OpenedFiles, openFiles } from "./store-opening.js";
+import type { PersistBatch, RecoveredState, Snapshot } from "./types.js";
+
+export type OpenedStore =
+    | { readonly ok: true; readonly store: AgreementStore; readonly recovered: RecoveredState; }
+    | { readonly ok: false; readonly error: StoreError; };
+
+interface Segment {
+    readonly file: AppendFile;
+    readonly path: string;
+    bytes: number;
+    batches: number;
+}
+
+/**
+ * One member's durable state under one folder: a state file, one snapshot and one segment of the log. A call returns
+ * when its changes are durable. Calls run one after another. After the first error every further call is refused.
+ */
+export class AgreementStore {
+    readonly #files: FileSystem;
+    readonly #folder: string;
+    #state: StateFile | undefined;
+    #baseIndex: number;
+    #entries: LogEntry[];
+    #segment: Segment | undefined;
+    #error: StoreError | undefined;
+    #last: Promise<unknown> = Promise.resolve();
+
+    private constructor(files: FileSystem, folder: string, opened: OpenedFiles) {
+        this.#files = files;
+        this.#folder = folder;
+        this.#state = opened.state;
+        this.#baseIndex = opened.snapshot?.lastIndex ?? 0;
+        this.#entries = [...opened.entries];
+    }
+
+    /** Opens a folder, creating it if needed. An empty folder gives a fresh state and has to be initialized. */
+    static async open(folder: string, files: FileSystem = nodeFileSystem): Promise<OpenedStore> {
+        let opened: OpenedFiles | undefined;
+        let store: AgreementStore | undefined;
+        const error = await asValue(async () => {
+            opened = await openFiles(files, folder);
+            store = new AgreementStore(files, folder, opened);
+            await store.#openSegment(opened);
+        });
+        if (error !== undefined || opened === undefined || store === undefined) {
+            return { ok: false, error: error ?? { kind: "stopped", cause: undefined } };
+        }
+        return { ok: true, store, recovered: toRecovered(opened) };
+    }
+
+    /**
+     * Takes a fresh folder for a member. The first members of a group give the initial members, equal on all of
+     * them; a host that joins later gives none and waits until it is added.
+     */
+    initialize(memberId: string, members?: Members): Promise<StoreError | undefined> {
+        return this.#run(async () => {
+            if (this.#state !== undefined) {
+                throw new StoreFailure({ kind: "alreadyInitialized", memberId: this.#state.memberId });
+            }
+            const snapshot = members === undefined ? undefined : initialSnapshot(members);
+            if (snapshot !== undefined) {
+                await replaceFile(this.#files, this.#folder, snapshotName(0), encodeSnapshot(snapshot));
+            }
+            this.#segment = await this.#createSegment(1);
+            await this.#replaceState({ version: 1, memberId, term: 0, segment: 1, snapshot: snapshot?.lastIndex });
+        });
+    }
+
+    /** Makes a batch durable: one write and one sync, and a replaced state file if the term or the vote changed. */
+    persist(batch: PersistBatch): Promise<StoreError | undefined> {
+        return this.#run(async () => {
+            const { hardState } = batch;
+            if (hardState !== undefined) {
+                await this.#replaceState({ ...this.#initialized(), ...hardState });
+            }
+            if (batch.truncateFrom !== undefined || batch.entries.length > 0) {
+                await this.#append(batch);
+            }
+        });
+    }
+
+    /** Makes a snapshot durable and removes the entries that it covers. */
+    saveSnapshot(snapshot: Snapshot): Promise<StoreError | undefined> {
+        return this.#run(async () => {
+            const state = this.#initialized();
+            await replaceFile(this.#files, this.#folder, snapshotName(snapshot.lastIndex), encodeSnapshot(snapshot));
+            const rest = this.#entriesAfter(snapshot);
+            const previous = this.#segment;
+            const next = await this.#createSegment(state.segment + 1, rest);
+            await this.#replaceState({ ...state, segment: state.segment + 1, snapshot: snapshot.lastIndex });
+            this.#segment = next;
+            this.#baseIndex = snapshot.lastIndex;
+            this.#entries = rest;
+            await previous?.file.close();
+            await this.#removePrevious(state, snapshot.lastIndex);
+        });
+    }
+
+    /** Waits for the calls that were made and closes the files. */
+    async close(): Promise<void> {
+        await this.#run(async () => {
+            await this.#segment?.file.close();
+            this.#segment = undefined;
+        });
+        this.#error ??= { kind: "stopped", cause: undefined };
+    }
+
+    #run(change: () => Promise<void>): Promise<StoreError | undefined> {
+        const result = this.#last.then(() => this.#attempt(change));
+        this.#last = result;
+        return result;
+    }
+
+    async #attempt(change: () => Promise<void>): Promise<StoreError | undefined> {
+        if (this.#error !== undefined) {
+            return this.#error.kind === "stopped" ? this.#error : { kind: "stopped", cause: this.#error };
+        }
+        const error = await asValue(change);
+        this.#error = error;
+        return error;
+    }
+
+    #initialized(): StateFile {
+        if (this.#state === undefined) {
+            throw new StoreFailure({ kind: "notInitialized" });
+        }
+        return this.#state;
+    }
+
+    async #openSegment(opened: OpenedFiles): Promise<void> {
+        if (opened.state !== undefined) {
+            const path = `${this.#folder}/${segmentName(opened.state.segment)}`;
+            const file = await attempt("open", path, () => this.#files.append(path));
+            this.#segment = { file, path, bytes: opened.segmentBytes, batches: opened.batches };
+        }
+    }
+
+    /** Creates a segment; it is in force once the state file names it. */
+    async #createSegment(number: number, entries: readonly LogEntry[] = []): Promise<Segment> {
+        const path = `${this.#folder}/${segmentName(number)}`;
+        await attempt("remove", path, () => this.#files.remove(path));
+        const file = await attempt("create", path, () => this.#files.append(path));
+        const segment = { file, path, bytes: 0, batches: 0 };
+        if (entries.length > 0) {
+            await writeBatch(segment, number, { entries });
+        }
+        await attempt("sync", this.#folder, () => this.#files.syncFolder(this.#folder));
+        return segment;
+    }
+
+    async #append(batch: PersistBatch): Promise<void> {
+        const state = this.#initialized();
+        const lastIndex = this.#baseIndex + this.#entries.length;
+        const entries = extendLog(this.#baseIndex, [...this.#entries], batch);
+        if (entries === undefined || this.#segment === undefined) {
+            throw new StoreFailure({ kind: "notContiguous", index: batch.entries[0]?.index ?? 0, lastIndex });
+        }
+        await writeBatch(this.#segment, state.segment, batch);
+        this.#entries = entries;
+    }
+
+    /** Entries that continue the snapshot; none if the log has another entry at its end. */
+    #entriesAfter(snapshot: Snapshot): LogEntry[] {
+        const position = snapshot.lastIndex - this.#baseIndex - 1;
+        const last = this.#entries[position];
+        return last?.term === snapshot.lastTerm ? this.#entries.slice(position + 1) : [];
+    }
+
+    async #replaceState(state: StateFile): Promise<void> {
+        await replaceFile(this.#files, this.#folder, STATE_FILE, encodeStateFile(state));
+        this.#state = state;
+    }
+
+    async #removePrevious(state: StateFile, lastIndex: number): Promise<void> {
+        const names = [segmentName(state.segment)];
+        if (state.snapshot !== undefined && state.snapshot !== lastIndex) {
+            names.push(snapshotName(state.snapshot));
+        }
+        for (const name of names) {
+            await attempt("remove", name, () => this.#files.remove(`${this.#folder}/${name}`));
+        }
+    }
+}
+
+async function writeBatch(segment: Segment, number: number, batch: PersistBatch): Promise<void> {
+    const bytes = encodeBatch({ segment: number, offset: segment.bytes, sequence: segment.batches }, batch);
+    await attempt("write", segment.path, () => segment.file.write(bytes));
+    await attempt("sync", segment.path, () => segment.file.sync());
+    segment.bytes += bytes.byteLength;
+    segment.batches += 1;
+}
+
+function toRecovered(opened: OpenedFiles): RecoveredState {
+    const { state, snapshot, entries } = opened;
+    return {
+        fresh: state === undefined,
+        memberId: state?.memberId,
+        hardState: state === undefined ? { term: 0, votedFor: undefined } : hardStateOf(state),
+        snapshot,
+        entries,
+    };
+}
--- /dev/null
+++ b/packages/agreement/tests/group.ts
@@ -0,0 +1,339 @@
+import type { AgreementMessage, LogEntry, Members } from "@medlarledge/protocol";
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import {
+    Agreement,
+    type AgreementEffect,
+    type AgreementEvent,
+    type HardState,
+    initialState,
+    type Snapshot,
+} from "../src/index.js";
+import { Checker, digestAfter } from "./checker.js";
+
+const OPTIONS = { heartbeatMs: 10, electionMs: 60, snapshotEvery: 5, maxBatchEntries: 3, snapshotChunkBytes: 5 };
+const SNAPSHOT_BYTES = 12;
+const ROUND_MS = 10;
+
+type Write = Extract<AgreementEffect, { kind: "persist" | "saveSnapshot"; }>;
+
+/** A disk in memory with the store's rules for what a write changes. */
+class Disk {
+    hardState: HardState = { term: 0, votedFor: undefined };
+    snapshot: Snapshot | undefined;
+    entries: LogEntry[] = [];
+
+    copy(): Disk {
+        return Object.assign(new Disk(), this, { entries: [...this.entries] });
+    }
+
+    write(write: Write): void {
+        const base = this.snapshot?.lastIndex ?? 0;
+        if (write.kind === "saveSnapshot") {
+            const { lastIndex, lastTerm } = write.snapshot;
+            const matches = this.entries[lastIndex - base - 1]?.term === lastTerm;
+            this.entries = matches ? this.entries.slice(lastIndex - base) : [];
+            this.snapshot = write.snapshot;
+            return;
+        }
+        this.hardState = write.hardState ?? this.hardState;
+        if (write.truncateFrom !== undefined) {
+            this.entries = this.entries.slice(0, write.truncateFrom - base - 1);
+        }
+        this.entries.push(...write.entries);
+    }
+}
+
+interface Host {
+    readonly id: string;
+    agreement: Agreement | undefined;
+    /** What survives a crash, and what it will be once all writes are synced. */
+    durable: Disk;
+    written: Disk;
+    unsynced: Write[];
+    snapshotDue: number | undefined;
+    digest: number;
+    isLeader: boolean;
+    leader: string | undefined;
+}
+
+interface Flight {
+    readonly from: string;
+    readonly to: string;
+    readonly message: AgreementMessage;
+}
+
+/** A group of members with a network and disks in memory; every choice comes from the seed and the steps. */
+export class Group {
+    readonly checker = new Checker();
+    readonly #hosts = new Map<string, Host>();
+    readonly #payloads = new Map<number, string>();
+    readonly #random;
+    #flights: Flight[] = [];
+    #separated = new Set<string>();
+    #now = 0;
+    #requests = 0;
+    #isLossy = true;
+
+    constructor(seed: number, voters: number) {
+        this.#random = xoroshiro128plus(seed);
+        const ids = ["a", "b", "c", "d", "e"].slice(0, voters);
+        const members = { voters: ids, learners: [] };
+        ids.forEach(id => this.#add(id, members));
+        ["x", "y"].forEach(id => this.#add(id));
+    }
+
+    #add(id: string, members?: Members): void {
+        const durable = Object.assign(new Disk(), { snapshot: initialState(id, members).snapshot });
+        const host: Host = {
+            id,
+            agreement: undefined,
+            durable,
+            written: durable,
+            unsynced: [],
+            snapshotDue: undefined,
+            digest: 0,
+            isLeader: false,
+            leader: undefined,
+        };
+        this.#hosts.set(id, host);
+        this.#start(host);
+    }
+
+    pick(limit: number): number {
+        return uniformInt(this.#random, 0, limit - 1);
+    }
+
+    #pickHost(): Host {
+        return [...this.#hosts.values()][this.pick(this.#hosts.size)]!;
+    }
+
+    #leader(): Host | undefined {
+        const leaders = [...this.#hosts.values()].filter(host => host.isLeader);
+        return leaders[this.pick(Math.max(1, leaders.length))];
+    }
+
+    /** Lets time pass, delivers what is in flight and syncs disks, with faults if the network is lossy. */
+    round(): void {
+        this.#now += ROUND_MS;
+        for (const host of this.#hosts.values()) {
+            this.#handle(host, { kind: "tick" });
+        }
+        const flights = this.#flights;
+        this.#flights = [];
+        flights.forEach(flight => this.#transmit(flight));
+        for (const host of this.#hosts.values()) {
+            if (!this.#isLossy || this.pick(4) > 0) {
+                this.sync(host, host.unsynced.length);
+            }
+        }
+    }
+
+    #transmit(flight: Flight): void {
+        const fault = this.#isLossy ? this.pick(24) : 3;
+        if (fault === 0) {
+            return;
+        }
+        // Keeping a copy delays or duplicates the message; both reorder it with later ones.
+        if (fault === 1 || fault === 2) {
+            this.#flights.push(flight);
+        }
+        if (fault !== 1) {
+            this.#deliver(flight);
+        }
+    }
+
+    #deliver({ from, to, message }: Flight): void {
+        const host = this.#hosts.get(to);
+        if (host !== undefined && this.#separated.has(from) === this.#separated.has(to)) {
+            this.#handle(host, { kind: "message", from, message });
+        }
+    }
+
+    deliverOne(): void {
+        const [flight] = this.#flights.splice(this.pick(Math.max(1, this.#flights.length)), 1);
+        if (flight !== undefined) {
+            this.#transmit(flight);
+        }
+    }
+
+    syncSome(): void {
+        const host = this.#pickHost();
+        this.sync(host, this.pick(host.unsynced.length + 1));
+    }
+
+    /** Makes the first writes of a host durable. */
+    sync(host: Host, count: number): void {
+        const writes = host.unsynced.splice(0, count);
+        writes.forEach(write => host.durable.write(write));
+        const batch = writes.at(-1)?.batch;
+        if (batch !== undefined) {
+            this.#handle(host, { kind: "persisted", batch });
+        }
+        const index = host.snapshotDue;
+        if (index !== undefined && index === this.checker.appliedBy(host.id)) {
+            host.snapshotDue = undefined;
+            this.#handle(host, { kind: "snapshotTaken", index, data: encodeDigest(host.digest) });
+        }
+    }
+
+    /** Stops a host. Of its unsynced writes a random first part survives. */
+    crash(host: Host = this.#pickHost()): void {
+        host.unsynced.slice(0, this.pick(host.unsynced.length + 1)).forEach(write => host.durable.write(write));
+        host.unsynced = [];
+        host.agreement = undefined;
+        host.isLeader = false;
+    }
+
+    restart(host: Host = this.#pickHost()): void {
+        this.crash(host);
+        this.#start(host);
+    }
+
+    #start(host: Host): void {
+        host.agreement = new Agreement({ ...OPTIONS, id: host.id, seed: this.pick(0x7fffffff) });
+        host.written = host.durable.copy();
+        host.snapshotDue = undefined;
+        host.digest = 0;
+        this.checker.started(host.id);
+        const { hardState, snapshot, entries } = host.durable;
+        const recovered = { fresh: false, memberId: host.id, hardState, snapshot, entries: [...entries] };
+        this.#handle(host, { kind: "start", recovered });
+    }
+
+    partition(): void {
+        this.#separated = new Set([...this.#hosts.keys()].filter(() => this.pick(2) === 0));
+    }
+
+    heal(): void {
+        this.#separated.clear();
+    }
+
+    propose(host: Host | undefined = this.pick(4) === 0 ? this.#pickHost() : this.#leader()): string {
+        const requestId = ++this.#requests;
+        const payload = Buffer.from(`p${requestId}`);
+        this.#payloads.set(requestId, payload.toString());
+        if (host !== undefined) {
+            this.#handle(host, { kind: "propose", requestId, payload: new Uint8Array(payload) });
+        }
+        return new Uint8Array(payload).toString();
+    }
+
+    /** Asks a leader to add or remove a learner, to promote a learner, or to remove a voter. */
+    changeMembers(): void {
+        const host = this.#leader();
+        if (host?.agreement === undefined) {
+            return;
+        }
+        const { voters, learners } = host.agreement.members;
+        const id = this.#pickHost().id;
+        const others = learners.filter(learner => learner !== id);
+        const isLearner = others.length < learners.length;
+        const next = voters.includes(id)
+            ? { voters: voters.filter(voter => voter !== id), learners }
+            : isLearner && this.pick(4) > 0
+            ? { voters: [...voters, id], learners: others }
+            : { voters, learners: isLearner ? others : [...learners, id] };
+        this.#handle(host, { kind: "proposeMembers", requestId: ++this.#requests, members: next });
+    }
+
+    /** Ends all faults and requires that a new proposal is committed at all members. */
+    finish(): void {
+        this.#isLossy = false;
+        this.heal();
+        [...this.#hosts.values()].filter(host => host.agreement === undefined).forEach(host => this.restart(host));
+        let committed = false;
+        for (let round = 0; round < 200 && !committed; round += 1) {
+            this.round();
+            committed = round % 4 === 3 && this.#isAgreed();
+        }
+        if (!committed) {
+            throw new Error("the group does not commit although all faults have ended");
+        }
+        this.checker.finish();
+    }
+
+    #isAgreed(): boolean {
+        const leader = this.#leader();
+        if (leader?.agreement === undefined) {
+            return false;
+        }
+        const before = this.checker.committedCount;
+        this.propose(leader);
+        for (let round = 0; round < 4; round += 1) {
+            this.round();
+        }
+        const { voters, learners } = leader.agreement.members;
+        return this.checker.committedCount > before
+            && [...voters, ...learners].every(id => this.checker.appliedBy(id) === this.checker.committedCount);
+    }
+
+    #handle(host: Host, event: AgreementEvent): void {
+        const effects = host.agreement?.handle(event, this.#now) ?? [];
+        effects.forEach(effect => this.#execute(host, effect));
+    }
+
+    #execute(host: Host, effect: AgreementEffect): void {
+        switch (effect.kind) {
+            case "persist":
+                this.#checkEntries(host, effect);
+                host.written.write(effect);
+                host.unsynced.push(effect);
+                break;
+            case "saveSnapshot":
+                host.written.write(effect);
+                host.unsynced.push(effect);
+                break;
+            case "send":
+                this.#flights.push({ from: host.id, to: effect.to, message: effect.message });
+                break;
+            case "commit":
+                for (const entry of effect.entries) {
+                    this.checker.commits(host.id, entry);
+                    host.digest = digestAfter(host.digest, entry);
+                }
+                break;
+            case "proposed":
+                this.#checkOutcome(effect);
+                break;
+            case "role":
+                host.isLeader = effect.role === "leader";
+                if (host.isLeader) {
+                    this.checker.leads(host.id, effect.term, host.written);
+                }
+                break;
+            case "takeSnapshot":
+                host.snapshotDue = effect.index;
+                break;
+            case "restoreSnapshot":
+                host.digest = Buffer.from(effect.data).readUInt32BE(0);
+                host.snapshotDue = undefined;
+                this.checker.restores(host.id, effect.index, host.digest);
+                break;
+        }
+    }
+
+    #checkEntries(host: Host, write: Extract<Write, { kind: "persist"; }>): void {
+        const { snapshot, entries } = host.written;
+        const base = snapshot?.lastIndex ?? 0;
+        let previousTerm: number | undefined;
+        for (const entry of write.entries) {
+            previousTerm ??= entry.index === base + 1 ? snapshot?.lastTerm ?? 0 : entries[entry.index - base - 2]?.term;
+            this.checker.writes(entry, previousTerm ?? -1);
+            previousTerm = entry.term;
+        }
+    }
+
+    #checkOutcome(effect: Extract<AgreementEffect, { kind: "proposed"; }>): void {
+        const payload = this.#payloads.get(effect.requestId);
+        if (payload !== undefined) {
+            this.checker.proposed(new Uint8Array(Buffer.from(payload)).toString(), effect.outcome);
+        }
+    }
+}
+
+function encodeDigest(digest: number): Uint8Array {
+    const data = Buffer.alloc(SNAPSHOT_BYTES);
+    data.writeUInt32BE(digest, 0);
+    return data;
+}
