Add the replicated control state and the entry host's side of leases

Cause: terms, endpoints, hosts and the configuration need one deterministic owner, and entry hosts need to know when an acknowledgement may leave.

--- /dev/null
+++ b/packages/control/src/command.ts
@@ -0,0 +1,84 @@
+import type { ConfigurationChange, Endpoint, Host, Position, Term } from "@medlarledge/protocol";
+import { Packr } from "msgpackr";
+
+/** Payloads of the replicated log. */
+export type ControlCommand =
+    | { readonly kind: "registerHost"; readonly host: Host; }
+    | { readonly kind: "removeHost"; readonly id: string; readonly incarnation: string; }
+    | { readonly kind: "announceEndpoint"; readonly endpoint: Endpoint; }
+    | {
+        readonly kind: "endpointLeaves";
+        readonly database: string;
+        readonly id: string;
+        readonly systemIdentifier: string;
+        readonly sequence: number;
+    }
+    | { readonly kind: "endpointLeft"; readonly database: string; readonly id: string; readonly sequence: number; }
+    | {
+        readonly kind: "beginTerm";
+        readonly database: string;
+        readonly term: Term;
+        readonly primary: string;
+        readonly reason: string;
+        /** Wall-clock time of the proposal, in ms. */
+        readonly at: number;
+    }
+    | {
+        readonly kind: "startTerm";
+        readonly database: string;
+        readonly term: Term;
+        readonly timeline: number;
+        readonly start: Position;
+    }
+    | { readonly kind: "changeConfiguration"; readonly change: ConfigurationChange; readonly at: number; }
+    /**
+     * Proposed first by every new leader. Once it is applied, all entries of earlier leaders are applied too, so the
+     * leader neither grants nor decides before.
+     */
+    | { readonly kind: "openLeadership"; readonly host: string; readonly at: number; };
+
+const KINDS = {
+    registerHost: true,
+    removeHost: true,
+    announceEndpoint: true,
+    endpointLeaves: true,
+    endpointLeft: true,
+    beginTerm: true,
+    startTerm: true,
+    changeConfiguration: true,
+    openLeadership: true,
+} as const satisfies Record<ControlCommand["kind"], true>;
+
+// Records are off, so that a payload can be decoded without any other payload.
+const packr = new Packr({ useRecords: false, moreTypes: false, mapsAsObjects: true });
+
+/** Encodes a command as the payload of a log entry. */
+export function encodeCommand(command: ControlCommand): Uint8Array {
+    return packr.pack(command);
+}
+
+/** Decodes the payload of a log entry. Returns undefined for bytes that are no command of this version. */
+export function decodeCommand(payload: Uint8Array): ControlCommand | undefined {
+    let value: unknown;
+    try {
+        value = packr.unpack(payload);
+    }
+    catch {
+        return undefined;
+    }
+    return isCommand(value) ? value : undefined;
+}
+
+function isCommand(value: unknown): value is ControlCommand {
+    return typeof value === "object" && value !== null && "kind" in value && typeof value.kind === "string"
+        && Object.hasOwn(KINDS, value.kind);
+}
+
+/** Text that is equal for equal commands; matches an applied entry with the proposal that it came from. */
+export function commandKey(command: ControlCommand): string {
+    if (command.kind === "changeConfiguration") {
+        const { number, digest, operator } = command.change;
+        return JSON.stringify([command.kind, number, digest, operator, command.at]);
+    }
+    return JSON.stringify(command);
+}
--- /dev/null
+++ b/packages/control/src/host-lease.ts
@@ -0,0 +1,100 @@
+import type { DatabaseView, LeaseGranted, Term } from "@medlarledge/protocol";
+
+export interface HostLeaseOptions {
+    readonly leaseMs: number;
+    readonly driftMarginMs: number;
+    readonly renewMs: number;
+}
+
+/** Renewals remembered while unanswered; a lease of 400 ms renewed every 100 ms needs 4. */
+const MAX_OUTSTANDING = 64;
+
+/** The entry host's side of the one lease that covers all databases. */
+export class HostLease {
+    readonly #options: HostLeaseOptions;
+    #sequence = 0;
+    #lastSentAt = Number.NEGATIVE_INFINITY;
+    #validUntil = Number.NEGATIVE_INFINITY;
+    readonly #sentAt = new Map<number, number>();
+    readonly #revoked = new Map<string, Term>();
+    #clocks: { readonly now: number; readonly wallClock: number; } | undefined;
+
+    constructor(options: HostLeaseOptions) {
+        this.#options = options;
+    }
+
+    /** Returns the sequence to send when a renewal is due. The lease is counted from this moment. */
+    renewal(now: number): { sequence: number; } | undefined {
+        if (now - this.#lastSentAt < this.#options.renewMs) {
+            return undefined;
+        }
+        this.#lastSentAt = now;
+        this.#sequence++;
+        this.#sentAt.set(this.#sequence, now);
+        this.#sentAt.delete(this.#sequence - MAX_OUTSTANDING);
+        return { sequence: this.#sequence };
+    }
+
+    granted(message: LeaseGranted, now: number): void {
+        const sentAt = this.#sentAt.get(message.sequence);
+        this.#sentAt.delete(message.sequence);
+        if (sentAt === undefined || sentAt > now) {
+            return;
+        }
+        const durationMs = Math.min(message.durationMs, this.#options.leaseMs);
+        this.#validUntil = Math.max(this.#validUntil, sentAt + durationMs - this.#options.driftMarginMs);
+    }
+
+    /** Remembers the highest revoked term until the process ends. */
+    revoke(database: string, term: Term): void {
+        if (term > (this.#revoked.get(database) ?? -1)) {
+            this.#revoked.set(database, term);
+        }
+    }
+
+    /**
+     * Revokes what a received view supersedes: all terms before the last one of each database. Must be called before
+     * a renewal names the view's version, because the leader takes that version as an acknowledged revocation.
+     */
+    viewReceived(databases: readonly DatabaseView[]): void {
+        for (const { database, terms } of databases) {
+            const current = terms.at(-1);
+            if (current !== undefined) {
+                this.revoke(database, current.term - 1);
+            }
+        }
+    }
+
+    /**
+     * True when a write of this term may be acknowledged now. Call it immediately before the write to the caller's
+     * socket, with clocks read for this call. With `wallClock`, a machine that was suspended since the last call is
+     * noticed here and not only at the next tick.
+     */
+    mayAcknowledge(database: string, term: Term, now: number, wallClock?: number): boolean {
+        if (wallClock !== undefined) {
+            this.suspended(now, wallClock);
+        }
+        // The margin covers a pause between this check and the return of the write system call.
+        return term > (this.#revoked.get(database) ?? -1) && now + this.#options.driftMarginMs <= this.#validUntil;
+    }
+
+    /** End of the lease on this host's monotonic clock, in ms; negative infinity without a lease. */
+    validUntil(): number {
+        return this.#validUntil;
+    }
+
+    /** Drops the lease when the wall clock and the monotonic clock advanced differently since the last call. */
+    suspended(now: number, wallClock: number): void {
+        const last = this.#clocks;
+        this.#clocks = { now, wallClock };
+        if (last === undefined) {
+            return;
+        }
+        const difference = Math.abs((wallClock - last.wallClock) - (now - last.now));
+        if (difference > this.#options.driftMarginMs) {
+            this.#validUntil = Number.NEGATIVE_INFINITY;
+            // Renewals sent before the suspension have an unknown age.
+            this.#sentAt.clear();
+        }
+    }
+}
