Add the control leader: leases, suspicion, failover, requests and status

Cause: the control group's decisions need one place that holds nothing durable and opens no socket. Change: ControlLeader with one lease per host, confirmation by several hosts, one failover state machine per database, view differences, configuration updates and requests checked with zod. Positions that decide are read after the revocation, because an earlier reading can miss a write acknowledged until its end.

--- /dev/null
+++ b/packages/control/src/candidate.ts
@@ -0,0 +1,115 @@
+import {
+    type DatabaseView,
+    type EndpointReading,
+    EndpointRole,
+    EndpointState,
+    type RegisteredEndpoint,
+} from "@medlarledge/protocol";
+import { presentEndpoints, startedTerm } from "./view.js";
+
+export interface CandidateQuestion {
+    readonly view: DatabaseView;
+    /** Answers read after the revocation was complete; undefined for an endpoint that did not answer. */
+    readonly readings: ReadonlyMap<string, EndpointReading | undefined>;
+    readonly durability: "primary" | "replica";
+    readonly promoteWithout: readonly string[];
+    /** Endpoints whose promotion failed in this failover. */
+    readonly failed: ReadonlySet<string>;
+}
+
+export type CandidateAnswer =
+    | { readonly kind: "chosen"; readonly endpoint: string; }
+    /** Nothing can be promoted safely; `missing` names the endpoints that must answer. */
+    | { readonly kind: "wait"; readonly missing: readonly string[]; };
+
+interface Candidate {
+    readonly endpoint: RegisteredEndpoint;
+    readonly reading: EndpointReading;
+}
+
+/** Selects the endpoint to promote: the highest (timeline, position) that may be promoted. */
+export function chooseCandidate(question: CandidateQuestion): CandidateAnswer {
+    const { view, durability } = question;
+    const former = startedTerm(view)?.primary;
+    const begun = view.terms.at(-1);
+    if (former === undefined) {
+        return solePrimary(question);
+    }
+    const present = presentEndpoints(view);
+    const replicas = present.filter(({ id }) => id !== former);
+    const candidates = replicas.flatMap((endpoint) => candidateOf(question, endpoint)).filter(({ endpoint, reading }) =>
+        // A primary that no begun term names was promoted by a failover that chose another endpoint in the end.
+        reading.role === EndpointRole.Replica || (begun?.start === undefined && begun?.primary === endpoint.id)
+    );
+    const missing = durability === "replica" ? unanswered(question, replicas) : [];
+    const best = missing.length > 0 ? undefined : bestOf(candidates, durability, question.failed);
+    if (best !== undefined) {
+        return { kind: "chosen", endpoint: best.endpoint.id };
+    }
+    return formerPrimary(question, present, former)
+        ?? { kind: "wait", missing: missing.length > 0 ? missing : present.map(({ id }) => id) };
+}
+
+/** Before the first term has started nothing tells which data is the right one, so only a sole primary will do. */
+function solePrimary(question: CandidateQuestion): CandidateAnswer {
+    const { view } = question;
+    const active = view.endpoints.filter(({ state }) => state === EndpointState.Active);
+    const primaries = active.flatMap((endpoint) => candidateOf(question, endpoint))
+        .filter(({ reading }) => reading.role === EndpointRole.Primary);
+    const [only, ...others] = primaries;
+    return only === undefined || others.length > 0
+        ? { kind: "wait", missing: active.map(({ id }) => id) }
+        : { kind: "chosen", endpoint: only.endpoint.id };
+}
+
+/** The former primary holds every acknowledged write; it continues under a new term when no replica can replace it. */
+function formerPrimary(
+    question: CandidateQuestion,
+    present: readonly RegisteredEndpoint[],
+    former: string | undefined,
+): CandidateAnswer | undefined {
+    const endpoint = present.find(({ id, state }) => id === former && state === EndpointState.Active);
+    const candidate = endpoint === undefined ? undefined : candidateOf(question, endpoint)[0];
+    return candidate?.reading.role === EndpointRole.Primary
+        ? { kind: "chosen", endpoint: candidate.endpoint.id }
+        : undefined;
+}
+
+function candidateOf(question: CandidateQuestion, endpoint: RegisteredEndpoint): readonly Candidate[] {
+    const reading = question.readings.get(endpoint.id);
+    // Another system identifier means that another server answers at this address.
+    return reading?.systemIdentifier === endpoint.systemIdentifier ? [{ endpoint, reading }] : [];
+}
+
+function unanswered(question: CandidateQuestion, replicas: readonly RegisteredEndpoint[]): readonly string[] {
+    return replicas
+        .filter((endpoint) => candidateOf(question, endpoint).length === 0)
+        .map(({ id }) => id)
+        .filter((id) => !question.promoteWithout.includes(id));
+}
+
+function bestOf(
+    candidates: readonly Candidate[],
+    durability: "primary" | "replica",
+    failed: ReadonlySet<string>,
+): Candidate | undefined {
+    const ordered = [...candidates].sort((left, right) => compare(right, left, failed));
+    if (durability === "replica") {
+        // Only the highest position is certain to hold every acknowledged write, whatever failed before and even if
+        // that endpoint is about to leave.
+        return ordered[0];
+    }
+    const active = ordered.filter(({ endpoint }) => endpoint.state === EndpointState.Active);
+    return active.find(({ endpoint }) => !failed.has(endpoint.id)) ?? active[0];
+}
+
+function compare(left: Candidate, right: Candidate, failed: ReadonlySet<string>): number {
+    return left.reading.timeline - right.reading.timeline
+        || left.reading.position - right.reading.position
+        || preference(left, failed) - preference(right, failed)
+        || (left.endpoint.id < right.endpoint.id ? 1 : -1);
+}
+
+function preference({ endpoint }: Candidate, failed: ReadonlySet<string>): number {
+    return (endpoint.state === EndpointState.Active ? 1 : 0) + (failed.has(endpoint.id) ? 0 : 2);
+}
--- a/packages/control/src/database-state.ts
+++ b/packages/control/src/database-state.ts
@@ -174,8 +174,11 @@
         for (const other of [...this.#endpoints.values()]) {
             const sameAddress = other.host === endpoint.host && other.port === endpoint.port;
             const different = other.systemIdentifier !== endpoint.systemIdentifier;
-            if (different && other.state !== EndpointState.Left && (sameAddress || other.id === endpoint.id)) {
-                this.#retired.set(identity(other), other.sequence);
+            if (!different || (!sameAddress && other.id !== endpoint.id)) {
+                continue;
+            }
+            this.#retired.set(identity(other), other.sequence);
+            if (other.state !== EndpointState.Left) {
                 this.#set({ ...other, state: EndpointState.Left });
                 replaced.push(other.id);
             }
--- /dev/null
+++ b/packages/control/src/distribution.ts
@@ -0,0 +1,78 @@
+import type { Host } from "@medlarledge/protocol";
+import type { HostRecord } from "./host-table.js";
+import type { LeaderContext } from "./leader-context.js";
+
+/** A configuration is sent again at most this often to one host, since it can be large. */
+export const RESEND_CONFIGURATION_MS = 300;
+
+/** Sends views and the configuration to entry hosts. */
+export class Distribution {
+    /** Version of the newest view sent to all hosts. */
+    #sentVersion = 0;
+    readonly #configurationSentAt = new Map<string, number>();
+
+    clear(): void {
+        this.#sentVersion = 0;
+        this.#configurationSentAt.clear();
+    }
+
+    /**
+     * Sends what changed since the last call; called at every tick, so that a burst of changes is one
+     * message, and at once for terms, since entry hosts wait for them. A host that has not yet named its version is
+     * served at its first renewal.
+     */
+    pushView(context: LeaderContext): void {
+        const version = context.state.version();
+        if (version === this.#sentVersion) {
+            return;
+        }
+        this.#sentVersion = version;
+        const prepared = new Map<number, ReturnType<typeof viewUpdate>>();
+        for (const record of context.hosts.allConnected()) {
+            // Differences start at the version that the host named last, so a lost update is included in the next.
+            const base = record.viewVersion;
+            if (base === undefined) {
+                continue;
+            }
+            const message = prepared.get(base) ?? viewUpdate(context, base);
+            prepared.set(base, message);
+            context.emit({ kind: "send", to: record.host.id, message });
+        }
+    }
+
+    /** Sends a host what it lacks according to its renewal. */
+    catchUp(context: LeaderContext, record: HostRecord): void {
+        const base = record.viewVersion ?? 0;
+        if (base !== context.state.version()) {
+            context.emit({ kind: "send", to: record.host.id, message: viewUpdate(context, base) });
+        }
+        const change = context.state.configuration();
+        const known = record.configurationNumber;
+        if (change !== undefined && known !== undefined && known < change.number) {
+            this.#sendConfiguration(context, record.host, RESEND_CONFIGURATION_MS);
+        }
+    }
+
+    /** Sends a newly accepted configuration to every connected host. */
+    pushConfiguration(context: LeaderContext): void {
+        for (const record of context.hosts.allConnected()) {
+            this.#sendConfiguration(context, record.host, 0);
+        }
+    }
+
+    #sendConfiguration(context: LeaderContext, host: Host, intervalMs: number): void {
+        const sentAt = this.#configurationSentAt.get(host.id);
+        const change = context.state.configuration();
+        if (change === undefined || (sentAt !== undefined && context.now - sentAt < intervalMs)) {
+            return;
+        }
+        this.#configurationSentAt.set(host.id, context.now);
+        context.emit({ kind: "send", to: host.id, message: { kind: "configurationUpdate", change } });
+    }
+}
+
+function viewUpdate(context: LeaderContext, base: number) {
+    const { databases, hosts } = context.state.changesSince(base);
+    const version = context.state.version();
+    return { kind: "viewUpdate", version, complete: base === 0, databases, hosts } as const;
+}
--- /dev/null
+++ b/packages/control/src/exchange.ts
@@ -0,0 +1,60 @@
+import type { EndpointReading } from "@medlarledge/protocol";
+import type { ApplyResult } from "./apply-result.js";
+import { commandKey, type ControlCommand } from "./command.js";
+import type { LeaderContext, ProposalDone, ReadingDone } from "./leader-context.js";
+
+interface Proposal {
+    readonly key: string;
+    readonly done: ProposalDone;
+}
+
+/** Proposals and readings whose outcome is not known yet. */
+export class Exchange {
+    readonly #proposals = new Map<number, Proposal>();
+    readonly #readings = new Map<number, ReadingDone>();
+    /** Never reset, so that an answer to an earlier leadership's question matches none of this one. */
+    #lastRequestId = 0;
+
+    propose(context: LeaderContext, command: ControlCommand, done: ProposalDone): void {
+        const requestId = ++this.#lastRequestId;
+        this.#proposals.set(requestId, { key: commandKey(command), done });
+        context.emit({ kind: "propose", requestId, command });
+    }
+
+    /** Equal commands have equal outcomes, so all proposals of this command are answered. */
+    applied(context: LeaderContext, command: ControlCommand, result: ApplyResult): void {
+        if (this.#proposals.size === 0) {
+            return;
+        }
+        const key = commandKey(command);
+        for (const [requestId, proposal] of [...this.#proposals]) {
+            if (proposal.key === key) {
+                this.#proposals.delete(requestId);
+                proposal.done(context, { kind: "applied", result });
+            }
+        }
+    }
+
+    proposalFailed(context: LeaderContext, requestId: number, reason: string): void {
+        const proposal = this.#proposals.get(requestId);
+        this.#proposals.delete(requestId);
+        proposal?.done(context, { kind: "failed", reason });
+    }
+
+    read(context: LeaderContext, database: string, endpoint: string, done: ReadingDone): void {
+        const requestId = ++this.#lastRequestId;
+        this.#readings.set(requestId, done);
+        context.emit({ kind: "readEndpoint", requestId, database, endpoint });
+    }
+
+    reading(context: LeaderContext, requestId: number, reading: EndpointReading | undefined): void {
+        const done = this.#readings.get(requestId);
+        this.#readings.delete(requestId);
+        done?.(context, reading);
+    }
+
+    clear(): void {
+        this.#proposals.clear();
+        this.#readings.clear();
+    }
+}
--- /dev/null
+++ b/packages/control/src/host-table.ts
@@ -0,0 +1,228 @@
+import type { Host, RenewLease, Term } from "@medlarledge/protocol";
+
+/** Lease timing that the table needs; see LeaderOptions for the units. */
+export interface LeaseTiming {
+    readonly leaseMs: number;
+    readonly driftMarginMs: number;
+    readonly stepDownMs: number;
+}
+
+/** A revocation that one host has not acknowledged yet. */
+interface Owed {
+    readonly term: Term;
+    /** View version that includes the next term; undefined while that term has not begun. */
+    readonly version: number | undefined;
+}
+
+/** What the leader knows about one process of an entry host. */
+export interface HostRecord {
+    readonly host: Host;
+    readonly connected: boolean;
+    readonly draining: boolean;
+    /** Until when this process may hold a lease of this leader or of an earlier one, on the leader's clock. */
+    readonly leaseUntil: number;
+    /** End of the last lease that this leader granted; undefined before the first one. */
+    readonly grantedUntil: number | undefined;
+    readonly heardAt: number;
+    /** Version of the last view that the host named; undefined before its first renewal. */
+    readonly viewVersion: number | undefined;
+    /** A lease is granted only to a host whose view has this version; it includes all terms begun before. */
+    readonly requiredVersion: number;
+    readonly configurationNumber: number | undefined;
+    readonly configurationSince: number | undefined;
+}
+
+interface MutableRecord extends HostRecord {
+    connected: boolean;
+    draining: boolean;
+    leaseUntil: number;
+    grantedUntil: number | undefined;
+    heardAt: number;
+    viewVersion: number | undefined;
+    configurationNumber: number | undefined;
+    configurationSince: number | undefined;
+    readonly owed: Map<string, Owed>;
+}
+
+/** Leases granted, connections and owed revocations, by process: a restarted host is a new entry. */
+export class HostTable {
+    readonly #timing: LeaseTiming;
+    readonly #records = new Map<string, MutableRecord>();
+    readonly #connected = new Map<string, MutableRecord>();
+    /** Revocations of running failovers, which also hold for hosts that appear now. */
+    readonly #running = new Map<string, Owed>();
+
+    constructor(timing: LeaseTiming) {
+        this.#timing = timing;
+    }
+
+    /**
+     * Enters a registered host of which it is not known whether an earlier leader granted it a lease. `electedAt` is
+     * the start of this leadership: an earlier leader granted at most until `stepDownMs` after it.
+     */
+    assumePredecessorLease(host: Host, electedAt: number, requiredVersion: number): void {
+        const { stepDownMs, leaseMs, driftMarginMs } = this.#timing;
+        const record = this.#record(host, electedAt, requiredVersion);
+        record.leaseUntil = Math.max(record.leaseUntil, electedAt + stepDownMs + leaseMs + 2 * driftMarginMs);
+    }
+
+    connect(host: Host, now: number, requiredVersion: number): void {
+        const former = this.#connected.get(host.id);
+        if (former !== undefined) {
+            former.connected = false;
+        }
+        const record = this.#record(host, now, requiredVersion);
+        record.connected = true;
+        record.heardAt = now;
+        record.viewVersion = undefined;
+        this.#connected.set(host.id, record);
+    }
+
+    disconnect(id: string, incarnation: string): void {
+        const record = this.#records.get(recordKey(id, incarnation));
+        if (record === undefined) {
+            return;
+        }
+        record.connected = false;
+        if (this.#connected.get(id) === record) {
+            this.#connected.delete(id);
+        }
+    }
+
+    connected(id: string): HostRecord | undefined {
+        return this.#connected.get(id);
+    }
+
+    allConnected(): readonly HostRecord[] {
+        return [...this.#connected.values()];
+    }
+
+    all(): readonly HostRecord[] {
+        return [...this.#records.values()];
+    }
+
+    /** Takes over what a renewal says. A view that includes a later term acknowledges the revocation of the former. */
+    renewed(id: string, renewal: RenewLease, stateVersion: number, now: number): void {
+        const record = this.#connected.get(id);
+        if (record === undefined) {
+            return;
+        }
+        record.heardAt = now;
+        // A version that the state never had counts as none: the host gets the whole view.
+        record.viewVersion = renewal.viewVersion > stateVersion ? 0 : renewal.viewVersion;
+        record.draining = renewal.draining;
+        record.configurationNumber = renewal.configurationNumber;
+        record.configurationSince = renewal.configurationSince;
+        for (const [database, owed] of record.owed) {
+            if (owed.version !== undefined && record.viewVersion >= owed.version) {
+                record.owed.delete(database);
+            }
+        }
+    }
+
+    /** True when a lease granted to this host cannot be used under a term that is or is being superseded. */
+    mayGrant(record: HostRecord): boolean {
+        const version = record.viewVersion ?? -1;
+        return version >= record.requiredVersion && this.#owedBy(record).size === 0;
+    }
+
+    granted(id: string, now: number): void {
+        const record = this.#connected.get(id);
+        if (record !== undefined) {
+            record.grantedUntil = now + this.#timing.leaseMs + this.#timing.driftMarginMs;
+            record.leaseUntil = Math.max(record.leaseUntil, record.grantedUntil);
+        }
+    }
+
+    /** Hosts whose lease, granted by this leader, is valid: only their observations count. */
+    withLease(now: number): readonly HostRecord[] {
+        return this.allConnected().filter((record) => record.grantedUntil !== undefined && record.grantedUntil > now);
+    }
+
+    /** Number of hosts that may hold a lease of this leader or of an earlier one. */
+    maybeAlive(now: number): number {
+        const alive = [...this.#records.values()].filter((record) => record.leaseUntil >= now);
+        return new Set(alive.map((record) => record.host.id)).size;
+    }
+
+    revoke(database: string, term: Term): void {
+        const owed: Owed = { term, version: undefined };
+        this.#running.set(database, owed);
+        for (const record of this.#records.values()) {
+            record.owed.set(database, owed);
+        }
+    }
+
+    acknowledged(id: string, database: string, term: Term): void {
+        const record = this.#connected.get(id);
+        const owed = record?.owed.get(database);
+        if (record !== undefined && owed !== undefined && term >= owed.term) {
+            record.owed.delete(database);
+        }
+    }
+
+    /** The next term began: from now on a view of this version acknowledges the revocation too. */
+    begun(database: string, version: number): void {
+        this.#running.delete(database);
+        for (const record of this.#records.values()) {
+            const owed = record.owed.get(database);
+            if (owed !== undefined) {
+                record.owed.set(database, { ...owed, version });
+            }
+        }
+    }
+
+    /** Processes that have not acknowledged the revocation; `mayHold` is true while a lease of theirs may be valid. */
+    owing(database: string, now: number): readonly { record: HostRecord; mayHold: boolean; }[] {
+        const owing = [...this.#records.values()].filter((record) => record.owed.has(database));
+        return owing.map((record) => ({ record, mayHold: now <= record.leaseUntil }));
+    }
+
+    /** Latest time until which another process of this host may hold a lease. */
+    otherLeaseUntil(host: Host): number {
+        const others = [...this.#records.values()].filter((record) =>
+            record.host.id === host.id && record.host.incarnation !== host.incarnation
+        );
+        return others.reduce((latest, record) => Math.max(latest, record.leaseUntil), Number.NEGATIVE_INFINITY);
+    }
+
+    /** Drops processes that are neither registered nor connected and whose lease has ended. */
+    forget(registered: (host: Host) => boolean, now: number): void {
+        for (const [key, record] of this.#records) {
+            if (!record.connected && now > record.leaseUntil && !registered(record.host)) {
+                this.#records.delete(key);
+            }
+        }
+    }
+
+    #owedBy(record: HostRecord): ReadonlyMap<string, Owed> {
+        return this.#records.get(recordKey(record.host.id, record.host.incarnation))?.owed ?? new Map();
+    }
+
+    #record(host: Host, now: number, requiredVersion: number): MutableRecord {
+        const key = recordKey(host.id, host.incarnation);
+        const known = this.#records.get(key);
+        if (known !== undefined) {
+            return known;
+        }
+        const record: MutableRecord = {
+            host,
+            connected: false,
+            draining: false,
+            leaseUntil: Number.NEGATIVE_INFINITY,
+            grantedUntil: undefined,
+            heardAt: now,
+            viewVersion: undefined,
+            requiredVersion,
+            configurationNumber: undefined,
+            configurationSince: undefined,
+            owed: new Map(this.#running),
+        };
+        this.#records.set(key, record);
+        return record;
+    }
+}
+
+function recordKey(id: string, incarnation: string): string {
+    return JSON.stringify([id, incarnation]);
+}
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -2,5 +2,18 @@
 export { type ControlCommand, decodeCommand, encodeCommand } from "./command.js";
 export { MAX_TERMS } from "./database-state.js";
 export { EndpointObserver } from "./endpoint-observer.js";
+export type { FailoverStep } from "./failover-step.js";
 export { HostLease, type HostLeaseOptions } from "./host-lease.js";
+export type { LeaderEffect, LeaderEvent, LeaderOptions } from "./leader-types.js";
+export { ControlLeader } from "./leader.js";
+export { OPERATOR_PAGES, type Problem } from "./problems.js";
+export { REQUEST_NAMES, type RequestError, type RequestName } from "./requests.js";
 export { ControlState, MAX_HISTORY } from "./state.js";
+export type {
+    ConfigurationStatus,
+    DatabaseStatus,
+    EndpointStatus,
+    FailoverStatus,
+    HostStatus,
+    Status,
+} from "./status.js";
