Add session: tokens, floor checks over the term history, session state

Cause: read-your-writes must hold after a session moves to another entry host and after a failover. History that no longer holds the next term counts as a loss.

--- a/packages/session/src/index.ts
+++ b/packages/session/src/index.ts
@@ -1,1 +1,3 @@
-export {};
+export * from "./floor-check.js";
+export * from "./session-state.js";
+export * from "./token.js";
