Add routing: classifier, router, shares and first admission, health and retries

Cause: the proxy needs the decision of where a statement runs, and the parts built beside it need these interfaces. Change: Classifier on PostgreSQL's grammar with a bounded cache; Router with four strategies in a lookup table; connectionShare and rendezvous; first versions of Admission, EndpointHealth and RetryBudget. Router, Admission, EndpointHealth and RetryBudget have no tests of their own yet.

--- /dev/null
+++ b/packages/routing/src/classifier.ts
@@ -0,0 +1,104 @@
+import { loadModule, parseSync, scanSync } from "libpg-query";
+import { BoundedCache, type CacheLimits } from "./bounded-cache.js";
+import { parseComment, splitTrailingComment } from "./statement-comment.js";
+import { type Classification, StatementKind } from "./statement-kind.js";
+import { type StatementFacts, statementFacts } from "./statement-rules.js";
+import { joinFacts } from "./statement-text.js";
+
+const CACHE_LIMITS: CacheLimits = { entries: 4_096, characters: 2 * 1024 * 1024, keyCharacters: 16 * 1024 };
+
+// A parse takes about 1 ms per 10,000 characters, during which the process serves nobody else.
+const MAX_PARSED_CHARACTERS = 256 * 1024;
+
+const NO_COMMENT: Readonly<Record<string, string>> = {};
+
+interface Parsed {
+    readonly valid: boolean;
+    readonly classification: Classification;
+}
+
+/** Sorts statements by what they need, with PostgreSQL's own grammar. Results are cached by text. */
+export class Classifier {
+    readonly #cache: BoundedCache<Parsed>;
+
+    private constructor(limits: CacheLimits) {
+        this.#cache = new BoundedCache(limits);
+    }
+
+    /** Loads the grammar once per process. */
+    static async load(limits: CacheLimits = CACHE_LIMITS): Promise<Classifier> {
+        await loadModule();
+        return new Classifier(limits);
+    }
+
+    /** Classifies the text of a simple query or of a Parse message. Text that does not parse is a write. */
+    classify(sql: string): Classification {
+        const { statement, comment } = splitTrailingComment(sql);
+        const parsed = this.#parsed(statement);
+        if (comment === "" || !parsed.valid) {
+            return parsed.classification;
+        }
+        return { ...parsed.classification, comment: parseComment(comment) };
+    }
+
+    #parsed(text: string): Parsed {
+        const cached = this.#cache.get(text);
+        if (cached !== undefined) {
+            return cached;
+        }
+        const parsed = parseText(text);
+        this.#cache.set(text, parsed);
+        return parsed;
+    }
+}
+
+function parseText(text: string): Parsed {
+    if (text.length > MAX_PARSED_CHARACTERS) {
+        // What it leaves on the connection is unknown, so the connection is not shared afterwards.
+        return {
+            valid: false,
+            classification: classification({ kind: StatementKind.Write, pins: true }, 1, NO_COMMENT),
+        };
+    }
+    if (text.trim() === "") {
+        return { valid: true, classification: classification({ kind: StatementKind.Read }, 0, NO_COMMENT) };
+    }
+    try {
+        const statements = text.includes("\0") ? undefined : parseSync(text).stmts ?? [];
+        if (statements !== undefined) {
+            const facts = joinFacts(statements.map(raw => statementFacts(raw.stmt)));
+            return { valid: true, classification: classification(facts, statements.length, commentsOf(text)) };
+        }
+    }
+    catch {
+        // The primary reports the error in PostgreSQL's own words.
+    }
+    return { valid: false, classification: classification({ kind: StatementKind.Write }, 1, NO_COMMENT) };
+}
+
+function classification(
+    facts: StatementFacts,
+    statements: number,
+    comment: Readonly<Record<string, string>>,
+): Classification {
+    return {
+        kind: facts.kind,
+        statements,
+        pins: facts.pins === true,
+        resets: facts.resets === true,
+        readOnly: facts.readOnly === true,
+        transactionOnly: facts.transactionOnly === true,
+        refusal: facts.refusal,
+        comment,
+        set: facts.set,
+    };
+}
+
+/** The scanner tells comments from the insides of literals; it is only called when the text can hold a comment. */
+function commentsOf(text: string): Readonly<Record<string, string>> {
+    if (!text.includes("/*") && !text.includes("--")) {
+        return NO_COMMENT;
+    }
+    const comments = scanSync(text).tokens.filter(token => token.tokenName.endsWith("_COMMENT"));
+    return Object.assign({}, ...comments.map(token => parseComment(token.text))) as Readonly<Record<string, string>>;
+}
--- /dev/null
+++ b/packages/routing/src/concurrency-limit.ts
@@ -0,0 +1,42 @@
+// One answer this many times slower than expected is a sign of congestion at the endpoint.
+const SLOW_RATIO = 3;
+
+// Answers in a row at which the limit changes by one.
+const SLOW_ANSWERS = 4;
+const NORMAL_ANSWERS = 16;
+
+/** Statements run at the same time on one endpoint: between 1 and the granted slots, lowered while it slows down. */
+export class ConcurrencyLimit {
+    #granted = 0;
+    #reduced = 0;
+    #slow = 0;
+    #normal = 0;
+
+    get value(): number {
+        return this.#granted === 0 ? 0 : Math.max(1, this.#granted - this.#reduced);
+    }
+
+    setGranted(slots: number): void {
+        this.#granted = slots;
+        this.#reduced = Math.min(this.#reduced, Math.max(0, slots - 1));
+    }
+
+    observe(serviceMs: number, expectedMs: number): void {
+        if (serviceMs > expectedMs * SLOW_RATIO) {
+            this.#slow++;
+            this.#normal = 0;
+        }
+        else {
+            this.#normal++;
+            this.#slow = 0;
+        }
+        if (this.#slow >= SLOW_ANSWERS && this.value > 1) {
+            this.#reduced++;
+            this.#slow = 0;
+        }
+        else if (this.#normal >= NORMAL_ANSWERS && this.#reduced > 0) {
+            this.#reduced--;
+            this.#normal = 0;
+        }
+    }
+}
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,1 +1,12 @@
-export {};
+export * from "./admission.js";
+export * from "./classifier.js";
+export * from "./endpoint-health.js";
+export * from "./primary-positions.js";
+export * from "./rendezvous.js";
+export * from "./replica-positions.js";
+export * from "./retry-budget.js";
+export * from "./route-strategies.js";
+export * from "./route.js";
+export * from "./router.js";
+export * from "./spread.js";
+export * from "./statement-kind.js";
--- /dev/null
+++ b/packages/routing/src/primary-positions.ts
@@ -0,0 +1,91 @@
+import type { Position, Term } from "@medlarledge/protocol";
+
+interface Sample {
+    readonly at: number;
+    readonly position: Position;
+}
+
+// Samples closer together are joined; 1 ms is below the shortest network round trip between data centres.
+const SPACING_MS = 1;
+
+const MAX_SAMPLES = 1_024;
+
+// After thinning, neighbours lie at most this share of their age apart, so an age is proved to within 2 %.
+const SPACING_SHARE = 1 / 50;
+
+/**
+ * Positions of one database's primary over time. A sample's time is when the position was asked for, under a valid
+ * lease: a replica at the sample's position then holds everything acknowledged up to that time.
+ */
+export class PrimaryPositions {
+    #term: Term = 0;
+    #samples: Sample[] = [];
+
+    /** Takes a sample. A new term starts over, because positions of two terms do not compare. */
+    record(term: Term, position: Position, at: number): void {
+        if (term < this.#term) {
+            return;
+        }
+        if (term > this.#term) {
+            this.#term = term;
+            this.#samples = [];
+        }
+        this.#add(position, at);
+    }
+
+    latest(): Position | undefined {
+        return this.#samples.at(-1)?.position;
+    }
+
+    /** The lowest position that proves an age; undefined when no sample is recent enough. */
+    positionWithin(ageMs: number, now: number): Position | undefined {
+        const index = this.#firstIndex(sample => sample.at >= now - ageMs);
+        return this.#samples[index]?.position;
+    }
+
+    /** The time at which the primary was first seen at or past a position; undefined when it was not seen there. */
+    passedAt(position: Position): number | undefined {
+        return this.#samples[this.#firstIndex(sample => sample.position >= position)]?.at;
+    }
+
+    #add(position: Position, at: number): void {
+        const last = this.#samples.at(-1);
+        if (last !== undefined && at < last.at + SPACING_MS) {
+            // The earlier time with the higher position asks for more than needed, never for less.
+            this.#samples[this.#samples.length - 1] = { at: last.at, position: Math.max(position, last.position) };
+            return;
+        }
+        this.#samples.push({ at, position: Math.max(position, last?.position ?? 0) });
+        if (this.#samples.length > MAX_SAMPLES) {
+            this.#thin(at);
+        }
+    }
+
+    /** Keeps recent samples dense and old ones sparse, so that ages of a day fit into a bounded list. */
+    #thin(now: number): void {
+        const kept: Sample[] = [];
+        for (const sample of this.#samples) {
+            const former = kept.at(-1);
+            if (former === undefined || sample.at - former.at >= (now - sample.at) * SPACING_SHARE) {
+                kept.push(sample);
+            }
+        }
+        this.#samples = kept.length > MAX_SAMPLES / 2 ? kept.slice(-MAX_SAMPLES / 2) : kept;
+    }
+
+    #firstIndex(matches: (sample: Sample) => boolean): number {
+        let low = 0;
+        let high = this.#samples.length;
+        while (low < high) {
+            const middle = (low + high) >> 1;
+            const sample = this.#samples[middle];
+            if (sample !== undefined && matches(sample)) {
+                high = middle;
+            }
+            else {
+                low = middle + 1;
+            }
+        }
+        return low;
+    }
+}
--- /dev/null
+++ b/packages/routing/src/retry-budget.ts
@@ -0,0 +1,92 @@
+import { Random } from "./random.js";
+
+export interface RetryOptions {
+    /** Retries as a share of first attempts. */
+    readonly share: number;
+    readonly windowMs: number;
+    readonly baseDelayMs: number;
+    readonly maxDelayMs: number;
+    /** How long after an endpoint shed a request nothing is retried because of it. */
+    readonly shedPauseMs: number;
+    readonly seed: number;
+}
+
+export const RETRY_OPTIONS: Omit<RetryOptions, "seed"> = {
+    share: 0.1,
+    windowMs: 10_000,
+    baseDelayMs: 2,
+    maxDelayMs: 250,
+    shedPauseMs: 1_000,
+};
+
+const BUCKETS = 10;
+
+interface Bucket {
+    readonly number: number;
+    attempts: number;
+    retries: number;
+}
+
+/** Allows retries up to a share of the load over a sliding window, after a random delay. */
+export class RetryBudget {
+    readonly #options: RetryOptions;
+    readonly #random: Random;
+    readonly #shedAt = new Map<string, number>();
+    #buckets: Bucket[] = [];
+
+    constructor(options: RetryOptions) {
+        this.#options = options;
+        this.#random = new Random(options.seed);
+    }
+
+    /** Counts a first attempt. */
+    attempted(now: number): void {
+        this.#bucket(now).attempts++;
+    }
+
+    /** An endpoint refused work because of its load. */
+    shed(endpoint: string, now: number): void {
+        this.#shedAt.set(endpoint, now);
+    }
+
+    /**
+     * Takes one retry from the budget and returns the delay before it, or undefined when there is none to take.
+     * @param endpoint where the request failed
+     * @param attempt 1 for the first retry
+     */
+    retry(endpoint: string, attempt: number, now: number): number | undefined {
+        if (now < (this.#shedAt.get(endpoint) ?? -Infinity) + this.#options.shedPauseMs) {
+            return undefined;
+        }
+        const bucket = this.#bucket(now);
+        if (this.#retries() + 1 > this.#options.share * this.#attempts(bucket.number)) {
+            return undefined;
+        }
+        bucket.retries++;
+        const longest = Math.min(this.#options.maxDelayMs, this.#options.baseDelayMs * 2 ** attempt);
+        return this.#random.unit() * longest;
+    }
+
+    #bucket(now: number): Bucket {
+        const number = Math.floor(now / (this.#options.windowMs / BUCKETS));
+        const last = this.#buckets.at(-1);
+        if (last?.number === number) {
+            return last;
+        }
+        const bucket = { number, attempts: 0, retries: 0 };
+        this.#buckets = [...this.#buckets.filter(former => former.number >= number - BUCKETS), bucket];
+        return bucket;
+    }
+
+    /** Attempts of the last buckets that lie wholly within the window. */
+    #attempts(current: number): number {
+        return this.#buckets
+            .filter(bucket => bucket.number > current - BUCKETS)
+            .reduce((sum, bucket) => sum + bucket.attempts, 0);
+    }
+
+    /** One bucket more than the window, so that no retry within it is left out. */
+    #retries(): number {
+        return this.#buckets.reduce((sum, bucket) => sum + bucket.retries, 0);
+    }
+}
--- /dev/null
+++ b/packages/routing/src/spread.ts
@@ -0,0 +1,42 @@
+import type { Random } from "./random.js";
+import type { Candidate } from "./route.js";
+
+/** Chooses one of the candidates that may all serve the request. */
+export type Spread = (candidates: readonly Candidate[], random: Random) => Candidate | undefined;
+
+// Load that the other data centre must save to be preferred, in statements per slot. One statement takes about as
+// long as the round trip between data centres at Vouwwerk (3 ms), so half a queued statement per slot pays for it.
+const REMOTE_LOAD = 0.5;
+
+export const SPREADS = {
+    leastInFlight: (candidates, random) => {
+        const start = candidates.length > 0 ? random.below(candidates.length) : 0;
+        return [...candidates.slice(start), ...candidates.slice(0, start)].reduce<Candidate | undefined>(
+            lighter,
+            undefined,
+        );
+    },
+    /** Compares two drawn at random, so that hosts with equal knowledge do not all choose the same one. */
+    twoChoices: (candidates, random) => {
+        if (candidates.length < 2) {
+            return candidates[0];
+        }
+        const first = random.below(candidates.length);
+        const second = (first + 1 + random.below(candidates.length - 1)) % candidates.length;
+        return lighter(candidates[first], candidates[second]);
+    },
+} as const satisfies Record<string, Spread>;
+
+export type SpreadName = keyof typeof SPREADS;
+
+function lighter(left: Candidate | undefined, right: Candidate | undefined): Candidate | undefined {
+    if (left === undefined || right === undefined) {
+        return left ?? right;
+    }
+    return loadOf(right) < loadOf(left) ? right : left;
+}
+
+function loadOf(candidate: Candidate): number {
+    const load = candidate.inFlight / Math.max(1, candidate.endpoint.slots);
+    return candidate.sameDataCentre ? load : load + REMOTE_LOAD;
+}
--- /dev/null
+++ b/packages/routing/src/statement-text.ts
@@ -0,0 +1,51 @@
+import { StatementKind } from "./statement-kind.js";
+import { type StatementFacts, stronger } from "./statement-rules.js";
+
+const READ: StatementFacts = { kind: StatementKind.Read };
+
+const CONTROL_KINDS: ReadonlySet<StatementKind> = new Set([
+    StatementKind.Begin,
+    StatementKind.Commit,
+    StatementKind.Rollback,
+]);
+
+/**
+ * Joins the statements of one text. Text that ends in an open transaction is a `Begin`; text that ends the caller's
+ * transaction is a `Commit` or `Rollback`; text that holds both BEGIN and its end is a write, because the primary can
+ * run whatever it holds and nothing is open afterwards.
+ */
+export function joinFacts(statements: readonly StatementFacts[]): StatementFacts {
+    const joined = statements.reduce(stronger, READ);
+    if (joined.kind === StatementKind.Refused || statements.length < 2) {
+        return joined;
+    }
+    if (statements.some(facts => facts.kind === StatementKind.Own)) {
+        return {
+            kind: StatementKind.Refused,
+            refusal: "a medlarledge. setting must be the only statement of its text",
+        };
+    }
+    const controls = statements.filter(facts => CONTROL_KINDS.has(facts.kind));
+    return controls.length === 0 ? joined : joinTransaction(statements, controls, joined);
+}
+
+function joinTransaction(
+    statements: readonly StatementFacts[],
+    controls: readonly StatementFacts[],
+    joined: StatementFacts,
+): StatementFacts {
+    const rest = statements.filter(facts => !CONTROL_KINDS.has(facts.kind));
+    const flags = { pins: joined.pins, transactionOnly: joined.transactionOnly };
+    const first = controls[0]?.kind;
+    const last = controls.at(-1)?.kind;
+    if (first !== StatementKind.Begin) {
+        const commits = controls.some(facts => facts.kind === StatementKind.Commit);
+        return { kind: commits ? StatementKind.Commit : StatementKind.Rollback, ...flags };
+    }
+    if (last === StatementKind.Begin) {
+        const readOnly = controls.length === 1 && controls[0]?.readOnly === true
+            && rest.every(facts => facts.kind === StatementKind.Read);
+        return { kind: StatementKind.Begin, ...flags, readOnly };
+    }
+    return { ...rest.reduce(stronger, { kind: StatementKind.Write }), ...flags, transactionOnly: false };
+}
