Add the tasks of a control host and of an entry host

Cause: the decision modules need owners of their sockets, timers and files. Change: tasks for the replicated log, for control and for the entry host's lease, view and configuration, fed by most streams; start rules for a control host with an empty data folder; classes of requests by the most specific match.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -6,6 +6,7 @@
 export { HostLease, type HostLeaseOptions } from "./host-lease.js";
 export type { LeaderEffect, LeaderEvent, LeaderOptions } from "./leader-types.js";
 export { ControlLeader } from "./leader.js";
+export { hostOfMember, nextMembers, replacementMember } from "./member-plan.js";
 export { OPERATOR_PAGES, type Problem } from "./problems.js";
 export { REQUEST_NAMES, type RequestError, type RequestName } from "./requests.js";
 export { ControlState, MAX_HISTORY } from "./state.js";
--- /dev/null
+++ b/packages/daemon/src/agreement-task.ts
@@ -0,0 +1,171 @@
+import {
+    Agreement,
+    type AgreementEffect,
+    type AgreementEvent,
+    type AgreementOptions,
+    type AgreementStore,
+    mergeBatches,
+    type ProposalOutcome,
+    type RecoveredState,
+    type Role,
+    type StoreError,
+} from "@medlarledge/agreement";
+import type { AgreementEnvelope, AgreementMessage, LogEntry, Members } from "@medlarledge/protocol";
+import { merge, periodic } from "most";
+import { Channel } from "./channel.js";
+import type { Clock } from "./clock.js";
+
+const TICK_MS = 10;
+
+/** What the task tells the one that applies the log. */
+export type AgreementReport =
+    | { readonly kind: "committed"; readonly entries: readonly LogEntry[]; }
+    | { readonly kind: "restored"; readonly index: number; readonly data: Uint8Array; }
+    | { readonly kind: "role"; readonly role: Role; readonly leader: string | undefined; }
+    | { readonly kind: "proposed"; readonly requestId: number; readonly outcome: ProposalOutcome; }
+    | { readonly kind: "snapshotWanted"; readonly index: number; }
+    | { readonly kind: "failed"; readonly error: StoreError; };
+
+type WriteEffect = Extract<AgreementEffect, { kind: "persist" | "saveSnapshot"; }>;
+type Executors = { readonly [K in AgreementEffect["kind"]]: (effect: Extract<AgreementEffect, { kind: K; }>) => void; };
+
+export interface AgreementTaskOptions {
+    readonly store: AgreementStore;
+    readonly recovered: RecoveredState;
+    readonly agreement: AgreementOptions;
+    readonly clock: Clock;
+    readonly send: (envelope: AgreementEnvelope) => void;
+}
+
+/** Owns the member's part in the replicated log and its files; runs the effects of the decisions. */
+export class AgreementTask {
+    readonly #options: AgreementTaskOptions;
+    readonly #agreement: Agreement;
+    readonly #events = new Channel<AgreementEvent>();
+    readonly #reports = new Channel<AgreementReport>();
+    readonly #writes: WriteEffect[] = [];
+    #writing = false;
+    #stopped = false;
+
+    readonly #executors: Executors = {
+        persist: effect => this.#write(effect),
+        saveSnapshot: effect => this.#write(effect),
+        send: effect => this.#send(effect.to, effect.message),
+        commit: effect => this.#reports.push({ kind: "committed", entries: effect.entries }),
+        proposed: effect => this.#reports.push(effect),
+        role: effect => this.#reports.push({ kind: "role", role: effect.role, leader: effect.leader }),
+        takeSnapshot: effect => this.#reports.push({ kind: "snapshotWanted", index: effect.index }),
+        restoreSnapshot: effect => this.#reports.push({ kind: "restored", index: effect.index, data: effect.data }),
+    };
+
+    constructor(options: AgreementTaskOptions) {
+        this.#options = options;
+        this.#agreement = new Agreement(options.agreement);
+    }
+
+    get reports(): Channel<AgreementReport>["stream"] {
+        return this.#reports.stream;
+    }
+
+    get members(): Members {
+        return this.#agreement.members;
+    }
+
+    /** Starts deciding; the stream of reports must be observed before. */
+    start(): void {
+        const ticks = periodic(TICK_MS).map((): AgreementEvent => ({ kind: "tick" }));
+        void merge(this.#events.stream, ticks)
+            .takeWhile(() => !this.#stopped)
+            .observe(event => this.#handle(event));
+        this.#events.push({ kind: "start", recovered: this.#options.recovered });
+    }
+
+    receive(envelope: AgreementEnvelope): void {
+        if (envelope.to === this.#options.agreement.id) {
+            this.#events.push({ kind: "message", from: envelope.from, message: envelope.message });
+        }
+    }
+
+    propose(requestId: number, payload: Uint8Array): void {
+        this.#events.push({ kind: "propose", requestId, payload });
+    }
+
+    proposeMembers(requestId: number, members: Members): void {
+        this.#events.push({ kind: "proposeMembers", requestId, members });
+    }
+
+    snapshotTaken(index: number, data: Uint8Array): void {
+        this.#events.push({ kind: "snapshotTaken", index, data });
+    }
+
+    quorumContactAt(): number {
+        return this.#agreement.quorumContactAt(this.#options.clock.now());
+    }
+
+    caughtUpLearners(): readonly string[] {
+        return this.#agreement.caughtUpLearners(this.#options.clock.now());
+    }
+
+    async close(): Promise<void> {
+        this.#stopped = true;
+        await this.#options.store.close();
+    }
+
+    #handle(event: AgreementEvent): void {
+        for (const effect of this.#agreement.handle(event, this.#options.clock.now())) {
+            (this.#executors[effect.kind] as (effect: AgreementEffect) => void)(effect);
+        }
+    }
+
+    #send(to: string, message: AgreementMessage): void {
+        this.#options.send({ kind: "agreement", from: this.#options.agreement.id, to, message });
+    }
+
+    #write(effect: WriteEffect): void {
+        this.#writes.push(effect);
+        if (!this.#writing) {
+            void this.#writeAll();
+        }
+    }
+
+    /** Writes one batch at a time; what arrives during a sync shares the next one. */
+    async #writeAll(): Promise<void> {
+        this.#writing = true;
+        while (this.#writes.length > 0 && !this.#stopped) {
+            const effects = this.#nextWrites();
+            const error = await this.#writeBatch(effects);
+            if (error !== undefined) {
+                this.#fail(error);
+                return;
+            }
+            const last = effects.at(-1);
+            if (last !== undefined) {
+                this.#events.push({ kind: "persisted", batch: last.batch });
+            }
+        }
+        this.#writing = false;
+    }
+
+    /** A snapshot is written alone; persists up to the next snapshot are written together. */
+    #nextWrites(): readonly WriteEffect[] {
+        const snapshotAt = this.#writes.findIndex(effect => effect.kind === "saveSnapshot");
+        const count = snapshotAt === -1 ? this.#writes.length : Math.max(1, snapshotAt);
+        return this.#writes.splice(0, count);
+    }
+
+    #writeBatch(effects: readonly WriteEffect[]): Promise<StoreError | undefined> {
+        const [first] = effects;
+        if (first?.kind === "saveSnapshot") {
+            return this.#options.store.saveSnapshot(first.snapshot);
+        }
+        const batches = effects.filter(effect => effect.kind === "persist");
+        return this.#options.store.persist(mergeBatches(batches));
+    }
+
+    #fail(error: StoreError): void {
+        if (!this.#stopped) {
+            this.#stopped = true;
+            this.#reports.push({ kind: "failed", error });
+        }
+    }
+}
--- /dev/null
+++ b/packages/daemon/src/membership-start.ts
@@ -0,0 +1,55 @@
+import type { AgreementStore, RecoveredState, StoreError } from "@medlarledge/agreement";
+import { replacementMember } from "@medlarledge/control";
+
+/** What a control host knows of its own membership; exchanged among control hosts before the first election. */
+export const MemberPhase = {
+    /** The data folder is empty. */
+    Fresh: "fresh",
+    /** Initialized, but has never voted nor followed a leader. */
+    New: "new",
+    /** Has voted or holds entries: the group exists. */
+    Established: "established",
+} as const;
+export type MemberPhase = (typeof MemberPhase)[keyof typeof MemberPhase];
+
+/** Classifies what a store found on opening. */
+export function phaseOf(recovered: RecoveredState): MemberPhase {
+    if (recovered.fresh) {
+        return MemberPhase.Fresh;
+    }
+    const untouched = recovered.hardState.term === 0 && recovered.entries.length === 0;
+    return untouched ? MemberPhase.New : MemberPhase.Established;
+}
+
+export type StartDecision =
+    | { readonly kind: "wait"; readonly missing: readonly string[]; }
+    /** First start of the group: every listed host takes its own id as member id. */
+    | { readonly kind: "found"; }
+    /** The group exists already, so this host's former vote may be part of it. */
+    | { readonly kind: "join"; };
+
+/**
+ * Decides how a host with an empty data folder starts. A group is founded only when every other listed control host
+ * says that it has never voted; a wiped host therefore never takes an id that may have voted.
+ */
+export function decideStart(others: readonly string[], phases: ReadonlyMap<string, MemberPhase>): StartDecision {
+    if ([...phases.values()].includes(MemberPhase.Established)) {
+        return { kind: "join" };
+    }
+    const missing = others.filter(id => !phases.has(id));
+    return missing.length > 0 ? { kind: "wait", missing } : { kind: "found" };
+}
+
+/** Takes a fresh data folder according to the decision. Returns the member id, or the store's error. */
+export async function initializeStore(
+    store: AgreementStore,
+    decision: Exclude<StartDecision, { kind: "wait"; }>,
+    host: { readonly id: string; readonly incarnation: string; readonly listed: readonly string[]; },
+): Promise<{ readonly memberId: string; readonly error: StoreError | undefined; }> {
+    if (decision.kind === "found") {
+        const members = { voters: [...host.listed].sort(), learners: [] };
+        return { memberId: host.id, error: await store.initialize(host.id, members) };
+    }
+    const memberId = replacementMember(host.id, host.incarnation);
+    return { memberId, error: await store.initialize(memberId) };
+}
--- /dev/null
+++ b/packages/daemon/src/view-table.ts
@@ -0,0 +1,48 @@
+import type { DatabaseView, Host, ViewUpdate } from "@medlarledge/protocol";
+
+/** What this host knows of the databases and of the other hosts. */
+export class ViewTable {
+    #version = 0;
+    #databases = new Map<string, DatabaseView>();
+    #hosts: readonly Host[] = [];
+    #complete = false;
+
+    /** Version of the last update; 0 asks for the whole view. */
+    get version(): number {
+        return this.#version;
+    }
+
+    /** True once a whole view has been received. */
+    get complete(): boolean {
+        return this.#complete;
+    }
+
+    get hosts(): readonly Host[] {
+        return this.#hosts;
+    }
+
+    database(name: string): DatabaseView | undefined {
+        return this.#databases.get(name);
+    }
+
+    databases(): readonly DatabaseView[] {
+        return [...this.#databases.values()];
+    }
+
+    /** Applies an update; one that is older than what is known is ignored, so that a view never goes back. */
+    apply(update: ViewUpdate): boolean {
+        if (update.version < this.#version) {
+            return false;
+        }
+        if (update.complete) {
+            this.#databases = new Map();
+            this.#complete = true;
+        }
+        for (const view of update.databases) {
+            this.#databases.set(view.database, view);
+        }
+        this.#hosts = update.hosts ?? this.#hosts;
+        this.#version = update.version;
+        return true;
+    }
+}
--- a/packages/settings/src/index.ts
+++ b/packages/settings/src/index.ts
@@ -1,3 +1,4 @@
+export * from "./class-match.js";
 export * from "./configuration.js";
 export * from "./document.js";
 export * from "./finding.js";
