--- /dev/null
+++ b/packages/daemon/src/service-reporter.ts
@@ -0,0 +1,60 @@
+import type { ControlMessage, ServiceCounts } from "@medlarledge/protocol";
+import { addCounts, EMPTY_COUNT, type ServiceCount } from "@medlarledge/telemetry";
+
+/** How often counts are sent to the control hosts. */
+const BATCH_MS = 10_000;
+
+/** Batches kept for a control host that does not answer: one hour. */
+const MAX_BATCHES = 360;
+
+/** Sums what this host served and delivers it to every control host, each batch counted once there. */
+export class ServiceReporter {
+    readonly #listed: readonly string[];
+    readonly #send: (to: string, message: ControlMessage) => boolean;
+    readonly #unacknowledged = new Map<string, ServiceCounts[]>();
+    readonly #current = new Map<string, ServiceCount>();
+    #sequence = 0;
+    #sentAt = 0;
+
+    constructor(listed: readonly string[], send: (to: string, message: ControlMessage) => boolean) {
+        this.#listed = listed;
+        this.#send = send;
+        listed.forEach(id => this.#unacknowledged.set(id, []));
+    }
+
+    add(database: string, count: Partial<ServiceCount>): void {
+        const former = this.#current.get(database) ?? EMPTY_COUNT;
+        this.#current.set(database, addCounts(former, { ...EMPTY_COUNT, ...count }));
+    }
+
+    acknowledged(from: string, sequence: number): void {
+        const waiting = this.#unacknowledged.get(from);
+        if (waiting !== undefined) {
+            this.#unacknowledged.set(from, waiting.filter(batch => batch.sequence > sequence));
+        }
+    }
+
+    tick(now: number, wallClock: number): void {
+        if (now - this.#sentAt >= BATCH_MS) {
+            this.#sentAt = now;
+            this.flush(wallClock);
+        }
+    }
+
+    /** Closes the present batch and sends everything unacknowledged, oldest first. */
+    flush(wallClock: number): void {
+        if (this.#current.size > 0) {
+            this.#sequence += 1;
+            const counts = Object.fromEntries(this.#current);
+            this.#current.clear();
+            const batch: ServiceCounts = { kind: "serviceCounts", sequence: this.#sequence, at: wallClock, counts };
+            this.#unacknowledged.forEach(waiting => {
+                waiting.push(batch);
+                waiting.splice(0, Math.max(0, waiting.length - MAX_BATCHES));
+            });
+        }
+        for (const id of this.#listed) {
+            this.#unacknowledged.get(id)?.forEach(batch => this.#send(id, batch));
+        }
+    }
+}
--- a/packages/protocol/src/control-message.ts
+++ b/packages/protocol/src/control-message.ts
@@ -138,6 +138,23 @@
     readonly keep: number;
 }
 
+/** Entry host to every control host: what it served since the last batch. Sent again until acknowledged. */
+export interface ServiceCounts {
+    readonly kind: "serviceCounts";
+    /** Raised by one with each batch of this incarnation. */
+    readonly sequence: number;
+    /** Wall-clock milliseconds of the batch. */
+    readonly at: number;
+    /** Sums by database; their shape is that of the telemetry library. */
+    readonly counts: Readonly<Record<string, unknown>>;
+}
+
+/** Control host to entry host: the batch is counted, now or earlier. */
+export interface ServiceCountsReceived {
+    readonly kind: "serviceCountsReceived";
+    readonly sequence: number;
+}
+
 export type ControlMessage =
     | Hello
     | RenewLease
@@ -153,4 +170,6 @@
     | LeaderReply
     | SlotRequest
     | SlotGrant
-    | SlotRecall;
+    | SlotRecall
+    | ServiceCounts
+    | ServiceCountsReceived;
--- a/packages/protocol/src/message-table.ts
+++ b/packages/protocol/src/message-table.ts
@@ -27,6 +27,8 @@
     slotRequest: 13,
     slotGrant: 14,
     slotRecall: 15,
+    serviceCounts: 16,
+    serviceCountsReceived: 17,
     agreement: 20,
 } as const satisfies Record<MessageKind, number>;
 
