--- /dev/null
+++ b/packages/postgres/src/endpoint-control.ts
@@ -0,0 +1,84 @@
+import { type Endpoint, type EndpointReading, EndpointRole, parsePosition } from "@medlarledge/protocol";
+import type { EndpointConnector } from "./endpoint-connection.js";
+import { type Row, ShortConnection } from "./short-connection.js";
+
+/**
+ * Role, timeline, position and identity in one answer. The CASE keeps pg_current_wal_insert_lsn(), which fails during
+ * recovery, from being evaluated on a replica.
+ */
+export const READING_SQL = "SELECT pg_is_in_recovery(), (pg_control_checkpoint()).timeline_id, "
+    + "CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn() ELSE pg_current_wal_insert_lsn() END, "
+    + "(pg_control_system()).system_identifier";
+
+/** As `READING_SQL`, with the position at which a promoted replica stopped replaying; NULL if it never was a replica. */
+export const START_SQL = "SELECT pg_is_in_recovery(), (pg_control_checkpoint()).timeline_id, "
+    + "pg_last_wal_replay_lsn(), (pg_control_system()).system_identifier";
+
+/** Reads an endpoint's role, timeline, position and identity; undefined when it does not answer in time. */
+export function readEndpoint(
+    connector: EndpointConnector,
+    endpoint: Endpoint,
+    timeoutMs: number,
+): Promise<EndpointReading | undefined> {
+    return ShortConnection.use(connector, endpoint, timeoutMs, (connection) => read(connection, READING_SQL));
+}
+
+/**
+ * Makes a replica the primary and reads it. The position of the result is the start of the new term: the last record
+ * replayed. A primary is not changed, only read. The result may still say replica, when the promotion did not finish;
+ * undefined means that the endpoint did not answer, and the promotion may have happened.
+ */
+export function promoteEndpoint(
+    connector: EndpointConnector,
+    endpoint: Endpoint,
+    timeoutMs: number,
+): Promise<EndpointReading | undefined> {
+    return ShortConnection.use(connector, endpoint, timeoutMs, async (connection) => {
+        const before = await read(connection, READING_SQL);
+        if (before?.role === EndpointRole.Replica) {
+            const seconds = Math.max(1, Math.ceil(timeoutMs / 1_000));
+            await connection.query(`SELECT pg_promote(true, ${seconds})`);
+        }
+        if (before === undefined) {
+            return undefined;
+        }
+        return await read(connection, START_SQL) ?? await read(connection, READING_SQL);
+    });
+}
+
+/**
+ * Makes an endpoint refuse writes in new transactions. True when it confirmed. The statements are separate queries,
+ * because ALTER SYSTEM is not allowed in a transaction and two statements in one query are one.
+ */
+export async function fenceEndpoint(
+    connector: EndpointConnector,
+    endpoint: Endpoint,
+    timeoutMs: number,
+): Promise<boolean> {
+    const fenced = await ShortConnection.use(connector, endpoint, timeoutMs, async (connection) => {
+        const altered = await connection.query("ALTER SYSTEM SET default_transaction_read_only = on");
+        const reloaded = altered.ok ? await connection.query("SELECT pg_reload_conf()") : altered;
+        return reloaded.ok;
+    });
+    return fenced ?? false;
+}
+
+async function read(connection: ShortConnection, sql: string): Promise<EndpointReading | undefined> {
+    const result = await connection.query(sql);
+    const row = result.ok ? result.rows[0] : undefined;
+    return row && toReading(row);
+}
+
+/** Undefined for a row of another form. */
+function toReading([inRecovery, timeline, position, systemIdentifier]: Row): EndpointReading | undefined {
+    const parsed = position === undefined ? undefined : parsePosition(position);
+    if (parsed === undefined || timeline === undefined || systemIdentifier === undefined) {
+        return undefined;
+    }
+    return {
+        role: inRecovery === "t" ? EndpointRole.Replica : EndpointRole.Primary,
+        timeline: Number(timeline),
+        position: parsed,
+        systemIdentifier,
+    };
+}
