--- /dev/null
+++ b/packages/testing/tests/stand-in/statements.test.ts
@@ -0,0 +1,102 @@
+import pg from "pg";
+import { afterEach, beforeEach, describe, expect, it } from "vitest";
+import type { StandInEndpoint } from "../../src/index.js";
+import { Fixture, value } from "./fixture.js";
+
+let fixture: Fixture;
+let endpoint: StandInEndpoint;
+let client: pg.Client;
+
+beforeEach(async () => {
+    fixture = new Fixture();
+    endpoint = await fixture.endpoint({ connections: 3 });
+    client = await fixture.client(endpoint);
+    await client.query("CREATE TABLE seats (key text primary key, value text)");
+});
+
+afterEach(() => fixture.end());
+
+describe("statements of the stand-in", () => {
+    it("runs the known forms in both protocols", async () => {
+        await client.query("INSERT INTO seats VALUES ('a', '1'), ('b', 'it''s; -- two')");
+        await client.query("insert into seats (key, value) values ($1, $2)", ["c", null]);
+        expect(await value(client, "SELECT value FROM seats WHERE key = $1", ["b"])).toBe("it's; -- two");
+        const done = await client.query("INSERT INTO seats VALUES ('a', '2') ON CONFLICT DO NOTHING");
+        expect(done.rowCount).toBe(0);
+        await client.query(
+            "INSERT INTO seats VALUES ('a', '2') ON CONFLICT (key) DO UPDATE SET value = excluded.value",
+        );
+        await client.query("UPDATE seats SET value = $1 WHERE key = 'c' /* class='batch' */", ["3"]);
+        await client.query("DELETE FROM seats WHERE key = 'b'");
+        const { rows } = await client.query("SELECT key, value FROM seats ORDER BY key LIMIT $1", [5]);
+        expect(rows).toEqual([{ key: "a", value: "2" }, { key: "c", value: "3" }]);
+        expect(await value(client, "SELECT count(*) FROM seats")).toBe("2");
+        expect(endpoint.rows("seats")).toHaveLength(2);
+        await expect(client.query("INSERT INTO seats VALUES ('a', 'x')")).rejects.toMatchObject({ code: "23505" });
+        await expect(client.query("SELECT avg(1)")).rejects.toMatchObject({ code: "0A000" });
+        await expect(client.query("SELECT key FROM absent")).rejects.toMatchObject({ code: "42P01" });
+        expect(await value(client, "SELECT 1")).toBe(1);
+    });
+
+    it("rolls back, and aborts a transaction after an error", async () => {
+        // Guards against tests of transactions that pass only because nothing is ever undone.
+        const other = await fixture.client(endpoint);
+        await client.query("BEGIN");
+        await client.query("INSERT INTO seats VALUES ('a', '1')");
+        expect(await value(other, "SELECT count(*) FROM seats")).toBe("0");
+        await expect(client.query("SELECT broken(")).rejects.toMatchObject({ code: "0A000" });
+        await expect(client.query("SELECT 1")).rejects.toMatchObject({ code: "25P02" });
+        expect((await client.query("COMMIT")).command).toBe("ROLLBACK");
+        expect(await value(client, "SELECT count(*) FROM seats")).toBe("0");
+        await expect(client.query("INSERT INTO seats VALUES ('a', '1'); INSERT INTO seats VALUES ('a', '2')")).rejects
+            .toMatchObject({ code: "23505" });
+        expect(await value(client, "SELECT count(*) FROM seats")).toBe("0");
+        const before = endpoint.status().position;
+        await client.query("BEGIN; INSERT INTO seats VALUES ('a', '1'); COMMIT");
+        expect(await value(other, "SELECT count(*) FROM seats")).toBe("1");
+        expect(endpoint.status().position).toBeGreaterThan(before);
+    });
+
+    it("gives a key to one of two transactions", async () => {
+        const other = await fixture.client(endpoint);
+        await client.query("BEGIN; INSERT INTO seats VALUES ('a', 'first')");
+        await other.query("BEGIN; INSERT INTO seats VALUES ('a', 'second')");
+        await client.query("COMMIT");
+        await expect(other.query("COMMIT")).rejects.toMatchObject({ code: "23505" });
+        expect(await value(other, "SELECT value FROM seats WHERE key = 'a'")).toBe("first");
+    });
+
+    it("keeps prepared statements until they are discarded", async () => {
+        const insert = (key: string) =>
+            client.query({ name: "put", text: "INSERT INTO seats VALUES ($1, 'x')", values: [key] });
+        await Promise.all(["a", "b", "c"].map(insert));
+        expect(await value(client, "SELECT count(*) FROM seats")).toBe("3");
+        await client.query("SET application_name = 'batch'");
+        expect(await value(client, "SHOW application_name")).toBe("batch");
+        await client.query("DISCARD ALL");
+        expect(await value(client, "SHOW application_name")).toBe("");
+        await expect(insert("d")).rejects.toMatchObject({ code: "26000" });
+    });
+
+    it("counts slots and connections, and cancels what waits or sleeps", async () => {
+        const callers = [client, await fixture.client(endpoint), await fixture.client(endpoint)];
+        await expect(fixture.client(endpoint)).rejects.toMatchObject({ code: "53300" });
+        const sleeping = callers.map((caller) => caller.query("SELECT pg_sleep(30)").catch((error: unknown) => error));
+        await expect.poll(() => endpoint.status().slots).toMatchObject({ inUse: 2, maxWanted: 3, maxInUse: 2 });
+        for (const caller of callers) {
+            const { processID, secretKey } = caller as unknown as { processID: number; secretKey: number; };
+            const canceller = new pg.Client({ host: "127.0.0.1", port: endpoint.endpoint.port, ssl: false });
+            const connection = (canceller as unknown as {
+                connection: pg.Connection & {
+                    connect(p: number, h: string): void;
+                    cancel(id: number, key: number): void;
+                };
+            }).connection;
+            connection.on("connect", () => connection.cancel(processID, secretKey));
+            connection.connect(endpoint.endpoint.port, "127.0.0.1");
+        }
+        const errors = await Promise.all(sleeping);
+        expect(errors.map((error) => (error as pg.DatabaseError).code)).toEqual(["57014", "57014", "57014"]);
+        expect(endpoint.status()).toMatchObject({ slots: { inUse: 0 }, connections: { maxOpen: 3, refused: 1 } });
+    });
+});
