Add slots: keeper and holder with grants that expire

Cause: slots are fewer than hosts, so they are lent; their sum must hold whatever is lost, dies or moves. Change: SlotKeeper deals slots by turn (quantum 50 ms), waits out old grants after any gap in its authority; SlotHolder asks, renews, returns what is recalled or idle. A grant counts from the request it answers.

--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -8,5 +8,8 @@
 export * from "./route-strategies.js";
 export * from "./route.js";
 export * from "./router.js";
+export * from "./slot-holder.js";
+export * from "./slot-keeper.js";
+export * from "./slot-options.js";
 export * from "./spread.js";
 export * from "./statement-kind.js";
