Add the proxy: callers, requests, transactions, positions, leases and pools

Cause: the daemon and the testing package need the proxy's interfaces and a first version that serves callers. Change: one caller's state machine with simple and extended protocol, prepared statements renamed per connection, pools behind an admission queue, position queries in the packet of the request, release of writes by replica and lease, drain and cancel. The parts of session, routing and postgres are reached through ports.ts.

--- /dev/null
+++ b/packages/proxy/src/database-context.ts
@@ -0,0 +1,319 @@
+import type { DatabaseView, Endpoint, Position, RegisteredEndpoint, Term } from "@medlarledge/protocol";
+import { EndpointState } from "@medlarledge/protocol";
+import { AnswerRelease } from "./answer-release.js";
+import { primaryPosition, reading as combinedReading, replicaPosition } from "./messages.js";
+import { Pool } from "./pool.js";
+import type { Candidate, DatabaseSettings, EndpointHealth, ProxyParts, RetryBudget } from "./ports.js";
+import type { DatabaseSource, EndpointConnector, ProxyEvents, Schedule } from "./ports.js";
+import { PositionReading } from "./position-reading.js";
+import type { ReadingDone } from "./position-reading.js";
+import { PositionTracker } from "./position-tracker.js";
+import { ReplicaAcknowledgement } from "./replica-acknowledgement.js";
+import { SharedPosition } from "./shared-position.js";
+
+/** A reading that takes longer than this is given up; three missed probes count as silence. */
+const READING_TIMEOUT_MS = 300;
+const PROBE_MS = 100;
+
+/** What all databases of one process share. */
+export interface Environment {
+    readonly source: DatabaseSource;
+    readonly connector: EndpointConnector;
+    readonly clock: () => number;
+    readonly schedule: Schedule;
+    readonly events: ProxyEvents;
+    readonly parts: ProxyParts;
+}
+
+/** A request that has not been sent and may have to choose again when the view changes. */
+export interface Rerouted {
+    viewChanged(): void;
+    /** Called only while in `waitingForPosition`. */
+    positionChanged(): void;
+}
+
+/** The pools, positions and waiting answers of one database. */
+export class DatabaseContext {
+    readonly name: string;
+    readonly environment: Environment;
+    readonly positions: PositionTracker;
+    readonly release: AnswerRelease;
+    readonly replicas: ReplicaAcknowledgement;
+    readonly retries: RetryBudget;
+    readonly health: EndpointHealth;
+    readonly primaryPosition: SharedPosition;
+    /** Requests that wait for a view, a connection or an endpoint. */
+    readonly waiting = new Set<Rerouted>();
+    /** Those of them that the router lets wait for a replica to catch up. */
+    readonly waitingForPosition = new Set<Rerouted>();
+    readonly #pools = new Map<string, Pool>();
+    readonly #asked = new Set<string>();
+    readonly #probes = new Map<string, number>();
+    #view: DatabaseView | undefined;
+    #cancelProbe: (() => void) | undefined;
+    #closed = false;
+
+    constructor(name: string, environment: Environment) {
+        this.name = name;
+        this.environment = environment;
+        this.positions = new PositionTracker(
+            environment.parts.primaryPositions(),
+            environment.parts.replicaPositions(),
+        );
+        this.retries = environment.parts.retryBudget(name);
+        this.health = environment.parts.health(name);
+        this.release = new AnswerRelease(
+            term => environment.source.mayAcknowledge(name, term),
+            () => this.term(),
+        );
+        this.replicas = new ReplicaAcknowledgement(() => {
+            this.#askReplicas();
+        }, environment.schedule);
+        this.primaryPosition = new SharedPosition((sent, done) => {
+            this.#readPrimary(sent, done);
+        });
+        this.changed();
+        this.#scheduleProbe();
+    }
+
+    view(): DatabaseView | undefined {
+        return this.#view;
+    }
+
+    settings(): DatabaseSettings | undefined {
+        return this.environment.source.settings(this.name);
+    }
+
+    /** The last term begun. */
+    term(): Term | undefined {
+        return this.#view?.terms.at(-1)?.term;
+    }
+
+    /** The primary's id, once its term has started. */
+    primary(): string | undefined {
+        const last = this.#view?.terms.at(-1);
+        return last?.start === undefined ? undefined : last.primary;
+    }
+
+    pool(endpoint: string): Pool | undefined {
+        return this.#pools.get(endpoint);
+    }
+
+    pools(): IterableIterator<Pool> {
+        return this.#pools.values();
+    }
+
+    candidates(now: number): readonly Candidate[] {
+        const primary = this.primary();
+        const candidates: Candidate[] = [];
+        for (const endpoint of this.#view?.endpoints ?? []) {
+            const pool = this.#pools.get(endpoint.id);
+            if (endpoint.state !== EndpointState.Active || pool === undefined) {
+                continue;
+            }
+            const replica = this.positions.replica(endpoint.id);
+            const isPrimary = endpoint.id === primary;
+            candidates.push({
+                endpoint,
+                role: isPrimary ? "primary" : "replica",
+                sameDataCentre: this.environment.source.sameDataCentre(endpoint),
+                timeline: replica?.timeline,
+                knownPosition: isPrimary ? this.positions.primary.latest() : replica?.position,
+                knownAt: isPrimary ? this.positions.readAt(endpoint.id) : replica?.at,
+                inFlight: pool.inFlight(),
+                health: this.health.state(endpoint.id, now),
+                lagMs: replica?.lagMs,
+            });
+        }
+        return candidates;
+    }
+
+    /** This host may act for the current term now. */
+    leaseValid(): boolean {
+        const term = this.term();
+        return term !== undefined && this.environment.source.mayAcknowledge(this.name, term);
+    }
+
+    /** Records a position that an endpoint answered with, and releases what waited for it. */
+    observe(endpoint: string, position: Position, sentAt: number, term: Term, timeline?: number): void {
+        if (term !== this.term()) {
+            return;
+        }
+        if (endpoint === this.primary()) {
+            this.positions.observePrimary(endpoint, term, position, sentAt, this.leaseValid());
+            return;
+        }
+        const known = this.positions.observeReplica(endpoint, position, sentAt, timeline);
+        if (known !== undefined && known === this.#view?.terms.at(-1)?.timeline) {
+            this.replicas.observe(position, term);
+        }
+        for (const request of [...this.waitingForPosition]) {
+            request.positionChanged();
+        }
+    }
+
+    /** The view, the settings or a lease changed. */
+    changed(): void {
+        if (this.#closed) {
+            return;
+        }
+        const view = this.environment.source.view(this.name);
+        if (view !== this.#view) {
+            const formerPrimary = this.primary();
+            this.#view = view;
+            this.#updatePools(view?.endpoints ?? []);
+            if (this.primary() !== formerPrimary) {
+                // Replicas are used again once they are known to follow the new timeline.
+                this.#probe(0);
+            }
+        }
+        for (const pool of this.#pools.values()) {
+            pool.updateSlots();
+        }
+        this.release.changed();
+        for (const request of [...this.waiting]) {
+            if (this.waiting.has(request)) {
+                request.viewChanged();
+            }
+        }
+    }
+
+    close(): void {
+        this.#closed = true;
+        this.#cancelProbe?.();
+        this.replicas.stop();
+        for (const pool of this.#pools.values()) {
+            pool.close();
+        }
+    }
+
+    #updatePools(endpoints: readonly RegisteredEndpoint[]): void {
+        this.health.setEndpoints(endpoints.map(endpoint => endpoint.id));
+        const active = new Map(
+            endpoints.filter(item => item.state === EndpointState.Active).map(item => [item.id, item]),
+        );
+        for (const [id, pool] of this.#pools) {
+            const endpoint = active.get(id);
+            if (endpoint === undefined || !sameServer(endpoint, pool.endpoint)) {
+                this.#pools.delete(id);
+                this.positions.forget(id);
+                pool.leave();
+            }
+        }
+        for (const endpoint of active.values()) {
+            if (!this.#pools.has(endpoint.id)) {
+                const pool = this.#createPool(endpoint);
+                this.#pools.set(endpoint.id, pool);
+                pool.warm();
+            }
+        }
+    }
+
+    #createPool(endpoint: RegisteredEndpoint): Pool {
+        const { connector, clock, schedule, source, events, parts } = this.environment;
+        return new Pool({
+            endpoint,
+            connector,
+            clock,
+            schedule,
+            admission: parts.admission(endpoint),
+            slots: () => source.slots(endpoint),
+            limit: () => source.connectionShare(endpoint),
+            onClosed: reason => {
+                this.health.failed(endpoint.id, clock());
+                events.closed(endpoint, reason);
+            },
+            onAnswered: latencyMs => {
+                this.health.answered(endpoint.id, latencyMs, clock());
+                events.answered(endpoint, latencyMs);
+            },
+            onSlotsWanted: wanted => {
+                events.slotsWanted(endpoint, wanted);
+            },
+        });
+    }
+
+    /** Starts one position query over the pool. Returns false when there is no such pool. */
+    #read(endpoint: string, query: Uint8Array, sent: () => void, done: ReadingDone): boolean {
+        const pool = this.#pools.get(endpoint);
+        const term = this.term();
+        if (pool === undefined || term === undefined) {
+            return false;
+        }
+        const { clock, schedule } = this.environment;
+        const reading = new PositionReading(query, clock, sent, (position, sentAt, timeline) => {
+            cancel();
+            if (position !== undefined) {
+                this.observe(endpoint, position, sentAt, term, timeline);
+            }
+            done(position, sentAt, timeline);
+        });
+        const cancel = schedule(READING_TIMEOUT_MS, () => {
+            reading.abandon();
+        });
+        pool.acquireForReading(reading);
+        return true;
+    }
+
+    #readPrimary(sent: () => void, done: (position: Position | undefined) => void): void {
+        const primary = this.primary();
+        const term = this.term();
+        const started = primary !== undefined && this.#read(primary, primaryPosition, sent, position => {
+            // Without a lease this may be a former primary whose position is behind.
+            done(this.term() === term && this.leaseValid() ? position : undefined);
+        });
+        if (!started) {
+            // Asynchronously, so that a caller's repeated request does not recurse.
+            this.environment.schedule(0, () => {
+                done(undefined);
+            });
+        }
+    }
+
+    #askReplicas(): void {
+        for (const id of this.#pools.keys()) {
+            if (id === this.primary() || this.#asked.has(id)) {
+                continue;
+            }
+            this.#asked.add(id);
+            const started = this.#read(id, replicaPosition, () => undefined, () => {
+                this.#asked.delete(id);
+            });
+            if (!started) {
+                this.#asked.delete(id);
+            }
+        }
+    }
+
+    #scheduleProbe(): void {
+        this.#cancelProbe = this.environment.schedule(PROBE_MS, () => {
+            this.#probe(PROBE_MS);
+            this.#scheduleProbe();
+        });
+    }
+
+    /** Reads the position of each endpoint whose position no other answer told since the last probe. */
+    #probe(minimumAgeMs: number): void {
+        const now = this.environment.clock();
+        for (const [id, pool] of this.#pools) {
+            const since = this.#probes.get(id);
+            if (since !== undefined) {
+                this.environment.events.silent(pool.endpoint, now - since);
+                this.health.failed(id, now);
+                continue;
+            }
+            // An endpoint all of whose connections run statements may be slow: that is no evidence of silence.
+            const readAt = this.positions.readAt(id) ?? Number.NEGATIVE_INFINITY;
+            if (pool.idle() > 0 && now - readAt >= minimumAgeMs) {
+                this.#probes.set(id, now);
+                this.#read(id, combinedReading, () => undefined, () => {
+                    this.#probes.delete(id);
+                });
+            }
+        }
+    }
+}
+
+function sameServer(left: Endpoint, right: Endpoint): boolean {
+    return left.host === right.host && left.port === right.port && left.systemIdentifier === right.systemIdentifier;
+}
--- /dev/null
+++ b/packages/proxy/src/own-statements.ts
@@ -0,0 +1,67 @@
+import type { DatabaseContext } from "./database-context.js";
+import { ErrorCode } from "./failure.js";
+import type { LocalResult } from "./local-answer.js";
+import { commandComplete, dataRow, errorResponse, rowDescription } from "./messages.js";
+import type { OwnSetting, SessionState, TokenCodec } from "./ports.js";
+
+const TOKEN_SETTING = "medlarledge.session";
+
+/** The settings `medlarledge.*` of one caller, which the proxy answers itself. */
+export class OwnStatements {
+    readonly #database: DatabaseContext;
+    readonly #session: SessionState;
+    readonly #tokens: TokenCodec;
+    readonly #values = new Map<string, string>();
+
+    constructor(database: DatabaseContext, session: SessionState, tokens: TokenCodec) {
+        this.#database = database;
+        this.#session = session;
+        this.#tokens = tokens;
+    }
+
+    /** Takes over a token. Returns the reason when it is refused. */
+    acceptToken(text: string): string | undefined {
+        const decoded = this.#tokens.decode(text, this.#database.name);
+        if (!decoded.ok) {
+            return decoded.error.kind;
+        }
+        this.#session.accept(decoded.floor);
+        return undefined;
+    }
+
+    run(own: OwnSetting): LocalResult {
+        switch (own.action) {
+            case "show":
+                return {
+                    columns: rowDescription(own.name),
+                    result: [dataRow(this.#show(own.name)), commandComplete("SHOW")],
+                    failed: false,
+                };
+            case "reset":
+                this.#values.delete(own.name);
+                return { columns: undefined, result: [commandComplete("RESET")], failed: false };
+            case "set":
+                return this.#set(own);
+        }
+    }
+
+    #set(own: OwnSetting): LocalResult {
+        const refusal = own.name === TOKEN_SETTING ? this.acceptToken(own.value) : undefined;
+        if (refusal !== undefined) {
+            const error = errorResponse(ErrorCode.TokenRefused, `session token refused: ${refusal}`);
+            return { columns: undefined, result: [error], failed: true };
+        }
+        if (own.name !== TOKEN_SETTING) {
+            this.#values.set(own.name, own.value);
+        }
+        return { columns: undefined, result: [commandComplete("SET")], failed: false };
+    }
+
+    #show(name: string): string {
+        const floor = this.#session.floor();
+        if (name !== TOKEN_SETTING) {
+            return this.#values.get(name) ?? "";
+        }
+        return floor === undefined ? "" : this.#tokens.encode(this.#database.name, floor);
+    }
+}
--- /dev/null
+++ b/packages/proxy/src/pool-connection.ts
@@ -0,0 +1,128 @@
+import { FromEndpoint, TransactionStatus } from "./message-type.js";
+import { errorCode } from "./messages.js";
+import type { EndpointConnection, Frame } from "./ports.js";
+import { ConnectionStatements } from "./prepared-statements.js";
+
+/** Who currently uses a connection. */
+export interface ConnectionOwner {
+    frame(frame: Frame): void;
+    /** The messages of one chunk have been passed on. */
+    chunkEnd(): void;
+    drained(): void;
+    /** The connection closed; the owner no longer has it. */
+    lost(reason: string): void;
+}
+
+/** SQLSTATEs after which what the connection has prepared is no longer trusted. */
+const STALE_STATEMENT_CODES = new Set(["0A000", "26000", "42P05"]);
+
+/** One connection of a pool. It has at most one owner at a time. */
+export class PoolConnection {
+    readonly wire: EndpointConnection;
+    readonly statements = new ConnectionStatements();
+    /** Session state was touched: DISCARD ALL before the next owner. */
+    dirty = false;
+    /** Must not be used again. */
+    unfit = false;
+    lastUsedAt = 0;
+    readonly #onLost: (connection: PoolConnection, reason: string) => void;
+    readonly #onAnswer: (connection: PoolConnection) => void;
+    #owner: ConnectionOwner | undefined;
+    #outstanding = 0;
+    #status: number = TransactionStatus.Idle;
+    #closed = false;
+
+    constructor(
+        wire: EndpointConnection,
+        onAnswer: (connection: PoolConnection) => void,
+        onLost: (connection: PoolConnection, reason: string) => void,
+    ) {
+        this.wire = wire;
+        this.#onAnswer = onAnswer;
+        this.#onLost = onLost;
+        wire.setHandler({
+            frames: frames => {
+                this.#frames(frames);
+            },
+            drained: () => this.#owner?.drained(),
+            closed: reason => {
+                this.#lost(reason);
+            },
+        });
+    }
+
+    get closed(): boolean {
+        return this.#closed;
+    }
+
+    /** Answers (ReadyForQuery) that are still to come. */
+    get outstanding(): number {
+        return this.#outstanding;
+    }
+
+    /** Transaction status byte of the last ReadyForQuery. */
+    get status(): number {
+        return this.#status;
+    }
+
+    get clean(): boolean {
+        return !this.#closed && !this.unfit && this.#outstanding === 0 && this.#status === TransactionStatus.Idle;
+    }
+
+    own(owner: ConnectionOwner): void {
+        this.#owner = owner;
+    }
+
+    disown(): void {
+        this.#owner = undefined;
+    }
+
+    /** Sends bytes that the endpoint answers with `answers` times ReadyForQuery. */
+    send(bytes: Uint8Array, answers: number): boolean {
+        this.#outstanding += answers;
+        return this.wire.send(bytes);
+    }
+
+    close(): void {
+        if (!this.#closed) {
+            this.#closed = true;
+            this.#owner = undefined;
+            this.wire.close();
+        }
+    }
+
+    #frames(frames: readonly Frame[]): void {
+        if (this.#closed) {
+            return;
+        }
+        this.#onAnswer(this);
+        for (const frame of frames) {
+            if (frame.type === FromEndpoint.ReadyForQuery) {
+                this.#outstanding -= 1;
+                this.#status = frame.bytes[5] ?? TransactionStatus.Failed;
+                this.unfit ||= this.#outstanding < 0;
+            }
+            else if (frame.type === FromEndpoint.ErrorResponse) {
+                this.#noteError(frame);
+            }
+            this.#owner?.frame(frame);
+        }
+        this.#owner?.chunkEnd();
+    }
+
+    #noteError(frame: Frame): void {
+        const idle = this.#outstanding === 0;
+        this.unfit ||= idle || STALE_STATEMENT_CODES.has(errorCode(frame.bytes));
+    }
+
+    #lost(reason: string): void {
+        if (this.#closed) {
+            return;
+        }
+        this.#closed = true;
+        const owner = this.#owner;
+        this.#owner = undefined;
+        this.#onLost(this, reason);
+        owner?.lost(reason);
+    }
+}
--- /dev/null
+++ b/packages/proxy/src/pool-queue.ts
@@ -0,0 +1,131 @@
+import type { PoolWaiter } from "./pool.js";
+import type { Admission, AdmissionEffect } from "./ports.js";
+
+/** How often requests that wait are checked against their deadlines. */
+const TICK_MS = 10;
+
+export interface PoolQueueOptions {
+    readonly admission: Admission;
+    readonly clock: () => number;
+    readonly schedule: (delayMs: number, callback: () => void) => () => void;
+    readonly wanted: (slots: number) => void;
+    /** An admitted request now waits for a connection. */
+    readonly admitted: () => void;
+}
+
+/** The requests of one endpoint: first in the admission queue, then, once admitted, waiting for a connection. */
+export class PoolQueue {
+    readonly #options: PoolQueueOptions;
+    readonly #byId = new Map<number, PoolWaiter>();
+    readonly #admitted = new Set<PoolWaiter>();
+    readonly #ids = new Map<PoolWaiter, number>();
+    #lastId = 0;
+    #lastWanted = 0;
+    #cancelTick: (() => void) | undefined;
+
+    constructor(options: PoolQueueOptions) {
+        this.#options = options;
+    }
+
+    /** Requests that wait for admission or for a connection. */
+    get waiting(): number {
+        return this.#options.admission.waiting + this.#admitted.size;
+    }
+
+    /** Admitted requests that wait for a connection. */
+    get admittedWaiting(): number {
+        return this.#admitted.size;
+    }
+
+    setGranted(slots: number): void {
+        this.#apply(this.#options.admission.setGranted(slots, this.#options.clock()));
+    }
+
+    offer(waiter: PoolWaiter): void {
+        this.#lastId += 1;
+        const id = this.#lastId;
+        this.#byId.set(id, waiter);
+        this.#ids.set(waiter, id);
+        const { worth, deadlineAt, costKey } = waiter;
+        this.#apply(this.#options.admission.offer({ id, worth, deadlineAt, costKey }, this.#options.clock()));
+        this.#scheduleTick();
+    }
+
+    /** The next admitted request, for a connection that is free. */
+    take(): PoolWaiter | undefined {
+        for (const waiter of this.#admitted) {
+            this.#admitted.delete(waiter);
+            return waiter;
+        }
+        return undefined;
+    }
+
+    /** The request ended, or gives up waiting. `ok` false: it was cut. */
+    finished(waiter: PoolWaiter, ok: boolean): void {
+        const id = this.#ids.get(waiter);
+        if (id === undefined) {
+            return;
+        }
+        this.#forget(id, waiter);
+        this.#admitted.delete(waiter);
+        this.#options.admission.withdraw(id);
+        this.#apply(this.#options.admission.finished(id, ok, this.#options.clock()));
+    }
+
+    /** Refuses everything that waits. */
+    refuseAll(refuse: (waiter: PoolWaiter) => void): void {
+        const running = new Set(this.#byId.keys());
+        for (const [id, waiter] of [...this.#byId]) {
+            if (running.has(id) && !waiter.running) {
+                this.finished(waiter, false);
+                refuse(waiter);
+            }
+        }
+    }
+
+    stop(): void {
+        this.#cancelTick?.();
+    }
+
+    #forget(id: number, waiter: PoolWaiter): void {
+        this.#byId.delete(id);
+        this.#ids.delete(waiter);
+    }
+
+    #apply(effects: readonly AdmissionEffect[]): void {
+        let admitted = false;
+        for (const effect of effects) {
+            const waiter = this.#byId.get(effect.id);
+            if (waiter === undefined) {
+                continue;
+            }
+            if (effect.kind === "run") {
+                this.#admitted.add(waiter);
+                admitted = true;
+            }
+            else {
+                this.#forget(effect.id, waiter);
+                waiter.refused(effect.reason === "deadline" ? "deadline" : "queueFull");
+            }
+        }
+        const wanted = this.#options.admission.wanted;
+        if (wanted !== this.#lastWanted) {
+            this.#lastWanted = wanted;
+            this.#options.wanted(wanted);
+        }
+        if (admitted) {
+            this.#options.admitted();
+        }
+    }
+
+    #scheduleTick(): void {
+        if (this.#cancelTick !== undefined || this.#options.admission.waiting === 0) {
+            return;
+        }
+        this.#cancelTick = this.#options.schedule(TICK_MS, () => {
+            this.#cancelTick = undefined;
+            this.#apply(this.#options.admission.tick(this.#options.clock()));
+            this.#scheduleTick();
+        });
+    }
+}
--- /dev/null
+++ b/packages/proxy/src/ports.ts
@@ -0,0 +1,294 @@
+import type { DatabaseView, Endpoint, EndpointRole, Floor, Position } from "@medlarledge/protocol";
+import type { RegisteredEndpoint, Term, TermRecord } from "@medlarledge/protocol";
+
+// The shapes of design.md sections 3.3 to 3.5 that this package needs. The classes of session, routing and
+// postgres fit them structurally.
+
+/** One whole protocol message with its header. */
+export interface Frame {
+    readonly type: number;
+    readonly bytes: Uint8Array;
+}
+
+export interface CallerHandler {
+    frames(frames: readonly Frame[]): void;
+    drained(): void;
+    closed(): void;
+}
+
+export interface CallerConnection {
+    readonly user: string;
+    readonly database: string;
+    readonly applicationName: string;
+    readonly options: ReadonlyMap<string, string>;
+    readonly processId: number;
+    readonly secretKey: number;
+    setHandler(handler: CallerHandler): void;
+    /** Returns false when the caller must be given time to read: wait for `drained()`. */
+    send(bytes: Uint8Array): boolean;
+    pause(): void;
+    resume(): void;
+    close(): void;
+}
+
+export interface EndpointHandler {
+    frames(frames: readonly Frame[]): void;
+    drained(): void;
+    closed(reason: string): void;
+}
+
+export interface EndpointConnection {
+    readonly endpoint: Endpoint;
+    readonly processId: number;
+    readonly secretKey: number;
+    readonly parameters: ReadonlyMap<string, string>;
+    setHandler(handler: EndpointHandler): void;
+    send(bytes: Uint8Array): boolean;
+    pause(): void;
+    resume(): void;
+    close(): void;
+}
+
+export interface EndpointConnector {
+    connect(
+        endpoint: Endpoint,
+        timeoutMs: number,
+    ): Promise<{ ok: true; connection: EndpointConnection; } | { ok: false; error: { readonly kind: string; }; }>;
+    cancel(endpoint: Endpoint, processId: number, secretKey: number): Promise<void>;
+}
+
+export interface TokenCodec {
+    encode(database: string, floor: Floor): string;
+    decode(
+        text: string,
+        database: string,
+    ): { ok: true; floor: Floor; } | { ok: false; error: { readonly kind: string; }; };
+}
+
+export type FloorCheck =
+    | { kind: "holds"; position: Position; }
+    | { kind: "lost"; term: Term; position: Position; survivedUpTo: Position; }
+    | { kind: "unknownTerm"; term: Term; };
+
+export type CheckFloor = (terms: readonly TermRecord[], floor: Floor) => FloorCheck;
+
+export interface SessionState {
+    floor(): Floor | undefined;
+    raise(floor: Floor): boolean;
+    accept(floor: Floor): void;
+    takeLoss(check: FloorCheck): boolean;
+}
+
+export const StatementKind = {
+    Read: "read",
+    Write: "write",
+    Begin: "begin",
+    Commit: "commit",
+    Rollback: "rollback",
+    SessionState: "sessionState",
+    Pinned: "pinned",
+    Refused: "refused",
+    Own: "own",
+} as const;
+export type StatementKind = (typeof StatementKind)[keyof typeof StatementKind];
+
+export interface Classification {
+    readonly kind: StatementKind;
+    readonly statements: number;
+    readonly pins: boolean;
+    /** DISCARD ALL: nothing of the caller is left on the connection. */
+    readonly resets: boolean;
+    /** Reads what the same session left before; refused outside a transaction. */
+    readonly transactionOnly: boolean;
+    readonly refusal: string | undefined;
+    readonly comment: Readonly<Record<string, string>>;
+    readonly set: OwnSetting | undefined;
+}
+
+/** The `medlarledge.` setting that an own statement names. */
+export interface OwnSetting {
+    readonly action: "set" | "reset" | "show";
+    readonly name: string;
+    readonly value: string;
+}
+
+export interface Classifier {
+    classify(sql: string): Classification;
+}
+
+export interface RequestClass {
+    readonly name: string;
+    readonly worth: number;
+    readonly ageMs: number | undefined;
+    readonly deadlineMs: number;
+    readonly repeatable: boolean;
+}
+
+export type HealthState = "ok" | "setAside" | "probing";
+
+export interface Candidate {
+    readonly endpoint: RegisteredEndpoint;
+    readonly role: EndpointRole;
+    readonly sameDataCentre: boolean;
+    readonly timeline: number | undefined;
+    readonly knownPosition: Position | undefined;
+    readonly knownAt: number | undefined;
+    readonly inFlight: number;
+    readonly health: HealthState;
+    readonly lagMs: number | undefined;
+}
+
+/** Positions of the primary over time, recorded under a valid lease only. */
+export interface PrimaryPositions {
+    record(term: Term, position: Position, at: number): void;
+    latest(): Position | undefined;
+}
+
+export interface ReplicaPosition {
+    readonly timeline: number;
+    readonly position: Position;
+    readonly at: number;
+    readonly lagMs: number | undefined;
+}
+
+export interface ReplicaPositions {
+    of(endpoint: string): ReplicaPosition | undefined;
+    report(endpoint: string, timeline: number, position: Position, at: number, primary: PrimaryPositions): void;
+    forget(endpoint: string): void;
+}
+
+/** What the router needs to know of one request. */
+export interface RouteRequest {
+    readonly write: boolean;
+    readonly floor: Position | undefined;
+    readonly ageMs: number | undefined;
+    readonly terms: readonly TermRecord[];
+    readonly primaryPositions: PrimaryPositions;
+    readonly arrivedAt: number;
+    readonly deadlineAt: number;
+    readonly waitMs: number;
+    readonly replicaReads: boolean;
+    readonly leaseValid: boolean;
+    /** Endpoints on which this request failed already. */
+    readonly tried: readonly string[];
+}
+
+export type RouteDecision =
+    | {
+        readonly kind: "send";
+        readonly endpoint: string;
+        readonly proof: "none" | "known" | "self";
+        readonly floor: Position | undefined;
+    }
+    | { readonly kind: "wait"; readonly untilMs: number; }
+    | { readonly kind: "refuse"; readonly reason: string; };
+
+export interface Router {
+    choose(request: RouteRequest, candidates: readonly Candidate[], now: number): RouteDecision;
+}
+
+export interface AdmissionRequest {
+    readonly id: number;
+    readonly worth: number;
+    readonly deadlineAt: number;
+    readonly costKey: string;
+}
+
+export type AdmissionEffect =
+    | { readonly kind: "run"; readonly id: number; }
+    | { readonly kind: "refuse"; readonly id: number; readonly reason: "deadline" | "queueFull" | "evicted"; };
+
+/** Queue and slots of one endpoint. */
+export interface Admission {
+    readonly waiting: number;
+    readonly running: number;
+    readonly wanted: number;
+    setGranted(slots: number, now: number): readonly AdmissionEffect[];
+    offer(request: AdmissionRequest, now: number): readonly AdmissionEffect[];
+    finished(id: number, ok: boolean, now: number): readonly AdmissionEffect[];
+    withdraw(id: number): void;
+    tick(now: number): readonly AdmissionEffect[];
+}
+
+export interface RetryBudget {
+    attempted(now: number): void;
+    /** An endpoint refused work because of its load. */
+    shed(endpoint: string, now: number): void;
+    /** Milliseconds to wait before the retry, or undefined when there is no budget left. */
+    retry(endpoint: string, attempt: number, now: number): number | undefined;
+}
+
+export interface EndpointHealth {
+    setEndpoints(endpoints: readonly string[]): void;
+    state(endpoint: string, now: number): HealthState;
+    trialStarted(endpoint: string, now: number): void;
+    answered(endpoint: string, latencyMs: number, now: number): void;
+    failed(endpoint: string, now: number): void;
+}
+
+export interface DatabaseSettings {
+    readonly acknowledge: "primary" | "replica";
+    readonly roaming: "strict" | "token";
+    readonly replicaReads: boolean;
+    readonly replicaWaitMs: number;
+}
+
+/** What the daemon provides of the databases of this process. */
+export interface DatabaseSource {
+    view(database: string): DatabaseView | undefined;
+    settings(database: string): DatabaseSettings | undefined;
+    classFor(
+        database: string,
+        user: string,
+        applicationName: string,
+        comment: Readonly<Record<string, string>>,
+    ): RequestClass;
+    /** Read at the moment that the answer leaves. */
+    mayAcknowledge(database: string, term: Term): boolean;
+    /** Connections that this host may hold to the endpoint. */
+    connectionShare(endpoint: Endpoint): number;
+    /** Statements that this host may run at the same time on the endpoint. */
+    slots(endpoint: Endpoint): number;
+    sameDataCentre(endpoint: Endpoint): boolean;
+    onChange(listener: () => void): void;
+}
+
+export type Schedule = (delayMs: number, callback: () => void) => () => void;
+
+export const Outcome = { Done: "done", NotRun: "notRun", Unknown: "unknown" } as const;
+export type Outcome = (typeof Outcome)[keyof typeof Outcome];
+
+/** What one request received, for metrics and service levels. */
+export interface ServiceRecord {
+    readonly database: string;
+    readonly className: string;
+    readonly worth: number;
+    readonly outcome: Outcome;
+    readonly latencyMs: number;
+    readonly replica: boolean;
+    readonly deadlineMet: boolean;
+    /** False when the proof of freshness failed at least once before the answer. */
+    readonly fresh: boolean;
+    readonly retries: number;
+}
+
+export interface ProxyEvents {
+    answered(endpoint: Endpoint, latencyMs: number): void;
+    closed(endpoint: Endpoint, reason: string): void;
+    silent(endpoint: Endpoint, forMs: number): void;
+    /** Slots that this host has work for, after it changed. */
+    slotsWanted(endpoint: Endpoint, wanted: number): void;
+    served(record: ServiceRecord): void;
+}
+
+/** Constructors of the parts that other packages provide. */
+export interface ProxyParts {
+    readonly router: Router;
+    readonly checkFloor: CheckFloor;
+    session(): SessionState;
+    primaryPositions(): PrimaryPositions;
+    replicaPositions(): ReplicaPositions;
+    admission(endpoint: Endpoint): Admission;
+    retryBudget(database: string): RetryBudget;
+    health(database: string): EndpointHealth;
+}
--- /dev/null
+++ b/packages/proxy/src/position-tracker.ts
@@ -0,0 +1,50 @@
+import type { Position, Term } from "@medlarledge/protocol";
+import type { PrimaryPositions, ReplicaPosition, ReplicaPositions } from "./ports.js";
+
+/** What is known of the positions of one database's endpoints. */
+export class PositionTracker {
+    readonly primary: PrimaryPositions;
+    readonly #replicas: ReplicaPositions;
+    readonly #readAt = new Map<string, number>();
+
+    constructor(primary: PrimaryPositions, replicas: ReplicaPositions) {
+        this.primary = primary;
+        this.#replicas = replicas;
+    }
+
+    /** When the endpoint's position was last asked for and answered. */
+    readAt(endpoint: string): number | undefined {
+        return this.#readAt.get(endpoint);
+    }
+
+    replica(endpoint: string): ReplicaPosition | undefined {
+        return this.#replicas.of(endpoint);
+    }
+
+    /** @param sentAt when the query was sent: the primary had at most this position then. */
+    observePrimary(endpoint: string, term: Term, position: Position, sentAt: number, leaseValid: boolean): void {
+        this.#readAt.set(endpoint, sentAt);
+        if (leaseValid) {
+            this.primary.record(term, position, sentAt);
+        }
+    }
+
+    /**
+     * Records a replica's position. Without `timeline` the one last read holds: a replica never returns to an older
+     * one, and the router uses it only while it is the current term's.
+     * @returns the timeline that the position is on, if it is known
+     */
+    observeReplica(endpoint: string, position: Position, sentAt: number, timeline?: number): number | undefined {
+        const known = timeline ?? this.#replicas.of(endpoint)?.timeline;
+        if (known !== undefined) {
+            this.#readAt.set(endpoint, sentAt);
+            this.#replicas.report(endpoint, known, position, sentAt, this.primary);
+        }
+        return known;
+    }
+
+    forget(endpoint: string): void {
+        this.#readAt.delete(endpoint);
+        this.#replicas.forget(endpoint);
+    }
+}
--- /dev/null
+++ b/packages/proxy/src/prepared-statements.ts
@@ -0,0 +1,125 @@
+import { textAt } from "./messages.js";
+import type { Classification, Classifier } from "./ports.js";
+
+const MAX_SHARED_NAMES = 10_000;
+const MAX_PER_CONNECTION = 200;
+/** Names of callers with this prefix are not passed on, so that no caller reaches a shared statement by its name. */
+export const SHARED_PREFIX = "medlarledge_";
+
+/** One statement text with its parameter types, under a name that is the same for all callers and connections. */
+export interface Statement {
+    readonly name: string;
+    /** The Parse message behind the caller's name. */
+    readonly body: Uint8Array;
+    readonly text: string;
+    readonly classification: Classification;
+}
+
+/** Gives equal statements the same name. Bounded; a name is never used for a second text. */
+export class StatementNames {
+    readonly #classifier: Classifier;
+    readonly #known = new Map<string, Statement>();
+    #last = 0;
+
+    constructor(classifier: Classifier) {
+        this.#classifier = classifier;
+    }
+
+    /** @param body the Parse message behind the caller's name. It is copied when it is kept. */
+    intern(body: Uint8Array): Statement {
+        const key = Buffer.from(body.buffer, body.byteOffset, body.length).toString("latin1");
+        const known = this.#known.get(key);
+        if (known !== undefined) {
+            return known;
+        }
+        const text = textAt(body, 0);
+        this.#last += 1;
+        const statement = {
+            name: `${SHARED_PREFIX}${this.#last}`,
+            body: Uint8Array.from(body),
+            text,
+            classification: this.#classifier.classify(text),
+        };
+        if (this.#known.size >= MAX_SHARED_NAMES) {
+            const oldest = this.#known.keys().next();
+            if (oldest.done !== true) {
+                this.#known.delete(oldest.value);
+            }
+        }
+        this.#known.set(key, statement);
+        return statement;
+    }
+}
+
+/** The prepared statements of one caller, by the caller's own names; the unnamed statement has the empty name. */
+export class CallerStatements {
+    readonly #byName = new Map<string, Statement>();
+
+    get(name: string): Statement | undefined {
+        return this.#byName.get(name);
+    }
+
+    set(name: string, statement: Statement): void {
+        this.#byName.set(name, statement);
+    }
+
+    delete(name: string): void {
+        this.#byName.delete(name);
+    }
+
+    clear(): void {
+        this.#byName.clear();
+    }
+}
+
+/** What one connection has prepared, least recently used first. */
+export class ConnectionStatements {
+    /** Shared name to the number of the request that used it last. */
+    readonly #prepared = new Map<string, number>();
+    #request = 0;
+
+    nextRequest(): void {
+        this.#request += 1;
+    }
+
+    /** Returns true when the connection has the statement, and marks it as used. */
+    use(name: string): boolean {
+        if (!this.#prepared.has(name)) {
+            return false;
+        }
+        this.#prepared.delete(name);
+        this.#prepared.set(name, this.#request);
+        return true;
+    }
+
+    add(name: string): void {
+        this.#prepared.set(name, this.#request);
+    }
+
+    remove(name: string): void {
+        this.#prepared.delete(name);
+    }
+
+    clear(): void {
+        this.#prepared.clear();
+    }
+
+    size(): number {
+        return this.#prepared.size;
+    }
+
+    /** Takes out the least used statement when there are too many, never one of the current request. */
+    evict(): string | undefined {
+        if (this.#prepared.size < MAX_PER_CONNECTION) {
+            return undefined;
+        }
+        for (const [name, request] of this.#prepared) {
+            if (request === this.#request) {
+                return undefined;
+            }
+            this.#prepared.delete(name);
+            return name;
+        }
+        return undefined;
+    }
+}
--- /dev/null
+++ b/packages/proxy/src/proxy.ts
@@ -0,0 +1,166 @@
+import { CallerSession } from "./caller-session.js";
+import { DatabaseContext } from "./database-context.js";
+import type { Environment } from "./database-context.js";
+import { Drain } from "./drain.js";
+import type { DrainReport } from "./drain.js";
+import { ErrorCode } from "./failure.js";
+import { errorResponse } from "./messages.js";
+import type { CallerConnection, Classifier, DatabaseSource, EndpointConnector } from "./ports.js";
+import type { ProxyEvents, ProxyParts, Schedule, TokenCodec } from "./ports.js";
+import { StatementNames } from "./prepared-statements.js";
+
+export interface ProxyOptions {
+    readonly source: DatabaseSource;
+    readonly connector: EndpointConnector;
+    readonly classifier: Classifier;
+    readonly tokens: TokenCodec;
+    /** Milliseconds of a monotonic clock. */
+    readonly clock: () => number;
+    readonly schedule: Schedule;
+    readonly events: ProxyEvents;
+    readonly parts: ProxyParts;
+}
+
+export interface EndpointStatus {
+    readonly endpoint: string;
+    readonly connections: number;
+    readonly idle: number;
+    readonly inFlight: number;
+}
+
+export interface DatabaseStatus {
+    readonly database: string;
+    readonly endpoints: readonly EndpointStatus[];
+    /** Answers that wait for a lease. */
+    readonly heldAnswers: number;
+    /** Writes that wait for a replica. */
+    readonly waitingForReplica: number;
+    /** Requests that wait for an endpoint or a connection. */
+    readonly waiting: number;
+}
+
+export interface ProxyStatus {
+    readonly callers: number;
+    readonly draining: boolean;
+    readonly databases: readonly DatabaseStatus[];
+}
+
+/** All callers and pools of one process. */
+export class Proxy {
+    readonly #options: ProxyOptions;
+    readonly #environment: Environment;
+    readonly #names: StatementNames;
+    readonly #databases = new Map<string, DatabaseContext>();
+    readonly #sessions = new Set<CallerSession>();
+    readonly #byProcessId = new Map<number, CallerSession>();
+    #drain: Drain | undefined;
+    #closed = false;
+
+    constructor(options: ProxyOptions) {
+        this.#options = options;
+        this.#environment = options;
+        this.#names = new StatementNames(options.classifier);
+        options.source.onChange(() => {
+            for (const database of this.#databases.values()) {
+                database.changed();
+            }
+        });
+    }
+
+    /** Takes over a caller that has been authenticated. */
+    accept(caller: CallerConnection): void {
+        if (this.#drain !== undefined || this.#closed) {
+            refuse(caller, ErrorCode.AdminShutdown, "the entry host is shutting down");
+            return;
+        }
+        const database = this.#databaseFor(caller.database);
+        if (database === undefined) {
+            refuse(caller, "3D000", `database "${caller.database}" does not exist`);
+            return;
+        }
+        const session = new CallerSession({
+            caller,
+            database,
+            classifier: this.#options.classifier,
+            tokens: this.#options.tokens,
+            names: this.#names,
+            session: this.#options.parts.session(),
+            ended: ended => {
+                this.#sessions.delete(ended);
+                this.#byProcessId.delete(caller.processId);
+                this.#drain?.check();
+            },
+            idle: idle => this.#drain?.idle(idle),
+        });
+        this.#sessions.add(session);
+        this.#byProcessId.set(caller.processId, session);
+        session.begin();
+    }
+
+    /** Opens the pools of a database before its first caller, so that they are warm. */
+    prepare(database: string): void {
+        this.#databaseFor(database);
+    }
+
+    /** Stops the statement of the caller with this key. Returns false when there is none. */
+    cancel(processId: number, secretKey: number): boolean {
+        const session = this.#byProcessId.get(processId);
+        return session?.caller.secretKey === secretKey && session.cancel();
+    }
+
+    /** Lets callers finish their requests and transactions and closes them; whatever is left is cut at the deadline. */
+    drain(deadlineMs: number): Promise<DrainReport> {
+        return new Promise(resolve => {
+            const { clock, schedule } = this.#options;
+            this.#drain = new Drain(this.#sessions, deadlineMs, clock, schedule, resolve);
+            this.#drain.check();
+        });
+    }
+
+    status(): ProxyStatus {
+        return {
+            callers: this.#sessions.size,
+            draining: this.#drain !== undefined,
+            databases: [...this.#databases.values()].map(database => ({
+                database: database.name,
+                endpoints: [...database.pools()].map(pool => ({
+                    endpoint: pool.endpoint.id,
+                    connections: pool.size(),
+                    idle: pool.idle(),
+                    inFlight: pool.inFlight(),
+                })),
+                heldAnswers: database.release.held(),
+                waitingForReplica: database.replicas.waiting(),
+                waiting: database.waiting.size,
+            })),
+        };
+    }
+
+    close(): void {
+        this.#closed = true;
+        for (const session of [...this.#sessions]) {
+            session.terminate(ErrorCode.AdminShutdown, "the entry host is shutting down");
+        }
+        for (const database of this.#databases.values()) {
+            database.close();
+        }
+    }
+
+    #databaseFor(name: string): DatabaseContext | undefined {
+        const known = this.#databases.get(name);
+        if (known !== undefined) {
+            return known;
+        }
+        if (this.#options.source.settings(name) === undefined) {
+            return undefined;
+        }
+        const database = new DatabaseContext(name, this.#environment);
+        this.#databases.set(name, database);
+        return database;
+    }
+}
+
+function refuse(caller: CallerConnection, code: string, text: string): void {
+    caller.send(errorResponse(code, text, "FATAL"));
+    caller.close();
+}
--- /dev/null
+++ b/packages/proxy/src/replica-acknowledgement.ts
@@ -0,0 +1,68 @@
+import type { Position, Term } from "@medlarledge/protocol";
+import type { Schedule } from "./ports.js";
+
+const POLL_MS = 2;
+
+interface WaitingWrite {
+    readonly term: Term;
+    readonly position: Position;
+    readonly reached: () => void;
+}
+
+/** Asks all replicas for their positions; each answer is reported through `ReplicaAcknowledgement.observe`. */
+export type AskReplicas = () => void;
+
+/** Writes of one database that wait until a replica is known at or beyond their position. */
+export class ReplicaAcknowledgement {
+    readonly #ask: AskReplicas;
+    readonly #schedule: Schedule;
+    readonly #waiting = new Set<WaitingWrite>();
+    #cancelPoll: (() => void) | undefined;
+
+    constructor(ask: AskReplicas, schedule: Schedule) {
+        this.#ask = ask;
+        this.#schedule = schedule;
+    }
+
+    /** Calls `reached` once a replica has the position. Returns a function that gives up waiting. */
+    wait(term: Term, position: Position, reached: () => void): () => void {
+        const write = { term, position, reached };
+        this.#waiting.add(write);
+        if (this.#cancelPoll === undefined) {
+            this.#poll();
+        }
+        return () => {
+            this.#waiting.delete(write);
+        };
+    }
+
+    /** A replica was read at this position; `term` is the term in which the query was sent. */
+    observe(position: Position, term: Term): void {
+        for (const write of this.#waiting) {
+            if (write.term === term && write.position <= position) {
+                this.#waiting.delete(write);
+                write.reached();
+            }
+        }
+    }
+
+    waiting(): number {
+        return this.#waiting.size;
+    }
+
+    stop(): void {
+        this.#waiting.clear();
+        this.#cancelPoll?.();
+    }
+
+    #poll(): void {
+        if (this.#waiting.size === 0) {
+            this.#cancelPoll = undefined;
+            return;
+        }
+        this.#cancelPoll = this.#schedule(POLL_MS, () => {
+            this.#poll();
+        });
+        this.#ask();
+    }
+}
--- /dev/null
+++ b/packages/proxy/tests/world.ts
@@ -0,0 +1,344 @@
+import type { DatabaseView, Endpoint, Floor, TermRecord } from "@medlarledge/protocol";
+import type { Admission, AdmissionEffect, AdmissionRequest, Candidate, Classification } from "../src/ports.js";
+import type { DatabaseSettings, DatabaseSource, ProxyParts, RequestClass, RouteDecision } from "../src/ports.js";
+import type { ReplicaPosition, RouteRequest, ServiceRecord, SessionState } from "../src/ports.js";
+import { StatementKind } from "../src/ports.js";
+import { Proxy } from "../src/proxy.js";
+import { FakeNetwork, FakeServer } from "./fake-server.js";
+import type { FakeSession } from "./fake-server.js";
+import { FakeTime } from "./fake-time.js";
+import { FakeCaller } from "./fake-wire.js";
+
+export function endpoint(id: string): Endpoint {
+    return {
+        id,
+        database: "shop",
+        dataCentre: "a",
+        host: id,
+        port: 5432,
+        systemIdentifier: id,
+        sequence: 1,
+        slots: 9,
+        connections: 20,
+    };
+}
+
+function classify(sql: string): Classification {
+    const first = sql.trim().split(/[\s;]/)[0]!.toUpperCase();
+    const several = sql.includes(";");
+    const kinds: Record<string, StatementKind> = {
+        SELECT: StatementKind.Read,
+        "": StatementKind.Read,
+        BEGIN: StatementKind.Begin,
+        COMMIT: StatementKind.Commit,
+        ROLLBACK: StatementKind.Rollback,
+        LISTEN: StatementKind.Pinned,
+        DISCARD: StatementKind.SessionState,
+        PREPARE: StatementKind.Refused,
+    };
+    const own = /^(set|show|reset) (medlarledge\.\w+)(?:\s*=\s*'(.*)')?/i.exec(sql);
+    return {
+        kind: own === null ? (several ? StatementKind.Write : kinds[first] ?? StatementKind.Write) : StatementKind.Own,
+        statements: 1,
+        pins: first === "LISTEN",
+        resets: first === "DISCARD",
+        transactionOnly: false,
+        refusal: first === "PREPARE" ? "PREPARE" : undefined,
+        comment: {},
+        set: own === null
+            ? undefined
+            : { action: own[1]!.toLowerCase() as "set", name: own[2]!, value: own[3] ?? "" },
+    };
+}
+
+/** Writes to the primary; reads to a replica, proved by what is known or by a query in front, else to the primary. */
+function choose(request: RouteRequest, candidates: readonly Candidate[]): RouteDecision {
+    if (!request.leaseValid) {
+        return { kind: "refuse", reason: "cutOff" };
+    }
+    const usable = candidates.filter(item => !request.tried.includes(item.endpoint.id));
+    const replica = usable.find(item => item.role === "replica" && item.timeline !== undefined);
+    if (!request.write && request.replicaReads && replica !== undefined) {
+        const known = (replica.knownPosition ?? 0) >= (request.floor ?? 0);
+        return { kind: "send", endpoint: replica.endpoint.id, proof: known ? "known" : "self", floor: request.floor };
+    }
+    const primary = usable.find(item => item.role === "primary");
+    return primary === undefined
+        ? { kind: "wait", untilMs: request.deadlineAt }
+        : { kind: "send", endpoint: primary.endpoint.id, proof: "none", floor: undefined };
+}
+
+class FifoAdmission implements Admission {
+    readonly #waiting: AdmissionRequest[] = [];
+    readonly #running = new Set<number>();
+    #granted = 0;
+
+    get waiting(): number {
+        return this.#waiting.length;
+    }
+
+    get running(): number {
+        return this.#running.size;
+    }
+
+    get wanted(): number {
+        return this.waiting + this.running;
+    }
+
+    setGranted(slots: number): readonly AdmissionEffect[] {
+        this.#granted = slots;
+        return this.#dispatch();
+    }
+
+    offer(request: AdmissionRequest): readonly AdmissionEffect[] {
+        this.#waiting.push(request);
+        return this.#dispatch();
+    }
+
+    finished(id: number): readonly AdmissionEffect[] {
+        this.#running.delete(id);
+        return this.#dispatch();
+    }
+
+    withdraw(id: number): void {
+        const at = this.#waiting.findIndex(item => item.id === id);
+        if (at >= 0) {
+            this.#waiting.splice(at, 1);
+        }
+    }
+
+    tick(): readonly AdmissionEffect[] {
+        return this.#dispatch();
+    }
+
+    #dispatch(): readonly AdmissionEffect[] {
+        const effects: AdmissionEffect[] = [];
+        while (this.#running.size < this.#granted && this.#waiting.length > 0) {
+            const { id } = this.#waiting.shift()!;
+            this.#running.add(id);
+            effects.push({ kind: "run", id });
+        }
+        return effects;
+    }
+}
+
+class FakeSessionState implements SessionState {
+    #floor: Floor | undefined;
+
+    floor(): Floor | undefined {
+        return this.#floor;
+    }
+
+    raise(floor: Floor): boolean {
+        const former = this.#floor;
+        if (former !== undefined && (floor.term - former.term || floor.position - former.position) <= 0) {
+            return false;
+        }
+        this.#floor = floor;
+        return true;
+    }
+
+    accept(floor: Floor): void {
+        this.raise(floor);
+    }
+
+    takeLoss(check: { kind: string; term?: number; position?: number; }): boolean {
+        this.#floor = { term: check.term!, position: check.position! };
+        return true;
+    }
+}
+
+/** A proxy with fake servers, callers and time. `a` is the first primary, the others are replicas. */
+export class World implements DatabaseSource {
+    readonly time = new FakeTime();
+    readonly network = new FakeNetwork();
+    readonly records: ServiceRecord[] = [];
+    readonly silent: string[] = [];
+    readonly proxy: Proxy;
+    databaseView: DatabaseView;
+    databaseSettings: DatabaseSettings = {
+        acknowledge: "primary",
+        roaming: "token",
+        replicaReads: false,
+        replicaWaitMs: 0,
+    };
+    requestClass: RequestClass = { name: "c", worth: 1, ageMs: undefined, deadlineMs: 1_000, repeatable: false };
+    lease: (term: number) => boolean = () => true;
+    limit = 4;
+    retryBudget = Number.POSITIVE_INFINITY;
+    #listeners: (() => void)[] = [];
+    #callers = 0;
+
+    constructor(endpoints: readonly string[] = ["a"]) {
+        for (const id of endpoints) {
+            this.network.servers.set(id, new FakeServer(endpoint(id), id !== "a"));
+        }
+        this.databaseView = {
+            database: "shop",
+            terms: [{ term: 1, primary: "a", start: 0, timeline: 1 }],
+            endpoints: endpoints.map(id => ({ ...endpoint(id), state: "active" })),
+        };
+        this.proxy = new Proxy({
+            source: this,
+            connector: this.network,
+            classifier: { classify },
+            tokens: {
+                encode: (_database, floor) => `${floor.term}:${floor.position}`,
+                decode: text => {
+                    const [term, position] = text.split(":").map(Number);
+                    return Number.isInteger(term) && position !== undefined
+                        ? { ok: true, floor: { term: term!, position } }
+                        : { ok: false, error: { kind: "forged" } };
+                },
+            },
+            clock: this.time.clock,
+            schedule: this.time.schedule,
+            events: {
+                answered: () => undefined,
+                closed: () => undefined,
+                silent: item => this.silent.push(item.id),
+                slotsWanted: () => undefined,
+                served: record => this.records.push(record),
+            },
+            parts: this.#parts(),
+        });
+    }
+
+    view(): DatabaseView {
+        return this.databaseView;
+    }
+
+    settings(): DatabaseSettings {
+        return this.databaseSettings;
+    }
+
+    classFor(): RequestClass {
+        return this.requestClass;
+    }
+
+    mayAcknowledge(_database: string, term: number): boolean {
+        return this.lease(term);
+    }
+
+    connectionShare(): number {
+        return this.limit;
+    }
+
+    slots(): number {
+        return 100;
+    }
+
+    sameDataCentre(): boolean {
+        return true;
+    }
+
+    onChange(listener: () => void): void {
+        this.#listeners.push(listener);
+    }
+
+    changed(): void {
+        for (const listener of this.#listeners) {
+            listener();
+        }
+    }
+
+    /** A failover: a further term with this primary. */
+    promote(id: string, start: number): void {
+        const last = this.databaseView.terms.at(-1)!;
+        const next: TermRecord = { term: last.term + 1, primary: id, start, timeline: last.timeline! + 1 };
+        this.databaseView = { ...this.databaseView, terms: [...this.databaseView.terms, next] };
+        this.server(id).replica = false;
+        this.server(id).timeline = last.timeline! + 1;
+        this.changed();
+    }
+
+    server(id = "a"): FakeServer {
+        return this.network.servers.get(id)!;
+    }
+
+    sessions(id = "a"): FakeSession[] {
+        return [...this.server(id).sessions];
+    }
+
+    /** Sessions that have a request to answer. */
+    busy(id = "a"): FakeSession[] {
+        return this.sessions(id).filter(session => session.inbox.length > 0);
+    }
+
+    caller(options: Record<string, string> = {}): FakeCaller {
+        this.#callers += 1;
+        const caller = new FakeCaller(this.#callers, options);
+        this.proxy.accept(caller);
+        return caller;
+    }
+
+    /** Lets promises settle. */
+    async settle(): Promise<void> {
+        for (let turn = 0; turn < 10; turn++) {
+            await Promise.resolve();
+        }
+    }
+
+    /** Lets servers answer and promises settle until nothing moves. */
+    async run(): Promise<void> {
+        for (let moved = true; moved;) {
+            await this.settle();
+            moved = [...this.network.servers.values()].some(server =>
+                server.reachable && [...server.sessions].some(session => session.work())
+            );
+        }
+    }
+
+    async advance(ms: number): Promise<void> {
+        this.time.runDue(this.time.now + ms);
+        await this.run();
+    }
+
+    #parts(): ProxyParts {
+        return {
+            router: { choose },
+            checkFloor: (terms, floor) => {
+                const last = terms.at(-1)!;
+                if (floor.term > last.term) {
+                    return { kind: "unknownTerm", term: floor.term };
+                }
+                const next = terms.find(record => record.term > floor.term);
+                if (next?.start !== undefined && floor.position > next.start) {
+                    return { kind: "lost", term: last.term, position: next.start, survivedUpTo: next.start };
+                }
+                return { kind: "holds", position: floor.position };
+            },
+            session: () => new FakeSessionState(),
+            primaryPositions: () => {
+                let latest: number | undefined;
+                return {
+                    record: (_term, position) => {
+                        latest = Math.max(latest ?? 0, position);
+                    },
+                    latest: () => latest,
+                };
+            },
+            replicaPositions: () => {
+                const known = new Map<string, ReplicaPosition>();
+                return {
+                    of: id => known.get(id),
+                    report: (id, timeline, position, at) => known.set(id, { timeline, position, at, lagMs: undefined }),
+                    forget: id => known.delete(id),
+                };
+            },
+            admission: () => new FifoAdmission(),
+            retryBudget: () => ({
+                attempted: () => undefined,
+                shed: () => undefined,
+                retry: () => this.retryBudget-- > 0 ? 1 : undefined,
+            }),
+            health: () => ({
+                setEndpoints: () => undefined,
+                state: () => "ok",
+                trialStarted: () => undefined,
+                answered: () => undefined,
+                failed: () => undefined,
+            }),
+        };
+    }
+}
