Test the agreement store against each fault of its files

Cause: a store that misreads its own files can lose a vote or an acknowledged entry. The initial members moved into the state file, which is now the first file written; a batch cut exactly between two records counts as torn. The tests found both: a crash during initialization left a folder that would not open, and a torn batch of whole records was taken for a complete one.

--- a/packages/agreement/src/segment.ts
+++ b/packages/agreement/src/segment.ts
@@ -89,7 +89,9 @@
     while (offset < bytes.byteLength) {
         const place = { segment, offset, sequence: batches.length };
         const end = batchEnd(bytes, place);
-        const batch = end === undefined ? undefined : decodeRecords(bytes.subarray(offset + BATCH_HEADER_BYTES, end));
+        // A batch that ends between two of its records is as torn as one that ends within a record.
+        const isWhole = end !== undefined && end <= bytes.byteLength;
+        const batch = isWhole ? decodeRecords(bytes.subarray(offset + BATCH_HEADER_BYTES, end)) : undefined;
         if (end === undefined || batch === undefined) {
             return isTorn(bytes, place, end)
                 ? { batches, tornAt: offset, damage: undefined }
--- a/packages/agreement/src/state-file.ts
+++ b/packages/agreement/src/state-file.ts
@@ -1,16 +1,22 @@
+import type { Members } from "@medlarledge/protocol";
 import { uncheck } from "./checked-file.js";
 import type { HardState, Snapshot } from "./types.js";
 
 /** Name of the file that names all others. */
 export const STATE_FILE = "state";
 
+/** The state file names no segment yet. */
+export const NO_SEGMENT = 0;
+
 /** Content of the state file: it is replaced as a whole, so its parts always fit together. */
 export interface StateFile {
     readonly version: 1;
     readonly memberId: string;
     readonly term: number;
     readonly votedFor?: string | undefined;
-    /** Number of the segment in force. */
+    /** Members that the group starts with, until the first snapshot. */
+    readonly initialMembers?: Members | undefined;
+    /** Number of the segment in force, `NO_SEGMENT` before the first entry. */
     readonly segment: number;
     /** Last index of the snapshot in force; undefined before the first one. */
     readonly snapshot?: number | undefined;
--- a/packages/agreement/src/store-opening.ts
+++ b/packages/agreement/src/store-opening.ts
@@ -1,9 +1,11 @@
 import type { LogEntry } from "@medlarledge/protocol";
 import type { FileSystem } from "./file-system.js";
+import { initialSnapshot } from "./initial-state.js";
 import { decodeSegment, type SegmentContent } from "./segment.js";
 import {
     decodeSnapshot,
     decodeStateFile,
+    NO_SEGMENT,
     segmentName,
     snapshotName,
     STATE_FILE,
@@ -29,7 +31,7 @@
     await attempt("makeFolder", folder, () => files.makeFolder(folder));
     const names = await attempt("list", folder, () => files.list(folder));
     if (!names.includes(STATE_FILE)) {
-        await refuseRemains(files, folder, names);
+        refuseRemains(folder, names);
         return NOTHING;
     }
     const state = await readState(files, folder);
@@ -40,17 +42,10 @@
     return { state, snapshot, entries, segmentBytes: segment.bytes, batches: segment.content.batches.length };
 }
 
-/**
- * Without a state file the folder was never initialized, or lost the file that says what the member has voted for.
- * Only an empty first segment and temporary files can be left by a crash during initialization.
- */
-async function refuseRemains(files: FileSystem, folder: string, names: readonly string[]): Promise<void> {
-    for (const name of names.filter(isOwnName)) {
-        const path = `${folder}/${name}`;
-        const isEmpty = name === segmentName(1) && (await attempt("read", path, () => files.read(path))).length === 0;
-        if (!isEmpty && !isTemporary(name)) {
-            throw new StoreFailure({ kind: "missingFile", file: `${folder}/${STATE_FILE}` });
-        }
+/** The state file is the first one to be written: without it, others mean that what the member voted for is lost. */
+function refuseRemains(folder: string, names: readonly string[]): void {
+    if (names.some(name => isOwnName(name) && !name.endsWith(".tmp"))) {
+        throw new StoreFailure({ kind: "missingFile", file: `${folder}/${STATE_FILE}` });
     }
 }
 
@@ -65,7 +60,7 @@
 
 async function readSnapshot(files: FileSystem, folder: string, state: StateFile): Promise<Snapshot | undefined> {
     if (state.snapshot === undefined) {
-        return undefined;
+        return state.initialMembers === undefined ? undefined : initialSnapshot(state.initialMembers);
     }
     const file = `${folder}/${snapshotName(state.snapshot)}`;
     const decoded = decodeSnapshot(await attempt("read", file, () => files.read(file)));
@@ -80,6 +75,9 @@
     folder: string,
     state: StateFile,
 ): Promise<{ content: SegmentContent; bytes: number; }> {
+    if (state.segment === NO_SEGMENT) {
+        return { content: { batches: [], tornAt: undefined, damage: undefined }, bytes: 0 };
+    }
     const file = `${folder}/${segmentName(state.segment)}`;
     const bytes = await attempt("read", file, () => files.read(file));
     const content = decodeSegment(bytes, state.segment);
@@ -144,10 +142,6 @@
     }
 }
 
-function isTemporary(name: string): boolean {
-    return name.endsWith(".tmp");
-}
-
 function isOwnName(name: string): boolean {
     return /^(state|segment-\d+|snapshot-\d+)(\.tmp)?$/.test(name);
 }
--- a/packages/agreement/src/store.ts
+++ b/packages/agreement/src/store.ts
@@ -1,9 +1,16 @@
 import type { LogEntry, Members } from "@medlarledge/protocol";
 import { replaceFile } from "./checked-file.js";
 import { type AppendFile, type FileSystem, nodeFileSystem } from "./file-system.js";
-import { initialSnapshot } from "./initial-state.js";
 import { encodeBatch } from "./segment.js";
-import { encodeSnapshot, encodeStateFile, hardStateOf, segmentName, snapshotName, STATE_FILE } from "./state-file.js";
+import {
+    encodeSnapshot,
+    encodeStateFile,
+    hardStateOf,
+    NO_SEGMENT,
+    segmentName,
+    snapshotName,
+    STATE_FILE,
+} from "./state-file.js";
 import type { StateFile } from "./state-file.js";
 import { asValue, attempt, type StoreError, StoreFailure } from "./store-error.js";
 import { extendLog, type OpenedFiles, openFiles } from "./store-opening.js";
@@ -66,12 +73,7 @@
             if (this.#state !== undefined) {
                 throw new StoreFailure({ kind: "alreadyInitialized", memberId: this.#state.memberId });
             }
-            const snapshot = members === undefined ? undefined : initialSnapshot(members);
-            if (snapshot !== undefined) {
-                await replaceFile(this.#files, this.#folder, snapshotName(0), encodeSnapshot(snapshot));
-            }
-            this.#segment = await this.#createSegment(1);
-            await this.#replaceState({ version: 1, memberId, term: 0, segment: 1, snapshot: snapshot?.lastIndex });
+            await this.#replaceState({ version: 1, memberId, term: 0, initialMembers: members, segment: NO_SEGMENT });
         });
     }
 
@@ -83,6 +85,7 @@
                 await this.#replaceState({ ...this.#initialized(), ...hardState });
             }
             if (batch.truncateFrom !== undefined || batch.entries.length > 0) {
+                this.#initialized();
                 await this.#append(batch);
             }
         });
@@ -96,7 +99,8 @@
             const rest = this.#entriesAfter(snapshot);
             const previous = this.#segment;
             const next = await this.#createSegment(state.segment + 1, rest);
-            await this.#replaceState({ ...state, segment: state.segment + 1, snapshot: snapshot.lastIndex });
+            const inForce = { segment: state.segment + 1, snapshot: snapshot.lastIndex };
+            await this.#replaceState({ ...state, ...inForce, initialMembers: undefined });
             this.#segment = next;
             this.#baseIndex = snapshot.lastIndex;
             this.#entries = rest;
@@ -137,7 +141,7 @@
     }
 
     async #openSegment(opened: OpenedFiles): Promise<void> {
-        if (opened.state !== undefined) {
+        if (opened.state !== undefined && opened.state.segment !== NO_SEGMENT) {
             const path = `${this.#folder}/${segmentName(opened.state.segment)}`;
             const file = await attempt("open", path, () => this.#files.append(path));
             this.#segment = { file, path, bytes: opened.segmentBytes, batches: opened.batches };
@@ -158,16 +162,22 @@
     }
 
     async #append(batch: PersistBatch): Promise<void> {
-        const state = this.#initialized();
         const lastIndex = this.#baseIndex + this.#entries.length;
         const entries = extendLog(this.#baseIndex, [...this.#entries], batch);
-        if (entries === undefined || this.#segment === undefined) {
+        if (entries === undefined) {
             throw new StoreFailure({ kind: "notContiguous", index: batch.entries[0]?.index ?? 0, lastIndex });
         }
-        await writeBatch(this.#segment, state.segment, batch);
+        await writeBatch(this.#segment ?? await this.#firstSegment(), this.#initialized().segment, batch);
         this.#entries = entries;
     }
 
+    async #firstSegment(): Promise<Segment> {
+        const segment = await this.#createSegment(NO_SEGMENT + 1);
+        await this.#replaceState({ ...this.#initialized(), segment: NO_SEGMENT + 1 });
+        this.#segment = segment;
+        return segment;
+    }
+
     /** Entries that continue the snapshot; none if the log has another entry at its end. */
     #entriesAfter(snapshot: Snapshot): LogEntry[] {
         const position = snapshot.lastIndex - this.#baseIndex - 1;
@@ -181,7 +191,7 @@
     }
 
     async #removePrevious(state: StateFile, lastIndex: number): Promise<void> {
-        const names = [segmentName(state.segment)];
+        const names = state.segment === NO_SEGMENT ? [] : [segmentName(state.segment)];
         if (state.snapshot !== undefined && state.snapshot !== lastIndex) {
             names.push(snapshotName(state.snapshot));
         }
--- /dev/null
+++ b/packages/agreement/tests/store.test.ts
@@ -0,0 +1,294 @@
+import type { LogEntry } from "@medlarledge/protocol";
+import fc from "fast-check";
+import { expect, test } from "vitest";
+import {
+    AgreementStore,
+    mergeBatches,
+    type PersistBatch,
+    type RecoveredState,
+    type Snapshot,
+    type StoreError,
+} from "../src/index.js";
+import { fileError, MemoryFiles } from "./memory-files.js";
+
+const FOLDER = "/data";
+const MEMBERS = { voters: ["a", "b", "c"], learners: [] };
+const SEGMENT = "segment-0000000001";
+
+function entry(index: number, term = 1, payload: Uint8Array = Buffer.from(`payload ${index}`)): LogEntry {
+    return { index, term, payload: new Uint8Array(payload) };
+}
+
+function entries(from: number, to: number, term = 1): LogEntry[] {
+    return Array.from({ length: to - from + 1 }, (_, position) => entry(from + position, term));
+}
+
+function snapshotAt(lastIndex: number, lastTerm = 1): Snapshot {
+    return { lastIndex, lastTerm, members: MEMBERS, data: new Uint8Array(Buffer.from(`state ${lastIndex}`)) };
+}
+
+async function reopen(files: MemoryFiles): Promise<{ store: AgreementStore; recovered: RecoveredState; }> {
+    const opened = await AgreementStore.open(FOLDER, files);
+    if (!opened.ok) {
+        throw new Error(JSON.stringify(opened.error));
+    }
+    return opened;
+}
+
+async function openError(files: MemoryFiles): Promise<StoreError | undefined> {
+    const opened = await AgreementStore.open(FOLDER, files);
+    return opened.ok ? undefined : opened.error;
+}
+
+/** A store of member a with entries 1 to 3, each in its own batch. */
+async function filled(): Promise<{ files: MemoryFiles; store: AgreementStore; }> {
+    const files = new MemoryFiles();
+    const { store } = await reopen(files);
+    expect(await store.initialize("a", MEMBERS)).toBeUndefined();
+    expect(await store.persist({ hardState: { term: 1, votedFor: "b" }, entries: [entry(1)] })).toBeUndefined();
+    expect(await store.persist({ entries: [entry(2)] })).toBeUndefined();
+    expect(await store.persist({ entries: [entry(3)] })).toBeUndefined();
+    return { files, store };
+}
+
+function indexes(recovered: RecoveredState): readonly number[] {
+    return recovered.entries.map(({ index }) => index);
+}
+
+test("an empty folder is fresh until it is initialized, so a wiped host cannot keep its id", async () => {
+    const files = new MemoryFiles();
+    const { store, recovered } = await reopen(files);
+    expect(recovered).toMatchObject({ fresh: true, memberId: undefined, entries: [] });
+    expect(await store.persist({ entries: [entry(1)] })).toEqual({ kind: "notInitialized" });
+    const second = await reopen(files);
+    expect(await second.store.initialize("a")).toBeUndefined();
+    files.crash();
+    const third = await reopen(files);
+    expect(third.recovered).toMatchObject({ fresh: false, memberId: "a", snapshot: undefined });
+    expect(await third.store.initialize("b")).toEqual({ kind: "alreadyInitialized", memberId: "a" });
+});
+
+test("everything that was acknowledged survives a crash", async () => {
+    const { files, store } = await filled();
+    const withMembers = { ...entry(3, 2), members: { voters: ["a", "b"], learners: ["d"] } };
+    await store.persist({ hardState: { term: 2, votedFor: undefined }, truncateFrom: 2, entries: entries(2, 2, 2) });
+    await store.persist({ entries: [withMembers] });
+    files.crash();
+    const { recovered } = await reopen(files);
+    expect(recovered).toEqual({
+        fresh: false,
+        memberId: "a",
+        hardState: { term: 2, votedFor: undefined },
+        snapshot: { lastIndex: 0, lastTerm: 0, members: MEMBERS, data: new Uint8Array() },
+        entries: [entry(1), entry(2, 2), withMembers],
+    });
+});
+
+test("a batch costs one write and one sync", async () => {
+    const { files, store } = await filled();
+    files.operations.length = 0;
+    await store.persist({ truncateFrom: 3, entries: entries(3, 50) });
+    expect(files.operations).toEqual(["write", "sync"]);
+});
+
+test("every length of a torn unsynced write is cut off and the store goes on", async () => {
+    const lastBytes = 24 + 2 * (28 + 9);
+    for (let kept = 0; kept < lastBytes; kept += 1) {
+        const { files, store } = await filled();
+        files.fault = operation => {
+            if (operation === "sync") {
+                throw fileError("EIO");
+            }
+        };
+        await store.persist({ entries: entries(4, 5) });
+        files.fault = () => undefined;
+        files.crash(kept);
+        const { store: next, recovered } = await reopen(files);
+        expect(indexes(recovered)).toEqual([1, 2, 3]);
+        expect(await next.persist({ entries: [entry(4, 2)] })).toBeUndefined();
+        files.crash();
+        expect((await reopen(files)).recovered.entries.at(-1)).toEqual(entry(4, 2));
+    }
+});
+
+test("a last write whose sectors reached the disk out of order is cut off", async () => {
+    const { files, store } = await filled();
+    await store.persist({ entries: [entry(4, 1, Buffer.alloc(2_000, 7))] });
+    files.damage(SEGMENT, bytes => bytes.fill(0, 512, 1_024));
+    expect(indexes((await reopen(files)).recovered)).toEqual([1, 2, 3]);
+});
+
+test("a flipped bit at any place of synced data stops the host", async () => {
+    const { files } = await filled();
+    const length = (await files.read(`${FOLDER}/${SEGMENT}`)).byteLength;
+    for (let position = 0; position < length; position += 1) {
+        const { files: damaged } = await filled();
+        damaged.damage(SEGMENT, bytes => {
+            bytes[position] = bytes[position]! ^ (1 << position % 8);
+            return bytes;
+        });
+        expect(await openError(damaged), `byte ${position}`).toMatchObject({ kind: "corrupted" });
+    }
+});
+
+test("zeros in the middle of synced data are damage, not a torn write", async () => {
+    const { files, store } = await filled();
+    await store.persist({ entries: [entry(4, 1, Buffer.alloc(2_000, 7))] });
+    await store.persist({ entries: [entry(5)] });
+    files.damage(SEGMENT, bytes => bytes.fill(0, 512, 1_024));
+    expect(await openError(files)).toMatchObject({ kind: "corrupted" });
+});
+
+test("a damaged state file stops the host", async () => {
+    const { files } = await filled();
+    files.damage("state", bytes => bytes.subarray(0, bytes.byteLength - 1));
+    expect(await openError(files)).toMatchObject({ kind: "corrupted", file: `${FOLDER}/state` });
+});
+
+test("a snapshot replaces the log before it and keeps what follows", async () => {
+    const { files, store } = await filled();
+    expect(await store.saveSnapshot(snapshotAt(2))).toBeUndefined();
+    expect(await store.persist({ entries: [entry(4)] })).toBeUndefined();
+    files.crash();
+    const { recovered } = await reopen(files);
+    expect(files.names()).toEqual(["segment-0000000002", "snapshot-0000000000000002", "state"]);
+    expect(recovered.snapshot).toEqual(snapshotAt(2));
+    expect(indexes(recovered)).toEqual([3, 4]);
+});
+
+test("a received snapshot drops entries that do not continue it", async () => {
+    for (const snapshot of [snapshotAt(2, 2), snapshotAt(9, 2)]) {
+        const { files, store } = await filled();
+        await store.saveSnapshot(snapshot);
+        files.crash();
+        const { recovered } = await reopen(files);
+        expect(recovered).toMatchObject({ snapshot, entries: [] });
+    }
+});
+
+test("a crash at any step of saving a snapshot leaves the state before or after it", async () => {
+    let finished = false;
+    for (let steps = 0; !finished; steps += 1) {
+        const { files, store } = await filled();
+        let left = steps;
+        files.fault = () => {
+            left -= 1;
+            if (left < 0) {
+                throw fileError("EIO");
+            }
+        };
+        finished = await store.saveSnapshot(snapshotAt(2)) === undefined;
+        files.fault = () => undefined;
+        files.crash();
+        const { recovered } = await reopen(files);
+        const isOld = recovered.snapshot?.lastIndex === 0;
+        expect(indexes(recovered)).toEqual(isOld ? [1, 2, 3] : [3]);
+        expect(recovered.hardState).toEqual({ term: 1, votedFor: "b" });
+        expect(files.names()).toHaveLength(isOld ? 2 : 3);
+    }
+});
+
+test("a half-written or damaged snapshot with no older one stops the host", async () => {
+    const changes = [
+        (bytes: Buffer) => bytes.subarray(0, bytes.byteLength / 2),
+        (bytes: Buffer) => bytes.fill(1, 20, 21),
+        () => Buffer.alloc(0),
+    ];
+    for (const change of changes) {
+        const { files, store } = await filled();
+        await store.saveSnapshot(snapshotAt(2));
+        files.damage("snapshot-0000000000000002", change);
+        expect(await openError(files)).toMatchObject({ kind: "corruptedSnapshot" });
+    }
+});
+
+test("each missing file stops the host, the state file too", async () => {
+    for (const name of ["state", "segment-0000000002", "snapshot-0000000000000002"]) {
+        const { files, store } = await filled();
+        await store.saveSnapshot(snapshotAt(2));
+        await files.remove(`${FOLDER}/${name}`);
+        expect(await openError(files)).toEqual({ kind: "missingFile", file: `${FOLDER}/${name}` });
+    }
+});
+
+test("a full disk and a failed sync are told apart, and no later write is tried", async () => {
+    const cases = [
+        { operation: "write", code: "ENOSPC", kind: "diskFull" },
+        { operation: "sync", code: "EIO", kind: "syncFailed" },
+        { operation: "sync", code: "ENOSPC", kind: "syncFailed" },
+        { operation: "write", code: "EIO", kind: "failed" },
+    ];
+    for (const { operation, code, kind } of cases) {
+        const { files, store } = await filled();
+        files.fault = tried => {
+            if (tried === operation) {
+                throw fileError(code);
+            }
+        };
+        const error = await store.persist({ entries: [entry(4)] });
+        expect(error).toMatchObject({ kind });
+        files.fault = () => undefined;
+        files.operations.length = 0;
+        expect(await store.persist({ entries: [entry(4)] })).toEqual({ kind: "stopped", cause: error });
+        expect(await store.saveSnapshot(snapshotAt(2))).toEqual({ kind: "stopped", cause: error });
+        expect(files.operations).toEqual([]);
+    }
+});
+
+test("a crash at any step of the first initialization leaves a fresh or a whole store", async () => {
+    let finished = false;
+    for (let steps = 0; !finished; steps += 1) {
+        const files = new MemoryFiles();
+        const { store } = await reopen(files);
+        let left = steps;
+        files.fault = () => {
+            left -= 1;
+            if (left < 0) {
+                throw fileError("EIO");
+            }
+        };
+        finished = await store.initialize("a", MEMBERS) === undefined;
+        files.fault = () => undefined;
+        files.crash();
+        const { store: next, recovered } = await reopen(files);
+        expect(recovered.memberId).toBe(recovered.fresh ? undefined : "a");
+        if (recovered.fresh) {
+            expect(await next.initialize("a", MEMBERS)).toBeUndefined();
+        }
+    }
+});
+
+test("entries that do not continue the log are refused", async () => {
+    const { store } = await filled();
+    expect(await store.persist({ entries: [entry(5)] })).toEqual({ kind: "notContiguous", index: 5, lastIndex: 3 });
+});
+
+test("merged batches leave the same state as the batches one after another", async () => {
+    const steps = fc.array(fc.record({ back: fc.nat(3), count: fc.nat(3) }), { minLength: 1, maxLength: 6 });
+    await fc.assert(
+        fc.asyncProperty(steps, async choices => {
+            const batches = toBatches(choices);
+            const [one, many] = [await filled(), await filled()];
+            await one.store.persist(mergeBatches(batches));
+            for (const batch of batches) {
+                await many.store.persist(batch);
+            }
+            expect((await reopen(one.files)).recovered).toEqual((await reopen(many.files)).recovered);
+        }),
+        { seed: 7, numRuns: 200 },
+    );
+});
+
+function toBatches(choices: readonly { back: number; count: number; }[]): readonly PersistBatch[] {
+    let last = 3;
+    return choices.map(({ back, count }, position) => {
+        const from = Math.max(1, last + 1 - back);
+        const term = position + 2;
+        last = from + count - 1;
+        return {
+            hardState: { term, votedFor: undefined },
+            entries: entries(from, last, term),
+            ...back > 0 ? { truncateFrom: from } : {},
+        };
+    });
+}
