Assemble the process: routing of messages, serving, HTTP calls

Cause: the parts exist; a process has to own them, start them in order and end them in reverse. Change: host process with control, entry, slot and serving parts, a table that passes each message to its task, calls of the platform, endpoints and operators, cancel requests passed on to the host that serves the caller.

--- a/packages/daemon/src/entry-task.ts
+++ b/packages/daemon/src/entry-task.ts
@@ -26,6 +26,7 @@
             | "viewUpdate"
             | "configurationUpdate"
             | "confirmEndpoint"
+            | "silentHosts"
             | "leaderReply";
     }
 >;
@@ -63,6 +64,7 @@
     #draining = false;
     #stopped = false;
     #hadLease = false;
+    #lastLeaseAt = Number.NEGATIVE_INFINITY;
 
     readonly #handlers: MessageHandlers = {
         leaseGranted: (message, from) => {
@@ -84,6 +86,10 @@
         },
         configurationUpdate: message => this.#configure(message.change),
         confirmEndpoint: (message, from) => void this.#confirm(message, from),
+        silentHosts: message => {
+            this.view.silent(message.ids);
+            this.#options.changed();
+        },
         leaderReply: message => this.#client.replied(message),
     };
 
@@ -136,6 +142,11 @@
         return this.#options.clock.now() < this.#lease.validUntil();
     }
 
+    /** Monotonic time at which this host last held a valid lease. */
+    lastLeaseAt(): number {
+        return this.#lastLeaseAt;
+    }
+
     /** Takes what the pools or a probe learned of an endpoint, and reports what control must know. */
     observed(endpoint: Endpoint, outcome: "ok" | "closed" | "timeout"): void {
         const key = `${endpoint.database}/${endpoint.id}`;
@@ -178,6 +189,9 @@
 
     #checkLease(): void {
         const hasLease = this.hasLease();
+        if (hasLease) {
+            this.#lastLeaseAt = this.#options.clock.now();
+        }
         if (hasLease !== this.#hadLease) {
             this.#hadLease = hasLease;
             this.#options.log.event(hasLease ? "leaseRegained" : "leaseLost");
--- /dev/null
+++ b/packages/daemon/src/host-process.ts
@@ -0,0 +1,401 @@
+import { fenceEndpoint, PostgresConnector, promoteEndpoint, readEndpoint } from "@medlarledge/postgres";
+import type { Endpoint, Host, Message } from "@medlarledge/protocol";
+import { formatFinding, type HostSettings } from "@medlarledge/settings";
+import { type Log, Metrics } from "@medlarledge/telemetry";
+import { randomBytes } from "node:crypto";
+import { mkdir } from "node:fs/promises";
+import { type Clock, SYSTEM_CLOCK } from "./clock.js";
+import { ConfigurationHolder } from "./configuration-holder.js";
+import { ControlHost } from "./control-host.js";
+import type { ControlReport, EndpointOrders } from "./control-task.js";
+import { HostDatabases } from "./database-source.js";
+import { EntryTask } from "./entry-task.js";
+import { type FolderEvent, FolderWatch } from "./folder-watch.js";
+import { hostNumber, hostNumberOf } from "./host-number.js";
+import { buildRoutes } from "./http-routes.js";
+import { HttpServer } from "./http-server.js";
+import { MessageRouter } from "./message-router.js";
+import { type MeshEvent, PeerMesh } from "./peer-mesh.js";
+import { ServiceReporter } from "./service-reporter.js";
+import { ServingHost } from "./serving-host.js";
+import { SlotTask } from "./slot-task.js";
+
+const HOUSEKEEPING_MS = 1_000;
+const DEFAULT_DRAIN_MS = 30_000;
+const APPLY_TIMEOUT_MS = 5_000;
+
+export type StartFailure =
+    | { readonly kind: "dataFolder"; readonly reason: string; }
+    | { readonly kind: "peers"; readonly reason: string; }
+    | { readonly kind: "http"; readonly reason: string; }
+    | { readonly kind: "callers"; readonly reason: string; };
+
+/** One process of the system: it builds the tasks, starts them in order and ends them in reverse. */
+export class HostProcess {
+    readonly #settings: HostSettings;
+    readonly #log: Log;
+    readonly #clock: Clock;
+    readonly #self: Host;
+    readonly #mesh: PeerMesh;
+    readonly #metrics: Metrics;
+    readonly #configuration: ConfigurationHolder;
+    readonly #connector: PostgresConnector;
+    readonly #entry: EntryTask;
+    readonly #slots: SlotTask;
+    readonly #databases: HostDatabases;
+    readonly #reporter: ServiceReporter;
+    readonly #control: ControlHost | undefined;
+    readonly #router: MessageRouter;
+    readonly #http: HttpServer;
+    readonly #folder: FolderWatch | undefined;
+    readonly #failed: (reason: string) => void;
+    #serving: ServingHost | undefined;
+    #housekeeping: NodeJS.Timeout | undefined;
+    #draining = false;
+
+    /** `failed` is called when the process cannot go on, for example with a broken disk. */
+    constructor(settings: HostSettings, log: Log, failed: (reason: string) => void, clock: Clock = SYSTEM_CLOCK) {
+        this.#settings = settings;
+        this.#log = log;
+        this.#clock = clock;
+        this.#failed = failed;
+        this.#self = describeHost(settings);
+        this.#mesh = new PeerMesh({ self: this.#self, identity: settings.tls, clock, log });
+        this.#metrics = new Metrics({
+            host: settings.id,
+            dataCentre: settings.dataCentre,
+            address: settings.statsdAddress,
+        });
+        this.#configuration = new ConfigurationHolder(settings.dataFolder);
+        this.#connector = new PostgresConnector(() => ({
+            user: settings.endpointUser,
+            password: settings.endpointPassword,
+        }));
+        const listed = settings.control.map(member => member.id);
+        this.#reporter = new ServiceReporter(listed, (to, message) => this.#send(to, message));
+        this.#entry = this.#buildEntry(listed);
+        this.#slots = this.#buildSlots();
+        this.#databases = new HostDatabases(this.#self, this.#entry, this.#slots, this.#configuration);
+        this.#control = this.#buildControl(listed);
+        this.#router = new MessageRouter({
+            entry: this.#entry,
+            slots: this.#slots,
+            reporter: this.#reporter,
+            control: this.#control,
+            cancel: (processId, secretKey) => this.#serving?.cancelLocal(processId, secretKey),
+            send: (to, message) => this.#send(to, message),
+        });
+        this.#http = this.#buildHttp();
+        this.#folder = settings.watchFolder === undefined
+            ? undefined
+            : new FolderWatch(settings.watchFolder, settings.operator);
+    }
+
+    /** Starts everything. On a failure nothing is left listening. */
+    async start(): Promise<StartFailure | undefined> {
+        const failure = await this.#startTasks();
+        if (failure === undefined) {
+            this.#log.event("hostStarted", { ...this.#self });
+        }
+        else {
+            await this.#close();
+        }
+        return failure;
+    }
+
+    /** Stops gracefully: readiness first, then the listener, then what still runs, within the drain time. */
+    async stop(): Promise<{ readonly cut: number; }> {
+        this.#draining = true;
+        this.#log.event("hostStopping");
+        this.#entry.drain();
+        const drainMs = this.#configuration.inForce?.configuration.limits.drainMs ?? DEFAULT_DRAIN_MS;
+        const cut = await this.#serving?.drain(drainMs) ?? 0;
+        this.#reporter.flush(this.#clock.wallClock());
+        await this.#close();
+        this.#log.event("hostStopped", { cut });
+        return { cut };
+    }
+
+    async #startTasks(): Promise<StartFailure | undefined> {
+        if (this.#settings.dataFolder !== undefined) {
+            await mkdir(this.#settings.dataFolder, { recursive: true });
+        }
+        await this.#configuration.restore(this.#clock.wallClock());
+        const opened = await this.#control?.open();
+        if (opened !== undefined) {
+            this.#log.event("storeFailed", { reason: opened });
+            return { kind: "dataFolder", reason: opened };
+        }
+        void this.#mesh.events.observe(event => this.#meshEvent(event));
+        const peers = await this.#mesh.listen();
+        if (peers !== undefined) {
+            return { kind: "peers", reason: peers };
+        }
+        this.#connectToControl();
+        const http = await this.#http.listen();
+        if (http !== undefined) {
+            return { kind: "http", reason: http };
+        }
+        this.#entry.start();
+        this.#slots.start();
+        // Waits for the other control hosts on a first start, so it must not hold up the rest.
+        void this.#control?.start().then(reason => this.#controlStarted(reason));
+        return this.#startServing();
+    }
+
+    async #startServing(): Promise<StartFailure | undefined> {
+        this.#serving = await ServingHost.create({
+            self: this.#self,
+            settings: this.#settings,
+            configuration: () => this.#configuration.inForce?.configuration,
+            source: this.#databases,
+            connector: this.#connector,
+            clock: this.#clock,
+            log: this.#log,
+            metrics: this.#metrics,
+            observed: (endpoint, outcome) => this.#entry.observed(endpoint, outcome),
+            slotsWanted: (endpoint, wanted) =>
+                this.#slots.wanted(endpoint, wanted, Math.min(wanted, this.#slots.slots(endpoint))),
+            served: (database, count) => this.#reporter.add(database, count),
+            forwardCancel: (processId, secretKey) => this.#forwardCancel(processId, secretKey),
+        });
+        const reason = await this.#serving.listen();
+        if (reason !== undefined) {
+            return { kind: "callers", reason };
+        }
+        this.#serving.prepare();
+        void this.#folder?.events.observe(event => void this.#folderEvent(event));
+        this.#folder?.start();
+        this.#housekeeping = setInterval(() => this.#housekeep(), HOUSEKEEPING_MS);
+        return undefined;
+    }
+
+    #controlStarted(reason: string | undefined): void {
+        if (reason !== undefined) {
+            this.#log.event("storeFailed", { reason });
+            this.#failed(reason);
+            return;
+        }
+        this.#control?.control?.hostConnected(this.#self);
+        this.#mesh.connected().forEach(host => this.#control?.control?.hostConnected(host));
+    }
+
+    #buildEntry(listed: readonly string[]): EntryTask {
+        return new EntryTask({
+            self: this.#self,
+            timing: this.#settings.timing,
+            listed,
+            configuration: this.#configuration,
+            clock: this.#clock,
+            log: this.#log,
+            send: (to, message) => this.#send(to, message),
+            probe: (endpoint, timeoutMs) => readEndpoint(this.#connector, endpoint, timeoutMs),
+            changed: () => this.#changed(),
+        });
+    }
+
+    #buildSlots(): SlotTask {
+        return new SlotTask({
+            hostId: this.#self.id,
+            view: this.#entry.view,
+            clock: this.#clock,
+            lastLeaseAt: () => this.#entry.lastLeaseAt(),
+            send: (to, message) => this.#send(to, message),
+            connect: (id, address) => this.#mesh.keepConnected(id, address),
+            changed: () => this.#databases.changed(),
+        });
+    }
+
+    #buildControl(listed: readonly string[]): ControlHost | undefined {
+        const { dataFolder } = this.#settings;
+        if (dataFolder === undefined || !listed.includes(this.#self.id)) {
+            return undefined;
+        }
+        const orders: EndpointOrders = {
+            read: (endpoint, timeoutMs) => readEndpoint(this.#connector, endpoint, timeoutMs),
+            promote: (endpoint, timeoutMs) => promoteEndpoint(this.#connector, endpoint, timeoutMs),
+            fence: async (endpoint, timeoutMs) => {
+                await fenceEndpoint(this.#connector, endpoint, timeoutMs);
+            },
+        };
+        return new ControlHost({
+            self: this.#self,
+            settings: this.#settings,
+            dataFolder,
+            configuration: this.#configuration,
+            orders,
+            clock: this.#clock,
+            log: this.#log,
+            send: (to, message) => this.#send(to, message),
+            report: report => this.#controlReport(report),
+        });
+    }
+
+    #buildHttp(): HttpServer {
+        const { httpAddress, announceKey, operatorToken } = this.#settings;
+        return new HttpServer({
+            address: httpAddress,
+            announceKey,
+            operatorToken,
+            refused: reason => this.#log.event("announcementRefused", { reason }),
+            routes: buildRoutes({
+                entry: this.#entry,
+                readiness: () => this.#readiness(),
+                localStatus: () => this.#localStatus(),
+                burn: () => this.#control?.burn(),
+                announced: body => this.#log.event("endpointAnnounced", { endpoint: (body as Endpoint).id }),
+                configurationAnswered: (change, answer) =>
+                    this.#log.event("configurationAnswered", { number: change.number, answer }),
+            }),
+        });
+    }
+
+    #connectToControl(): void {
+        const isControl = this.#control !== undefined;
+        for (const { id, address } of this.#settings.control) {
+            // Among control hosts the lower id dials, so that there is one connection for each pair.
+            if (id !== this.#self.id && (!isControl || this.#self.id < id)) {
+                this.#mesh.keepConnected(id, address);
+            }
+        }
+    }
+
+    /** Sends to another process, or to this one's own tasks. Returns false when there is no connection. */
+    #send(to: string, message: Message): boolean {
+        if (to !== this.#self.id) {
+            return this.#mesh.send(to, message);
+        }
+        queueMicrotask(() => this.#router.receive(this.#self, message));
+        return true;
+    }
+
+    #meshEvent(event: MeshEvent): void {
+        if (event.kind === "message") {
+            this.#router.receive(event.from, event.message);
+        }
+        else if (event.kind === "connected") {
+            this.#control?.control?.hostConnected(event.host);
+        }
+        else {
+            this.#control?.control?.hostDisconnected(event.host);
+        }
+    }
+
+    #controlReport(report: ControlReport): void {
+        switch (report.kind) {
+            case "reply":
+                this.#send(report.to, { kind: "leaderReply", id: report.id, ok: report.ok, body: report.body });
+                break;
+            case "leader":
+                this.#log.event("leaderChanged", { leader: report.memberId, leads: report.isLeader });
+                break;
+            case "failoverDone": {
+                const databases = this.#configuration.inForce?.configuration.databases;
+                const targetMs = databases?.[report.database]?.objectives.failoverGapMs ?? Infinity;
+                this.#control?.services.failover(report.database, report.tookMs, targetMs, this.#clock.wallClock());
+                break;
+            }
+            case "failed":
+                this.#log.event("storeFailed", { reason: report.reason });
+                this.#failed(report.reason);
+                break;
+        }
+    }
+
+    #changed(): void {
+        this.#databases.changed();
+        this.#serving?.prepare();
+    }
+
+    async #folderEvent(event: FolderEvent): Promise<void> {
+        if (event.kind === "invalid") {
+            this.#log.event("folderInvalid", { findings: event.findings.map(formatFinding) });
+            return;
+        }
+        const { change } = event;
+        if (change.digest === this.#configuration.inForce?.change.digest) {
+            return;
+        }
+        const answer = await this.#entry.request("apply", change, APPLY_TIMEOUT_MS);
+        const result = answer.kind === "answered" ? answer.body : answer.reason;
+        this.#log.event("configurationAnswered", { number: change.number, answer: result });
+    }
+
+    #forwardCancel(processId: number, secretKey: number): void {
+        const number = hostNumberOf(processId);
+        for (const host of this.#entry.view.hosts) {
+            if (host.id !== this.#self.id && hostNumber(host.id) === number) {
+                this.#mesh.keepConnected(host.id, host.peerAddress);
+                this.#send(host.id, { kind: "cancelStatement", processId, secretKey });
+            }
+        }
+    }
+
+    #housekeep(): void {
+        const now = this.#clock.now();
+        const wallClock = this.#clock.wallClock();
+        this.#reporter.tick(now, wallClock);
+        void this.#control?.services.tick(now, wallClock);
+        if (this.#control?.mustJoin === true) {
+            void this.#entry.request("joinGroup", this.#control.memberId, HOUSEKEEPING_MS);
+        }
+        this.#metrics.gauge("lease.valid", this.#entry.hasLease() ? 1 : 0);
+        this.#metrics.gauge("configuration.number", this.#configuration.number);
+        this.#metrics.gauge("callers.open", this.#serving?.status().callers ?? 0);
+        this.#metrics.gauge("process.memory", process.memoryUsage.rss());
+    }
+
+    #readiness(): { ready: boolean; reason: string; } {
+        if (this.#draining) {
+            return { ready: false, reason: "draining" };
+        }
+        if (this.#configuration.inForce === undefined) {
+            return { ready: false, reason: "no configuration yet" };
+        }
+        if (!this.#entry.view.complete) {
+            return { ready: false, reason: "no view of the databases yet" };
+        }
+        return { ready: true, reason: this.#entry.hasLease() ? "serving" : "serving reads of stated age only" };
+    }
+
+    #localStatus(): unknown {
+        const inForce = this.#configuration.inForce;
+        return {
+            ...this.#self,
+            readiness: this.#readiness(),
+            hasLease: this.#entry.hasLease(),
+            configuration: inForce === undefined
+                ? undefined
+                : { number: inForce.change.number, operator: inForce.change.operator, since: inForce.since },
+            proxy: this.#serving?.status(),
+            traffic: this.#mesh.traffic(),
+            memoryBytes: process.memoryUsage.rss(),
+            cpuMicroseconds: process.cpuUsage(),
+        };
+    }
+
+    async #close(): Promise<void> {
+        clearInterval(this.#housekeeping);
+        await this.#folder?.close();
+        await this.#serving?.close();
+        this.#entry.stop();
+        this.#slots.stop();
+        await this.#control?.close();
+        await this.#http.close();
+        await this.#mesh.close();
+        await this.#configuration.saved();
+        await this.#metrics.close();
+    }
+}
+
+function describeHost(settings: HostSettings): Host {
+    return {
+        id: settings.id,
+        incarnation: randomBytes(8).toString("hex"),
+        dataCentre: settings.dataCentre,
+        peerAddress: settings.peerAddress,
+        httpAddress: settings.httpAddress,
+        callerAddress: settings.callerAddress,
+        control: settings.control.some(member => member.id === settings.id),
+    };
+}
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,1 +1,5 @@
-export * from "./peer-mesh.js";
+export { SYSTEM_CLOCK } from "./clock.js";
+export { folderEvent } from "./folder-watch.js";
+export { createAuthority, issueHostKeys, type KeyPair } from "./host-keys.js";
+export { HostProcess, type StartFailure } from "./host-process.js";
+export { SIGNATURE_HEADER, signBody } from "./http-server.js";
--- a/packages/daemon/src/membership-start.ts
+++ b/packages/daemon/src/membership-start.ts
@@ -1,5 +1,6 @@
 import type { AgreementStore, RecoveredState, StoreError } from "@medlarledge/agreement";
 import { replacementMember } from "@medlarledge/control";
+import type { LeaderReply, LeaderRequest } from "@medlarledge/protocol";
 
 /** What a control host knows of its own membership; exchanged among control hosts before the first election. */
 export const MemberPhase = {
@@ -53,3 +54,48 @@
     const memberId = replacementMember(host.id, host.incarnation);
     return { memberId, error: await store.initialize(memberId) };
 }
+
+/** Name of the request by which control hosts ask each other for their phase. */
+export const MEMBER_PHASE_REQUEST = "memberPhase";
+
+/** Interval at which unanswered control hosts are asked again. */
+const ASK_MS = 100;
+
+/** Asks the other control hosts for their phase until a host with an empty data folder knows how to start. */
+export class MembershipStart {
+    readonly #others: readonly string[];
+    readonly #send: (to: string, request: LeaderRequest) => void;
+    readonly #phases = new Map<string, MemberPhase>();
+
+    constructor(others: readonly string[], send: (to: string, request: LeaderRequest) => void) {
+        this.#others = others;
+        this.#send = send;
+    }
+
+    /** Takes an answer of another control host. */
+    replied(from: string, reply: LeaderReply): void {
+        const phase = Object.values(MemberPhase).find(known => known === reply.body);
+        if (phase !== undefined) {
+            this.#phases.set(from, phase);
+        }
+    }
+
+    /** Waits for a decision; `waiting` is told once whose answers are missing. */
+    async decide(waiting: (missing: readonly string[]) => void): Promise<Exclude<StartDecision, { kind: "wait"; }>> {
+        let told = false;
+        for (;;) {
+            const decision = decideStart(this.#others, this.#phases);
+            if (decision.kind !== "wait") {
+                return decision;
+            }
+            this.#others.forEach(id =>
+                this.#send(id, { kind: "leaderRequest", id: 0, name: MEMBER_PHASE_REQUEST, body: undefined })
+            );
+            await new Promise(resolve => setTimeout(resolve, ASK_MS));
+            if (!told && this.#phases.size < this.#others.length) {
+                told = true;
+                waiting(decision.missing);
+            }
+        }
+    }
+}
--- a/packages/daemon/src/view-table.ts
+++ b/packages/daemon/src/view-table.ts
@@ -5,6 +5,7 @@
     #version = 0;
     #databases = new Map<string, DatabaseView>();
     #hosts: readonly Host[] = [];
+    #silent: ReadonlySet<string> = new Set();
     #complete = false;
 
     /** Version of the last update; 0 asks for the whole view. */
@@ -21,6 +22,16 @@
         return this.#hosts;
     }
 
+    /** Hosts that are believed to run: registered and not reported as silent. */
+    get liveHosts(): readonly Host[] {
+        return this.#hosts.filter(host => !this.#silent.has(host.id));
+    }
+
+    /** Replaces the set of silent hosts. */
+    silent(ids: readonly string[]): void {
+        this.#silent = new Set(ids);
+    }
+
     database(name: string): DatabaseView | undefined {
         return this.#databases.get(name);
     }
--- a/packages/protocol/src/control-message.ts
+++ b/packages/protocol/src/control-message.ts
@@ -155,6 +155,22 @@
     readonly sequence: number;
 }
 
+/**
+ * Leader to entry hosts: registered hosts that have not renewed their lease for a while. They keep their share of
+ * the connections, but no longer manage slots.
+ */
+export interface SilentHosts {
+    readonly kind: "silentHosts";
+    readonly ids: readonly string[];
+}
+
+/** Entry host to entry host: a caller asked here to cancel a statement that runs there. */
+export interface CancelStatement {
+    readonly kind: "cancelStatement";
+    readonly processId: number;
+    readonly secretKey: number;
+}
+
 export type ControlMessage =
     | Hello
     | RenewLease
@@ -171,5 +187,7 @@
     | SlotRequest
     | SlotGrant
     | SlotRecall
+    | SilentHosts
+    | CancelStatement
     | ServiceCounts
     | ServiceCountsReceived;
--- a/packages/protocol/src/message-table.ts
+++ b/packages/protocol/src/message-table.ts
@@ -29,6 +29,8 @@
     slotRecall: 15,
     serviceCounts: 16,
     serviceCountsReceived: 17,
+    silentHosts: 18,
+    cancelStatement: 19,
     agreement: 20,
 } as const satisfies Record<MessageKind, number>;
 
