Bound the time that closing a connection may take

A caller that asks for TLS and never begins the handshake kept its socket: the refusal waited for the handshake, and the socket for the refusal. The same held for a peer that does not read.

Closing now destroys the socket after 1 s. The stand-in fences only new transactions, as PostgreSQL does, and a crash ends its sleeping statements.

--- a/packages/postgres/src/caller-handshake.ts
+++ b/packages/postgres/src/caller-handshake.ts
@@ -2,6 +2,7 @@
 import { type SecureContext, TLSSocket } from "node:tls";
 import type { CallerIdentity } from "./caller-connection.js";
 import { type Authenticate, CallerGateway } from "./caller-gateway.js";
+import { closeSoon } from "./close-soon.js";
 import { errorResponse } from "./message-builders.js";
 import { FrontendType } from "./message-types.js";
 import { readStartupPacket, type StartupPacket, startupSettings } from "./startup-packet.js";
@@ -188,7 +189,7 @@
         }
         if (!this.#socket.writable) {
             this.#finish({ kind: "ended" });
-            this.#socket.destroySoon();
+            closeSoon(this.#socket);
         }
         else if (gateway.isAuthenticated && this.#identity !== undefined) {
             this.#socket.pause();
@@ -218,7 +219,7 @@
         if (this.#socket.writable) {
             this.#socket.write(bytes);
         }
-        this.#socket.destroySoon();
+        closeSoon(this.#socket);
     }
 
     #finish(outcome: HandshakeOutcome): void {
--- a/packages/postgres/src/frame-socket.ts
+++ b/packages/postgres/src/frame-socket.ts
@@ -1,4 +1,5 @@
 import type { Socket } from "node:net";
+import { closeSoon } from "./close-soon.js";
 import { describeFrameError, type Frame, FrameReader } from "./frame-reader.js";
 
 export interface FrameSocketHandler {
@@ -86,15 +87,7 @@
     /** Sends what is queued, then closes. */
     close(): void {
         this.#closeReason ??= "closed here";
-        if (!this.#socket.destroyed) {
-            this.#socket.destroySoon();
-        }
-    }
-
-    /** Closes at once and drops what is queued. */
-    destroy(reason: string): void {
-        this.#closeReason ??= reason;
-        this.#socket.destroy();
+        closeSoon(this.#socket);
     }
 
     /** A method, because the compiler assumes that a field just assigned cannot change within a call. */
@@ -134,7 +127,7 @@
     #fail(reason: string): void {
         this.#faulty(reason);
         this.#closeReason = reason;
-        this.#socket.destroySoon();
+        closeSoon(this.#socket);
     }
 
     #closed(): void {
--- a/packages/postgres/tests/caller-listener.test.ts
+++ b/packages/postgres/tests/caller-listener.test.ts
@@ -117,7 +117,36 @@
         await early.closed;
         expect(faults).toHaveLength(2);
         expect(await first(accepted)).toBe(2);
-        await accepted.end();
+        // The raw sockets are closed here; each caller's handler must hear of it through its TLS socket.
+        await fixture!.listener.close();
+        await expect.poll(() => fixture!.closed).toBe(2);
+    });
+
+    it("closes a TLS handshake that never begins", async () => {
+        // Guards against sockets that stay for ever, because their refusal cannot be sent before the handshake.
+        const { listener, port } = await start({ tls: makeCertificate(), handshakeTimeoutMs: 30 });
+        const raw = new RawCaller(port);
+        raw.socket.write(serialize.requestSsl());
+        await raw.closed;
+        expect(listener.callers).toBe(0);
+    });
+
+    it("says when a slow caller takes more", async () => {
+        const sent: boolean[] = [];
+        let drained = 0;
+        const { port } = await start({
+            onCaller: (caller) => {
+                caller.setHandler({ frames: () => undefined, drained: () => drained++, closed: () => undefined });
+                while (sent.at(-1) !== false) {
+                    sent.push(caller.send(Buffer.alloc(1_000_000)));
+                }
+            },
+        });
+        const raw = new RawCaller(port);
+        raw.socket.write(serialize.startup({ user: "ann" }));
+        await expect.poll(() => sent.at(-1)).toBe(false);
+        await expect.poll(() => drained).toBe(1);
+        raw.socket.destroy();
     });
 
     it("refuses callers beyond the limit, but not cancel requests", async () => {
--- a/packages/testing/src/stand-in/caller-server.ts
+++ b/packages/testing/src/stand-in/caller-server.ts
@@ -87,6 +87,10 @@
         this.#sockets.forEach((socket) => socket.destroy());
     }
 
+    cancelAll(): void {
+        this.#sessions.forEach(({ session }) => session.cancel());
+    }
+
     /** Lets sessions continue after a fault ended. */
     pump(): void {
         this.#sessions.forEach(({ session }) => session.pump());
--- a/packages/testing/src/stand-in/executor.ts
+++ b/packages/testing/src/stand-in/executor.ts
@@ -88,7 +88,7 @@
     transaction: Transaction,
     server: Server,
 ): Result | SqlError {
-    if (statement.kind !== "select" && (server.isReplica || server.isReadOnly || transaction.readOnly)) {
+    if (statement.kind !== "select" && (server.isReplica || transaction.readOnly)) {
         return sqlError("25006", "cannot execute a write in a read-only transaction");
     }
     const exists = transaction.hasTable(statement.table);
--- a/packages/testing/src/stand-in/stand-in-endpoint.ts
+++ b/packages/testing/src/stand-in/stand-in-endpoint.ts
@@ -134,6 +134,7 @@
         this.#link?.stop();
         this.#replication.close();
         this.#callers.stopListening();
+        this.#callers.cancelAll();
         this.#callers.closeConnections();
         this.#control.close();
     }
--- a/packages/testing/src/stand-in/statement-runner.ts
+++ b/packages/testing/src/stand-in/statement-runner.ts
@@ -140,7 +140,7 @@
             case "deallocate":
                 return { kind: "result", tag: "DEALLOCATE" };
             default:
-                this.#transaction ??= new Transaction(this.#host.store, false, false);
+                this.#transaction ??= new Transaction(this.#host.store, false, this.#host.isReadOnly);
                 return executeOnTable(statement, parameters, this.#transaction, this.#host);
         }
     }
@@ -151,7 +151,7 @@
             if (error !== undefined) {
                 return error;
             }
-            this.#transaction = new Transaction(this.#host.store, true, readOnly);
+            this.#transaction = new Transaction(this.#host.store, true, readOnly || this.#host.isReadOnly);
         }
         return { kind: "result", tag: "BEGIN" };
     }
--- a/packages/testing/tests/stand-in/statements.test.ts
+++ b/packages/testing/tests/stand-in/statements.test.ts
@@ -69,7 +69,9 @@
     it("keeps prepared statements until they are discarded", async () => {
         const insert = (key: string) =>
             client.query({ name: "put", text: "INSERT INTO seats VALUES ($1, 'x')", values: [key] });
-        await Promise.all(["a", "b", "c"].map(insert));
+        for (const key of ["a", "b", "c"]) {
+            await insert(key);
+        }
         expect(await value(client, "SELECT count(*) FROM seats")).toBe("3");
         await client.query("SET application_name = 'batch'");
         expect(await value(client, "SHOW application_name")).toBe("batch");
