--- /dev/null
+++ b/packages/agreement/tests/agreement.test.ts
@@ -0,0 +1,347 @@
+import type { AgreementMessage, Append, LogEntry, Members } from "@medlarledge/protocol";
+import { expect, test } from "vitest";
+import { Agreement, type AgreementEffect, type AgreementOptions, initialState } from "../src/index.js";
+
+const OPTIONS: AgreementOptions = {
+    id: "a",
+    heartbeatMs: 50,
+    electionMs: 300,
+    snapshotEvery: 512,
+    maxBatchEntries: 4,
+    snapshotChunkBytes: 10,
+    seed: 1,
+};
+const MEMBERS: Members = { voters: ["a", "b", "c"], learners: [] };
+const PAYLOAD = new Uint8Array([1]);
+
+/** One member whose syncs succeed at once unless `isSlow`, and whose messages are collected. */
+class Member {
+    readonly #agreement: Agreement;
+    isSlow = false;
+    now = 1_000;
+    sent: { to: string; message: AgreementMessage; }[] = [];
+    effects: AgreementEffect[] = [];
+    batch = 0;
+
+    constructor(options: Partial<AgreementOptions> = {}, members: Members = MEMBERS) {
+        this.#agreement = new Agreement({ ...OPTIONS, ...options });
+        this.handle({ kind: "start", recovered: initialState("a", members) });
+    }
+
+    get quorumContactAt(): number {
+        return this.#agreement.quorumContactAt(this.now);
+    }
+
+    get caughtUp(): readonly string[] {
+        return this.#agreement.caughtUpLearners(this.now);
+    }
+
+    handle(event: Parameters<Agreement["handle"]>[0]): void {
+        for (const effect of this.#agreement.handle(event, this.now)) {
+            this.effects.push(effect);
+            if (effect.kind === "send") {
+                this.sent.push(effect);
+            }
+            if (effect.kind === "persist" || effect.kind === "saveSnapshot") {
+                this.batch = effect.batch;
+            }
+        }
+        if (!this.isSlow && event.kind !== "persisted") {
+            this.sync();
+        }
+    }
+
+    sync(): void {
+        this.handle({ kind: "persisted", batch: this.batch });
+    }
+
+    receive(from: string, message: AgreementMessage): void {
+        this.handle({ kind: "message", from, message });
+    }
+
+    advance(milliseconds: number): void {
+        for (let passed = 0; passed < milliseconds; passed += 10) {
+            this.now += 10;
+            this.handle({ kind: "tick" });
+        }
+    }
+
+    take<K extends AgreementMessage["kind"]>(kind: K): Extract<AgreementMessage, { kind: K; }>[] {
+        const messages = this.sent.filter(({ message }) => message.kind === kind).map(({ message }) => message);
+        this.sent = [];
+        return messages as Extract<AgreementMessage, { kind: K; }>[];
+    }
+
+    /** Lets b grant the pre-vote and the vote. */
+    lead(): void {
+        this.advance(600);
+        this.receive("b", { kind: "preVoteReply", term: 1, granted: true });
+        this.receive("b", { kind: "voteReply", term: 1, granted: true });
+        expect(this.role()).toBe("leader");
+    }
+
+    acknowledge(from: string, matchIndex: number): void {
+        this.receive(from, { kind: "appendReply", term: 1, success: true, matchIndex, sentAt: this.now });
+    }
+
+    propose(requestId: number): void {
+        this.handle({ kind: "propose", requestId, payload: PAYLOAD });
+    }
+
+    proposeMembers(requestId: number, members: Members): void {
+        this.handle({ kind: "proposeMembers", requestId, members });
+    }
+
+    role(): string | undefined {
+        return this.effects.findLast(effect => effect.kind === "role")?.role;
+    }
+
+    outcome(requestId: number): string | undefined {
+        return this.effects.filter(effect => effect.kind === "proposed").find(effect => effect.requestId === requestId)
+            ?.outcome;
+    }
+}
+
+function append(term: number, fields: Partial<Append> = {}): Append {
+    return {
+        kind: "append",
+        term,
+        previousIndex: 0,
+        previousTerm: 0,
+        commitIndex: 0,
+        entries: [],
+        sentAt: 7,
+        ...fields,
+    };
+}
+
+function entry(index: number, term: number): LogEntry {
+    return { index, term, payload: PAYLOAD };
+}
+
+const VOTE = { kind: "vote", term: 5, lastIndex: 9, lastTerm: 4 } as const;
+
+test("no vote, vote request or acknowledgement leaves before its batch is durable", () => {
+    const member = new Member();
+    member.advance(290);
+    member.isSlow = true;
+    member.now += 10;
+    member.receive("b", VOTE);
+    expect(member.sent).toEqual([]);
+    member.sync();
+    expect(member.take("voteReply")).toEqual([{ kind: "voteReply", term: 5, granted: true }]);
+    member.receive("b", append(5, { entries: [entry(1, 5)] }));
+    member.receive("b", append(5, { entries: [entry(1, 5)], commitIndex: 1 }));
+    expect(member.sent).toEqual([]);
+    expect(member.effects.some(effect => effect.kind === "commit")).toBe(false);
+    member.sync();
+    expect(member.take("appendReply").map(reply => reply.matchIndex)).toEqual([1, 1]);
+    expect(member.effects.filter(effect => effect.kind === "commit")).toHaveLength(1);
+});
+
+test("a candidate asks for votes and counts its own only when its vote is durable", () => {
+    const member = new Member();
+    member.advance(600);
+    member.isSlow = true;
+    member.receive("b", { kind: "preVoteReply", term: 1, granted: true });
+    expect(member.take("vote")).toEqual([]);
+    member.receive("b", { kind: "voteReply", term: 1, granted: true });
+    expect(member.role()).toBe("candidate");
+    member.sync();
+    expect(member.take("vote")).toHaveLength(2);
+    expect(member.role()).toBe("leader");
+});
+
+test("a member votes once in a term and only for a log that is not behind its own", () => {
+    const member = new Member();
+    member.advance(290);
+    member.receive("b", append(3, { entries: [entry(1, 3)] }));
+    member.advance(300);
+    member.take("voteReply");
+    member.receive("c", { ...VOTE, lastTerm: 2 });
+    member.receive("c", { ...VOTE, lastTerm: 3, lastIndex: 0 });
+    member.receive("c", { ...VOTE, lastTerm: 3, lastIndex: 1 });
+    member.receive("b", VOTE);
+    expect(member.take("voteReply").map(reply => reply.granted)).toEqual([false, false, true, false]);
+});
+
+test("a follower that hears from its leader, or has just started, grants no vote and keeps its term", () => {
+    const member = new Member();
+    member.receive("c", VOTE);
+    member.advance(300);
+    member.receive("b", append(1));
+    member.advance(290);
+    member.receive("c", VOTE);
+    member.receive("c", { ...VOTE, kind: "preVote" });
+    expect(member.sent.map(({ message }) => message)).toMatchObject([
+        { kind: "voteReply", term: 0, granted: false },
+        { kind: "appendReply", term: 1 },
+        { kind: "voteReply", term: 1, granted: false },
+        { kind: "preVoteReply", term: 1, granted: false },
+    ]);
+});
+
+test("a host that was cut off for hours raises no term and deposes nobody", () => {
+    const member = new Member();
+    member.advance(60_000);
+    expect(member.take("preVote").every(message => message.term === 1)).toBe(true);
+    expect(member.effects.some(effect => effect.kind === "persist")).toBe(false);
+    member.receive("b", append(1));
+    expect(member.role()).toBe("follower");
+});
+
+test("a leader without answers of a majority steps down after the election time", () => {
+    const member = new Member();
+    member.lead();
+    member.acknowledge("b", 1);
+    expect(member.quorumContactAt).toBe(member.now);
+    const answeredAt = member.now;
+    member.advance(300);
+    expect(member.role()).toBe("leader");
+    expect(member.quorumContactAt).toBe(answeredAt);
+    member.advance(10);
+    expect(member.role()).toBe("follower");
+    expect(member.quorumContactAt).toBe(Number.NEGATIVE_INFINITY);
+});
+
+test("the contact of a new leader is the start of its campaign, never the arrival of an answer", () => {
+    const member = new Member();
+    member.advance(600);
+    member.receive("b", { kind: "preVoteReply", term: 1, granted: true });
+    const startedAt = member.now;
+    member.now += 40;
+    member.receive("b", { kind: "voteReply", term: 1, granted: true });
+    expect(member.quorumContactAt).toBe(startedAt);
+});
+
+test("proposals during an unanswered append go in batches of at most the set size", () => {
+    const member = new Member();
+    member.lead();
+    for (let requestId = 1; requestId <= 10; requestId += 1) {
+        member.propose(requestId);
+    }
+    member.take("append");
+    member.acknowledge("b", 1);
+    expect(member.take("append").map(message => message.entries.map(({ index }) => index))).toEqual([[2, 3, 4, 5]]);
+    member.acknowledge("b", 5);
+    expect(member.outcome(4)).toBe("committed");
+    expect(member.outcome(5)).toBeUndefined();
+});
+
+test("entries of an earlier term are committed only by an entry of the own term", () => {
+    const member = new Member();
+    member.advance(300);
+    member.receive("b", append(1, { entries: [entry(1, 1)] }));
+    member.advance(600);
+    member.receive("b", { kind: "preVoteReply", term: 2, granted: true });
+    member.receive("b", { kind: "voteReply", term: 2, granted: true });
+    const reply = { kind: "appendReply", term: 2, success: true, sentAt: member.now } as const;
+    member.receive("b", { ...reply, matchIndex: 1 });
+    expect(member.effects.some(effect => effect.kind === "commit")).toBe(false);
+    member.receive("b", { ...reply, matchIndex: 2 });
+    expect(member.effects.find(effect => effect.kind === "commit")?.entries).toHaveLength(2);
+});
+
+test("the outcome of a proposal stays open until an entry is committed at its index", () => {
+    const member = new Member();
+    member.lead();
+    member.propose(1);
+    member.propose(2);
+    const others = [entry(1, 1), entry(2, 2), entry(3, 2)];
+    member.receive("c", append(2, { entries: others }));
+    expect(member.outcome(1)).toBeUndefined();
+    member.receive("c", append(2, { entries: others, commitIndex: 2 }));
+    expect([member.outcome(1), member.outcome(2)]).toEqual(["lost", undefined]);
+    member.propose(3);
+    expect(member.outcome(3)).toBe("notLeader");
+    const snapshot = { lastIndex: 9, lastTerm: 2, members: MEMBERS, offset: 0, data: PAYLOAD, done: true, sentAt: 0 };
+    member.receive("c", { kind: "snapshotChunk", term: 2, ...snapshot });
+    expect(member.outcome(2)).toBe("unknown");
+});
+
+test("proposals beyond the waiting limit are refused as busy", () => {
+    const member = new Member();
+    member.lead();
+    for (let requestId = 1; requestId <= 100; requestId += 1) {
+        member.propose(requestId);
+    }
+    expect(member.outcome(63)).toBeUndefined();
+    expect(member.outcome(64)).toBe("busy");
+});
+
+test("members change one voter at a time, after an own committed entry, and learners only when caught up", () => {
+    const member = new Member();
+    member.lead();
+    const withLearner = { voters: ["a", "b", "c"], learners: ["d", "e"] };
+    member.proposeMembers(1, withLearner);
+    expect(member.outcome(1)).toBe("busy");
+    member.acknowledge("b", 1);
+    member.proposeMembers(2, { voters: ["a", "b", "c", "d"], learners: [] });
+    member.proposeMembers(3, { voters: ["a"], learners: [] });
+    member.proposeMembers(4, { voters: [], learners: [] });
+    expect([2, 3, 4].map(requestId => member.outcome(requestId))).toEqual(["refused", "refused", "refused"]);
+    member.proposeMembers(5, withLearner);
+    member.proposeMembers(6, { voters: ["a", "b", "c"], learners: [] });
+    member.acknowledge("b", 2);
+    expect([member.outcome(5), member.outcome(6)]).toEqual(["committed", "busy"]);
+    const promoted = { voters: ["a", "b", "c", "d"], learners: ["e"] };
+    member.proposeMembers(7, promoted);
+    member.proposeMembers(8, { voters: ["a", "b", "d"], learners: ["e"] });
+    expect([member.outcome(7), member.outcome(8)]).toEqual(["busy", "refused"]);
+    expect(member.caughtUp).toEqual([]);
+    member.acknowledge("d", 2);
+    expect(member.caughtUp).toEqual(["d"]);
+    member.proposeMembers(9, promoted);
+    member.acknowledge("b", 3);
+    expect(member.outcome(9)).toBeUndefined();
+    member.acknowledge("d", 3);
+    expect(member.outcome(9)).toBe("committed");
+});
+
+test("a leader that is removed leads until the change is committed and then steps down", () => {
+    const member = new Member();
+    member.lead();
+    member.acknowledge("b", 1);
+    member.proposeMembers(1, { voters: ["b", "c"], learners: [] });
+    member.acknowledge("b", 2);
+    expect(member.role()).toBe("leader");
+    member.acknowledge("c", 2);
+    expect(member.outcome(1)).toBe("committed");
+    expect(member.role()).toBe("follower");
+});
+
+test("a single voter elects itself and commits once its own writes are durable", () => {
+    const member = new Member({}, { voters: ["a"], learners: [] });
+    member.advance(600);
+    member.isSlow = true;
+    member.propose(1);
+    expect(member.outcome(1)).toBeUndefined();
+    member.sync();
+    expect(member.outcome(1)).toBe("committed");
+});
+
+test("a snapshot goes to a member that is far behind in pieces, and is continued where it was interrupted", () => {
+    const member = new Member({ snapshotEvery: 1 });
+    member.lead();
+    member.acknowledge("b", 1);
+    const data = new Uint8Array(25).map((_, position) => position);
+    for (let requestId = 1; requestId <= 3; requestId += 1) {
+        member.propose(requestId);
+        member.acknowledge("b", requestId + 1);
+        member.handle({ kind: "snapshotTaken", index: requestId + 1, data });
+    }
+    member.take("append");
+    member.receive("c", { kind: "appendReply", term: 1, success: false, matchIndex: 0, sentAt: member.now });
+    const reply = { kind: "snapshotReply", term: 1, lastIndex: 4, done: false, sentAt: member.now } as const;
+    for (const offset of [10, 20, 20, 10]) {
+        member.receive("c", { ...reply, offset });
+    }
+    expect(member.take("snapshotChunk").map(({ offset, data: piece, done }) => [offset, piece.length, done])).toEqual([
+        [0, 10, false],
+        [10, 10, false],
+        [20, 5, true],
+        [10, 10, false],
+    ]);
+    member.receive("c", { ...reply, offset: 25, done: true });
+    expect(member.take("append").at(-1)).toMatchObject({ previousIndex: 4 });
+});
