--- a/packages/proxy/src/execution.ts
+++ b/packages/proxy/src/execution.ts
@@ -1,4 +1,4 @@
-import type { Position, Term } from "@medlarledge/protocol";
+import type { Floor, Position } from "@medlarledge/protocol";
 import { Answer } from "./answer.js";
 import { Attempt } from "./attempt.js";
 import type { AttemptListener } from "./attempt.js";
@@ -55,6 +55,8 @@
     /** The caller kept this connection from earlier requests. */
     #kept = false;
     #cancelDeadline: (() => void) | undefined;
+    /** The floor that the caller was last told. */
+    #reported: Floor | undefined;
     #sentAt = 0;
     #retries = 0;
     #fresh = true;
@@ -283,7 +285,7 @@
     }
 
     released(position: Position): void {
-        this.#raise(position, this.#release.term);
+        this.#host.session.raise({ term: this.#release.term, position });
         this.#finish();
     }
 
@@ -319,7 +321,7 @@
             this.#finish();
         }
         else if (position !== undefined) {
-            this.#raise(position, this.#lease?.term ?? 0);
+            this.#host.session.raise({ term: this.#lease?.term ?? 0, position });
             this.#finish();
         }
         else if (!this.#retry(this.#lease?.pool.endpoint.id)) {
@@ -327,15 +329,12 @@
         }
     }
 
-    #raise(position: Position, term: Term): void {
-        const session = this.#host.session;
-        if (session.raise({ term, position })) {
-            const floor = session.floor();
-            if (floor !== undefined) {
-                this.#answer.unhold();
-                const token = this.#tokens.encode(this.#database.name, floor);
-                this.#answer.push(parameterStatus("medlarledge.session", token));
-            }
+    /** Tells the caller its floor when it changed since it was last told. */
+    #reportFloor(): void {
+        const floor = this.#host.session.floor();
+        if (floor !== undefined && floor !== this.#reported) {
+            this.#reported = floor;
+            this.#answer.push(parameterStatus("medlarledge.session", this.#tokens.encode(this.#database.name, floor)));
         }
     }
 
@@ -401,6 +400,7 @@
 
     #finish(): void {
         this.#answer.unhold();
+        this.#reportFloor();
         this.#answer.push(this.#attempt.ready ?? readyForQuery(TransactionStatus.Idle));
         this.#end(Outcome.Done, undefined);
     }
--- a/packages/proxy/tests/world.ts
+++ b/packages/proxy/tests/world.ts
@@ -289,9 +289,14 @@
         }
     }
 
+    /** Moves the time in small steps, with servers that answer within each. */
     async advance(ms: number): Promise<void> {
-        this.time.runDue(this.time.now + ms);
+        const end = this.time.now + ms;
         await this.run();
+        while (this.time.now < end) {
+            this.time.runDue(Math.min(end, this.time.now + 5));
+            await this.run();
+        }
     }
 
     #parts(): ProxyParts {
