--- a/packages/proxy/src/database-context.ts
+++ b/packages/proxy/src/database-context.ts
@@ -2,6 +2,7 @@
 import { EndpointState } from "@medlarledge/protocol";
 import { AnswerRelease } from "./answer-release.js";
 import { primaryPosition, reading as combinedReading, replicaPosition } from "./messages.js";
+import type { PositionAnswer } from "./messages.js";
 import { Pool } from "./pool.js";
 import type { Candidate, DatabaseSettings, EndpointHealth, ProxyParts, RetryBudget } from "./ports.js";
 import type { DatabaseSource, EndpointConnector, ProxyEvents, Schedule } from "./ports.js";
@@ -241,12 +242,12 @@
             return false;
         }
         const { clock, schedule } = this.environment;
-        const reading = new PositionReading(query, clock, sent, (position, sentAt, timeline) => {
+        const reading = new PositionReading(query, clock, sent, (answer, sentAt) => {
             cancel();
-            if (position !== undefined) {
-                this.observe(endpoint, position, sentAt, term, timeline);
+            if (answer !== undefined && this.#fits(pool.endpoint, answer)) {
+                this.observe(endpoint, answer.position, sentAt, term, answer.timeline);
             }
-            done(position, sentAt, timeline);
+            done(answer, sentAt);
         });
         const cancel = schedule(READING_TIMEOUT_MS, () => {
             reading.abandon();
@@ -255,12 +256,19 @@
         return true;
     }
 
+    /** A server in another role than the view says, or another server behind the address, proves nothing. */
+    #fits(endpoint: Endpoint, answer: PositionAnswer): boolean {
+        const { inRecovery, systemIdentifier } = answer;
+        return (inRecovery === undefined || inRecovery === (endpoint.id !== this.primary()))
+            && (systemIdentifier === undefined || systemIdentifier === endpoint.systemIdentifier);
+    }
+
     #readPrimary(sent: () => void, done: (position: Position | undefined) => void): void {
         const primary = this.primary();
         const term = this.term();
-        const started = primary !== undefined && this.#read(primary, primaryPosition, sent, position => {
+        const started = primary !== undefined && this.#read(primary, primaryPosition, sent, answer => {
             // Without a lease this may be a former primary whose position is behind.
-            done(this.term() === term && this.leaseValid() ? position : undefined);
+            done(this.term() === term && this.leaseValid() ? answer?.position : undefined);
         });
         if (!started) {
             // Asynchronously, so that a caller's repeated request does not recurse.
--- a/packages/proxy/src/messages.ts
+++ b/packages/proxy/src/messages.ts
@@ -86,10 +86,11 @@
 export const primaryPosition = query("SELECT pg_current_wal_insert_lsn()");
 export const replicaPosition = query("SELECT pg_last_wal_replay_lsn()");
 
-/** Role, position and timeline in one row. */
+/** Role, timeline, position and identity in one row; the text is READING_SQL of postgres. */
 export const reading = query(
-    "SELECT CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn() ELSE pg_current_wal_insert_lsn() END, "
-        + "pg_is_in_recovery(), (SELECT timeline_id FROM pg_control_checkpoint())",
+    "SELECT pg_is_in_recovery(), (pg_control_checkpoint()).timeline_id, "
+        + "CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn() ELSE pg_current_wal_insert_lsn() END, "
+        + "(pg_control_system()).system_identifier",
 );
 
 /** The text of a column of a DataRow, or undefined when it is NULL or missing. */
@@ -116,10 +117,28 @@
     return text === undefined ? undefined : parsePosition(text);
 }
 
-/** Reads the timeline from the answer to `reading`. */
-export function timelineOf(row: Uint8Array): number | undefined {
-    const text = columnOf(row, 2);
-    return text === undefined ? undefined : Number(text);
+/** What an endpoint answered to a position query; without `timeline` only the position was asked. */
+export interface PositionAnswer {
+    readonly position: Position;
+    readonly timeline: number | undefined;
+    readonly inRecovery: boolean | undefined;
+    readonly systemIdentifier: string | undefined;
+}
+
+export function plainPositionOf(row: Uint8Array): PositionAnswer | undefined {
+    const position = positionOf(row);
+    return position === undefined
+        ? undefined
+        : { position, timeline: undefined, inRecovery: undefined, systemIdentifier: undefined };
+}
+
+/** Reads the row that answers `reading`. */
+export function readingOf(row: Uint8Array): PositionAnswer | undefined {
+    const [inRecovery, timeline, text, systemIdentifier] = [0, 1, 2, 3].map(column => columnOf(row, column));
+    const position = text === undefined ? undefined : parsePosition(text);
+    return position === undefined
+        ? undefined
+        : { position, timeline: Number(timeline), inRecovery: inRecovery === "t", systemIdentifier };
 }
 
 /** Reads the zero-terminated text at `start`. Text without an end reaches to the end of the message. */
--- a/packages/proxy/src/position-reading.ts
+++ b/packages/proxy/src/position-reading.ts
@@ -1,12 +1,12 @@
-import type { Position } from "@medlarledge/protocol";
 import { FromEndpoint } from "./message-type.js";
-import { positionOf, timelineOf } from "./messages.js";
+import { plainPositionOf, reading, readingOf } from "./messages.js";
+import type { PositionAnswer } from "./messages.js";
 import type { ConnectionOwner, PoolConnection } from "./pool-connection.js";
 import type { ConnectionWaiter, Pool } from "./pool.js";
 import type { Frame } from "./ports.js";
 
-/** The result of one position query; `position` is undefined when it failed. */
-export type ReadingDone = (position: Position | undefined, sentAt: number, timeline: number | undefined) => void;
+/** The result of one position query; `answer` is undefined when it failed. */
+export type ReadingDone = (answer: PositionAnswer | undefined, sentAt: number) => void;
 
 /** Asks one endpoint for its position over a pooled connection, outside any caller's request. */
 export class PositionReading implements ConnectionWaiter, ConnectionOwner {
@@ -16,8 +16,7 @@
     readonly #done: ReadingDone;
     #connection: PoolConnection | undefined;
     #pool: Pool | undefined;
-    #position: Position | undefined;
-    #timeline: number | undefined;
+    #answer: PositionAnswer | undefined;
     #sentAt = 0;
     #finished = false;
 
@@ -47,8 +46,7 @@
 
     frame(frame: Frame): void {
         if (frame.type === FromEndpoint.DataRow) {
-            this.#position = positionOf(frame.bytes);
-            this.#timeline = timelineOf(frame.bytes);
+            this.#answer = this.#query === reading ? readingOf(frame.bytes) : plainPositionOf(frame.bytes);
         }
         else if (frame.type === FromEndpoint.ReadyForQuery) {
             const connection = this.#connection;
@@ -57,7 +55,7 @@
                 this.#pool?.answered(this.#clock() - this.#sentAt);
                 this.#pool?.release(connection);
             }
-            this.#finish(this.#position);
+            this.#finish(this.#answer);
         }
     }
 
@@ -84,10 +82,10 @@
         this.#finish(undefined);
     }
 
-    #finish(position: Position | undefined): void {
+    #finish(answer: PositionAnswer | undefined): void {
         if (!this.#finished) {
             this.#finished = true;
-            this.#done(position, this.#sentAt, this.#timeline);
+            this.#done(answer, this.#sentAt);
         }
     }
 }
--- a/packages/proxy/tests/fake-server.ts
+++ b/packages/proxy/tests/fake-server.ts
@@ -195,7 +195,7 @@
             dataRow(value),
             commandComplete("SELECT 1"),
         ];
-        if (sql.startsWith("SELECT CASE")) {
+        if (sql.startsWith("SELECT pg_is_in_recovery()")) {
             return [rowDescription("x"), readingRow(this.server), commandComplete("SELECT 1")];
         }
         if (sql.includes("pg_current_wal_insert_lsn")) {
@@ -243,7 +243,12 @@
 }
 
 function readingRow(server: FakeServer): Uint8Array {
-    const columns = [formatPosition(server.position), server.replica ? "t" : "f", String(server.timeline)];
+    const columns = [
+        server.replica ? "t" : "f",
+        String(server.timeline),
+        formatPosition(server.position),
+        server.endpoint.systemIdentifier,
+    ];
     const parts = columns.map(text => {
         const length = Buffer.alloc(4);
         length.writeInt32BE(text.length);
