--- a/packages/routing/src/router.ts
+++ b/packages/routing/src/router.ts
@@ -6,7 +6,8 @@
 import { type Spread, type SpreadName, SPREADS } from "./spread.js";
 
 export interface RouterOptions {
-    readonly strategy: RouteStrategyName;
+    /** A name of the table, or a strategy to be measured. */
+    readonly strategy: RouteStrategyName | RouteStrategy;
     readonly spread: SpreadName;
     /** Taken off a stated age: the longest time between the decision and the start of the statement. */
     readonly ageMarginMs: number;
@@ -21,7 +22,7 @@
     readonly #random: Random;
 
     constructor(options: RouterOptions) {
-        this.#strategy = ROUTE_STRATEGIES[options.strategy];
+        this.#strategy = typeof options.strategy === "string" ? ROUTE_STRATEGIES[options.strategy] : options.strategy;
         this.#spread = SPREADS[options.spread];
         this.#ageMarginMs = options.ageMarginMs;
         this.#random = new Random(options.seed);
