Take an unseen floor as reached at arrival

Cause: a floor raised by a replica's answer was often unknown to the host's history of the primary, and a replica never seen behind had no lag; both counted as never caught up, so the read went to the primary. Change: the time of arrival bounds when the primary passed the floor; an unknown lag counts as none, and the proof decides.

--- a/packages/routing/src/route-strategies.ts
+++ b/packages/routing/src/route-strategies.ts
@@ -58,9 +58,13 @@
     return context.replicas.filter(replica => expectedAt(context, replica) <= time);
 }
 
+/**
+ * A position that this host has not seen at the primary was there at the latest when the request arrived, since the
+ * session already had it. A replica that was never seen behind is taken to have no lag: the proof decides.
+ */
 function expectedAt({ request, required }: ReadContext, replica: Candidate): number {
-    const passedAt = request.primaryPositions.passedAt(required ?? 0);
-    return passedAt === undefined || replica.lagMs === undefined ? Infinity : passedAt + replica.lagMs;
+    const passedAt = request.primaryPositions.passedAt(required ?? 0) ?? request.arrivedAt;
+    return Math.min(passedAt, request.arrivedAt) + (replica.lagMs ?? 0);
 }
 
 function shortWait(context: ReadContext): RouteDecision | undefined {
