Cut a short stream in every way, and count rows without sorting them

The FrameReader test tried single cuts and random ones; it now tries all 32,768 ways of cutting a stream of 16 bytes. The stand-in sorted a whole table to answer count(*).

--- a/packages/postgres/tests/frame-reader.test.ts
+++ b/packages/postgres/tests/frame-reader.test.ts
@@ -36,6 +36,18 @@
         }
     });
 
+    it("returns the same messages for every way of cutting a short stream", () => {
+        const sent = [messages.sync(), messages.readyForQuery("I"), messages.sync()];
+        const stream = Buffer.concat(sent);
+        for (let cuts = 0; cuts < 2 ** (stream.length - 1); cuts++) {
+            const places = Array.from(stream.keys()).filter((place) => (cuts >> place) % 2 === 1);
+            const { frames } = readAll(cut(stream, places.map((place) => place + 1)), 1_000);
+            if (!Buffer.concat(frames.map((frame) => frame.bytes)).equals(stream) || frames.length !== sent.length) {
+                expect.fail(`cut at ${places.join(", ")}`);
+            }
+        }
+    });
+
     it("returns the same messages for random streams and cuts", () => {
         const bodies = fc.array(fc.uint8Array({ maxLength: 20_000 }), { maxLength: 6 });
         fc.assert(
--- a/packages/testing/src/stand-in/executor.ts
+++ b/packages/testing/src/stand-in/executor.ts
@@ -124,6 +124,9 @@
     if (statement.key === undefined) {
         rows = [...transaction.rows(statement.table)];
     }
+    if (statement.columns[0] !== "count") {
+        rows.sort(([left], [right]) => left < right ? -1 : 1);
+    }
     const limit = statement.limit && valueOf(statement.limit, parameters);
     const pick = ([rowKey, value]: readonly [string, string | undefined]) =>
         statement.columns.map((column: SelectColumn) => column === "key" ? rowKey : value);
--- a/packages/testing/src/stand-in/transaction.ts
+++ b/packages/testing/src/stand-in/transaction.ts
@@ -40,7 +40,7 @@
         return own?.has(key) === true ? own.get(key) : this.#store.table(table)?.get(key);
     }
 
-    /** All rows in the order of their keys. */
+    /** All rows, in no order. */
     rows(table: string): readonly (readonly [string, string | undefined])[] {
         const merged = new Map<string, { readonly value: string | undefined; } | undefined>(this.#store.table(table));
         this.#rows.get(table)?.forEach((row, key) => merged.set(key, row));
@@ -50,7 +50,7 @@
                 rows.push([key, row.value]);
             }
         }
-        return rows.sort(([left], [right]) => left < right ? -1 : 1);
+        return rows;
     }
 
     createTable(table: string): void {
