--- a/packages/daemon/src/serving-host.ts
+++ b/packages/daemon/src/serving-host.ts
@@ -132,7 +132,10 @@
                 log.event("endpointClosed", { database: endpoint.database, endpoint: endpoint.id, reason });
                 observed(endpoint, "closed");
             },
-            silent: endpoint => observed(endpoint, "timeout"),
+            silent: (endpoint, forMs) => {
+                log.event("endpointSilent", { database: endpoint.database, endpoint: endpoint.id, forMs });
+                observed(endpoint, "timeout");
+            },
             slotsWanted: (endpoint, wanted) => slotsWanted(endpoint, wanted),
             served: record => this.#served(record),
         };
--- a/packages/proxy/src/database-context.ts
+++ b/packages/proxy/src/database-context.ts
@@ -314,9 +314,12 @@
             const readAt = this.positions.readAt(id) ?? Number.NEGATIVE_INFINITY;
             if (pool.idle() > 0 && now - readAt >= minimumAgeMs) {
                 this.#probes.set(id, now);
-                this.#read(id, combinedReading, () => undefined, () => {
+                const started = this.#read(id, combinedReading, () => undefined, () => {
                     this.#probes.delete(id);
                 });
+                if (!started) {
+                    this.#probes.delete(id);
+                }
             }
         }
     }
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -25,6 +25,7 @@
     endpointAnnounced: { level: "info", meaning: "A new endpoint, or a new state of one, was accepted." },
     announcementRefused: { level: "warn", meaning: "An announcement was refused: signature, form or age." },
     endpointClosed: { level: "warn", meaning: "An endpoint closed or refused connections." },
+    endpointSilent: { level: "warn", meaning: "A probe of an endpoint has not been answered for `forMs`." },
     endpointSetAside: { level: "warn", meaning: "An endpoint gets no work until a probe succeeds." },
     failoverStep: { level: "warn", meaning: "A failover reached its next step." },
     controlEvent: { level: "info", meaning: "A decision of the leader; `name` tells which." },
--- a/packages/testing/src/index.ts
+++ b/packages/testing/src/index.ts
@@ -1,3 +1,6 @@
+export { type ClusterOptions, LocalCluster } from "./cluster/local-cluster.js";
+export type { LocalEndpoint } from "./cluster/local-endpoint.js";
+export type { HostReport, LocalHost } from "./cluster/local-host.js";
 export { type AnnouncementSettings, Announcer, SIGNATURE_HEADER, signBody } from "./stand-in/announcer.js";
 export type { Faults } from "./stand-in/answer-queue.js";
 export type { PasswordSettings } from "./stand-in/authentication.js";
