Test failover steps and the lease rule, and acknowledge only terms seen as started

Change: HostLease acknowledges only a term that a received view shows as started. The first term of a database waits for two surveys that agree, so that a second primary has time to announce itself; a finished failover drops the survey's readings. Tests at the message level with delay, loss, drift, stalls and leader changes.

--- a/packages/control/src/host-lease.ts
+++ b/packages/control/src/host-lease.ts
@@ -17,6 +17,8 @@
     #validUntil = Number.NEGATIVE_INFINITY;
     readonly #sentAt = new Map<number, number>();
     readonly #revoked = new Map<string, Term>();
+    /** Highest term of each database that a received view shows as started. */
+    readonly #started = new Map<string, Term>();
     #clocks: { readonly now: number; readonly wallClock: number; } | undefined;
 
     constructor(options: HostLeaseOptions) {
@@ -53,14 +55,19 @@
     }
 
     /**
-     * Revokes what a received view supersedes: all terms before the last one of each database. Must be called before
-     * a renewal names the view's version, because the leader takes that version as an acknowledged revocation.
+     * Takes over the terms of a received view: the last one may be acknowledged once it has started, all earlier ones
+     * are revoked. Must be called before a renewal names the view's version, because the leader takes that version as
+     * an acknowledged revocation.
      */
     viewReceived(databases: readonly DatabaseView[]): void {
         for (const { database, terms } of databases) {
             const current = terms.at(-1);
-            if (current !== undefined) {
-                this.revoke(database, current.term - 1);
+            if (current === undefined) {
+                continue;
+            }
+            this.revoke(database, current.term - 1);
+            if (current.start !== undefined) {
+                this.#started.set(database, Math.max(current.term, this.#started.get(database) ?? 0));
             }
         }
     }
@@ -74,8 +81,10 @@
         if (wallClock !== undefined) {
             this.suspended(now, wallClock);
         }
+        // A term that this host has not seen started may have been superseded without a revocation.
+        const isCurrent = term <= (this.#started.get(database) ?? -1) && term > (this.#revoked.get(database) ?? -1);
         // The margin covers a pause between this check and the return of the write system call.
-        return term > (this.#revoked.get(database) ?? -1) && now + this.#options.driftMarginMs <= this.#validUntil;
+        return isCurrent && now + this.#options.driftMarginMs <= this.#validUntil;
     }
 
     /** End of the lease on this host's monotonic clock, in ms; negative infinity without a lease. */
--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -273,6 +273,7 @@
     #removeDone(database: string): void {
         if (this.#failovers.get(database)?.step() === FailoverStep.Done) {
             this.#failovers.delete(database);
+            this.#survey.forget(database);
         }
     }
 
--- a/packages/control/src/survey.ts
+++ b/packages/control/src/survey.ts
@@ -17,6 +17,9 @@
 interface Surveyed {
     readonly at: number;
     readonly readings: ReadonlyMap<string, EndpointReading | undefined>;
+    /** The sole primary and the endpoints asked, as text; undefined without exactly one primary. */
+    readonly sole: string | undefined;
+    readonly soleBefore: string | undefined;
 }
 
 /** Background readings of endpoints: they find the first primary, and the status reports lag and unexpected primaries. */
@@ -28,6 +31,11 @@
         this.#surveyed.clear();
     }
 
+    /** Drops readings that a failover made obsolete; the database is read again at the next tick. */
+    forget(database: string): void {
+        this.#surveyed.delete(database);
+    }
+
     readings(database: string): ReadonlyMap<string, EndpointReading | undefined> {
         return this.#surveyed.get(database)?.readings ?? new Map();
     }
@@ -45,13 +53,14 @@
         }
     }
 
-    /** The one endpoint that reads as primary, when all active endpoints of the database were asked. */
+    /**
+     * The one endpoint that reads as primary, when two surveys in a row asked the same endpoints and agree. Endpoints
+     * announce themselves one after the other, so a single survey may have missed a second primary.
+     */
     solePrimary(view: DatabaseView): string | undefined {
-        const readings = this.readings(view.database);
-        const active = view.endpoints.filter(({ state }) => state === EndpointState.Active);
-        const primaries = this.primaries(view);
-        const [only] = primaries;
-        return primaries.length === 1 && active.every(({ id }) => readings.has(id)) ? only : undefined;
+        const surveyed = this.#surveyed.get(view.database);
+        const [only] = this.primaries(view);
+        return surveyed?.sole !== undefined && surveyed.sole === surveyed.soleBefore ? only : undefined;
     }
 
     /** Endpoints that read as primary. */
@@ -80,17 +89,27 @@
         const { database } = view;
         const present = presentEndpoints(view);
         const answers = new Map<string, EndpointReading | undefined>();
-        this.#surveyed.set(database, { at: context.now, readings: this.readings(database) });
+        const former = this.#surveyed.get(database) ?? { readings: answers, sole: undefined, soleBefore: undefined };
+        this.#surveyed.set(database, { ...former, at: context.now });
         for (const { id } of present) {
             context.read(database, id, (later, reading) => {
                 answers.set(id, reading);
                 const current = later.state.database(database);
                 if (answers.size === present.length && current !== undefined) {
-                    const at = this.#surveyed.get(database)?.at ?? later.now;
-                    this.#surveyed.set(database, { at, readings: answers });
+                    this.#complete(current, context.now, answers, former.sole);
                     complete(later, current);
                 }
             });
         }
     }
+
+    #complete(view: DatabaseView, at: number, readings: Surveyed["readings"], soleBefore: string | undefined): void {
+        this.#surveyed.set(view.database, { at, readings, sole: undefined, soleBefore });
+        const primaries = this.primaries(view);
+        const asked = presentEndpoints(view).map(({ id }) => id);
+        // An endpoint announced since the questions were sent makes this survey incomplete.
+        if (primaries.length === 1 && asked.every((id) => readings.has(id))) {
+            this.#surveyed.set(view.database, { at, readings, sole: JSON.stringify([primaries, asked]), soleBefore });
+        }
+    }
 }
--- /dev/null
+++ b/packages/control/tests/failover.test.ts
@@ -0,0 +1,251 @@
+import { describe, expect, test } from "vitest";
+import type { LeaderOptions } from "../src/index.js";
+import { announcement } from "./fixtures.js";
+import { Simulation } from "./simulation.js";
+
+/** The gap's target at p99; simulated messages take 1 to 2 ms, as at the users' sites. */
+const GAP_MS = 900;
+
+function started(leader: Partial<LeaderOptions> = {}, databases: readonly string[] = ["orders"]): Simulation {
+    const simulation = new Simulation({ seed: 7, hosts: 4, databases, leader });
+    simulation.start();
+    return simulation;
+}
+
+function kill(simulation: Simulation, database = "orders"): number {
+    const { primary } = current(simulation, database);
+    simulation.endpoint(database, primary).alive = false;
+    return simulation.now;
+}
+
+function current(simulation: Simulation, database = "orders") {
+    return simulation.started.get(database)!.at(-1)!;
+}
+
+function advanceTo(simulation: Simulation, database: string, id: string, position: number): void {
+    const endpoint = simulation.endpoint(database, id);
+    endpoint.reading = { ...endpoint.reading, position };
+}
+
+describe("a killed primary", () => {
+    test("is replaced by the replica with the highest position, within the gap", () => {
+        const simulation = started();
+        advanceTo(simulation, "orders", "c", 120);
+        const killedAt = kill(simulation);
+        simulation.run(GAP_MS);
+        expect(current(simulation)).toMatchObject({ term: 2, primary: "c" });
+        expect(current(simulation).at - killedAt).toBeLessThan(GAP_MS);
+        const status = simulation.status().databases[0]!;
+        expect(status).toMatchObject({ primary: "c", term: 2, failover: undefined, unusedPrimaries: [] });
+    });
+
+    test("of one database does not delay or change another one's failover", () => {
+        const simulation = started({}, ["orders", "dealers", "stock"]);
+        const killedAt = kill(simulation, "orders");
+        kill(simulation, "dealers");
+        for (const id of ["b", "c"]) {
+            simulation.endpoint("dealers", id).cutFrom.add("control");
+        }
+        simulation.run(GAP_MS);
+        expect(current(simulation, "orders").at - killedAt).toBeLessThan(GAP_MS);
+        expect(current(simulation, "dealers").term).toBe(1);
+        expect(current(simulation, "stock").term).toBe(1);
+        const waiting = simulation.status().databases.find(({ database }) => database === "dealers")!;
+        expect(waiting.failover).toMatchObject({ step: "choosing" });
+    });
+
+    test("is replaced although one host is silent, after that host's lease and not before", () => {
+        const simulation = started();
+        const silent = simulation.hosts[3]!;
+        silent.stalledUntil = Number.MAX_SAFE_INTEGER;
+        kill(simulation);
+        simulation.run(GAP_MS);
+        expect(current(simulation).term).toBe(2);
+        expect(simulation.clockOf(silent.clock)).toBeGreaterThan(silent.lease.validUntil());
+        expect(simulation.status().silentHosts).toEqual(["h3"]);
+        // The host that comes back holds no lease until it knows the new term.
+        silent.stalledUntil = 0;
+        simulation.afterEvent = () => expect(simulation.violations()).toEqual([]);
+        simulation.run(1_000);
+        expect(silent.lease.mayAcknowledge("orders", 2, simulation.clockOf(silent.clock))).toBe(true);
+    });
+
+    test("that comes back is not used and the status names it", () => {
+        const simulation = started();
+        kill(simulation);
+        simulation.run(GAP_MS);
+        simulation.endpoint("orders", "a").alive = true;
+        simulation.run(6_000);
+        const status = simulation.status();
+        expect(status.databases[0]).toMatchObject({ primary: "b", unusedPrimaries: ["a"] });
+        expect(status.problems.map(({ page }) => page)).toContain("docs/operators/unused-primary.md");
+    });
+
+    test("continues under a new term when no replica is left", () => {
+        const simulation = started();
+        kill(simulation);
+        simulation.endpoint("orders", "b").alive = false;
+        simulation.endpoint("orders", "c").alive = false;
+        simulation.run(GAP_MS);
+        expect(current(simulation).term).toBe(1);
+        simulation.endpoint("orders", "a").alive = true;
+        simulation.run(1_000);
+        expect(current(simulation)).toMatchObject({ term: 2, primary: "a" });
+    });
+});
+
+describe("a lost message", () => {
+    // Guards against a step that waits for ever for an answer that never comes.
+    test.each(["revoke", "revoked", "confirmEndpoint", "endpointObservation", "viewUpdate"] as const)(
+        "%s does not stop the failover",
+        (kind) => {
+            const simulation = started();
+            const lostAt = new Map<string, number>();
+            simulation.lose = (to, message) => {
+                const lost = message.kind === kind && !lostAt.has(to);
+                if (lost) {
+                    lostAt.set(to, simulation.now);
+                }
+                return lost;
+            };
+            kill(simulation);
+            simulation.run(2_000);
+            expect(lostAt.size).toBeGreaterThan(0);
+            expect(current(simulation).term).toBe(2);
+            simulation.hosts.forEach(({ views }) => expect(views.get("orders")?.terms.at(-1)?.start).toBe(100));
+        },
+    );
+});
+
+describe("a replica that fails during the failover", () => {
+    test("before the selection: another one is promoted", () => {
+        const simulation = started();
+        advanceTo(simulation, "orders", "c", 120);
+        simulation.endpoint("orders", "c").alive = false;
+        kill(simulation);
+        simulation.run(GAP_MS);
+        expect(current(simulation)).toMatchObject({ term: 2, primary: "b" });
+    });
+
+    test("at the promotion: the command is sent twice, then another one is promoted under a new term", () => {
+        const simulation = started();
+        simulation.endpoint("orders", "b").promotable = false;
+        kill(simulation);
+        simulation.run(GAP_MS);
+        expect(current(simulation)).toMatchObject({ term: 3, primary: "c" });
+        const sent = simulation.effects.filter((effect) =>
+            effect.kind === "promoteEndpoint" && effect.endpoint === "b"
+        );
+        expect(sent).toMatchObject([{ term: 2 }, { term: 2 }]);
+    });
+
+    test("that was promoted by an abandoned attempt is not used once another one was chosen", () => {
+        const simulation = started({ promoteTimeoutMs: 100 });
+        simulation.endpoint("orders", "b").cutFrom.add("control");
+        advanceTo(simulation, "orders", "b", 120);
+        simulation.endpoint("orders", "b").reading = { ...simulation.endpoint("orders", "b").reading, role: "primary" };
+        kill(simulation);
+        simulation.run(GAP_MS);
+        expect(current(simulation)).toMatchObject({ primary: "c" });
+        simulation.endpoint("orders", "b").cutFrom.delete("control");
+        simulation.run(6_000);
+        expect(simulation.status().databases[0]).toMatchObject({ primary: "c", unusedPrimaries: ["b"] });
+    });
+});
+
+describe("a change of leader", () => {
+    // Every step is interrupted once: the new leader has to find out what its predecessor had begun.
+    test.each(["revoking", "choosing", "beginning", "promoting", "starting"])("in step %s", (step) => {
+        const simulation = started();
+        let changed = false;
+        simulation.afterEvent = () => {
+            expect(simulation.violations()).toEqual([]);
+            const last = simulation.effects.findLast(({ kind }) => kind === "event");
+            if (!changed && last?.kind === "event" && reached(last.name, last.fields["step"], step)) {
+                changed = true;
+                simulation.cutLeader();
+                simulation.at(350, () => simulation.elect(1, 500));
+            }
+        };
+        kill(simulation);
+        simulation.run(4_000);
+        expect(changed).toBe(true);
+        const { term, primary } = current(simulation);
+        expect(term).toBeGreaterThan(1);
+        expect(["b", "c"]).toContain(primary);
+        const primaries = ["b", "c"].filter((id) => simulation.endpoint("orders", id).reading.role === "primary");
+        expect(primaries).toEqual([primary]);
+    });
+
+    function reached(name: string, step: unknown, wanted: string): boolean {
+        return wanted === "revoking" ? name === "failover.start" : name === "failover.step" && step === wanted;
+    }
+});
+
+describe("acknowledge: replica", () => {
+    test("waits for every replica that has not left, and says for which", () => {
+        let without: readonly string[] = [];
+        const simulation = started({ durability: () => "replica", promoteWithout: () => without });
+        advanceTo(simulation, "orders", "c", 120);
+        simulation.endpoint("orders", "c").alive = false;
+        kill(simulation);
+        simulation.run(3_000);
+        expect(current(simulation).term).toBe(1);
+        const status = simulation.status();
+        expect(status.databases[0]!.failover).toMatchObject({ step: "choosing", waitsForEndpoints: ["c"] });
+        expect(status.problems.find(({ page }) => page.includes("failover"))!.text).toContain("endpoints c to answer");
+        without = ["c"];
+        simulation.run(500);
+        expect(current(simulation)).toMatchObject({ term: 2, primary: "b" });
+    });
+
+    test("promotes the replica that holds the last acknowledged write once it answers", () => {
+        const simulation = started({ durability: () => "replica" });
+        advanceTo(simulation, "orders", "c", 120);
+        simulation.endpoint("orders", "c").alive = false;
+        kill(simulation);
+        simulation.run(2_000);
+        simulation.endpoint("orders", "c").alive = true;
+        simulation.run(1_000);
+        expect(current(simulation)).toMatchObject({ term: 2, primary: "c" });
+    });
+
+    test("counts a write that reaches a replica while the revocation runs", () => {
+        const simulation = started({ durability: () => "replica" });
+        simulation.hosts[3]!.stalledUntil = Number.MAX_SAFE_INTEGER;
+        kill(simulation);
+        simulation.run(150);
+        // Read during the revocation, b and c are equal; the stalled host's lease is still running.
+        advanceTo(simulation, "orders", "c", 120);
+        simulation.run(GAP_MS);
+        expect(current(simulation)).toMatchObject({ term: 2, primary: "c" });
+    });
+});
+
+describe("the first term", () => {
+    test("does not begin while two announced endpoints are primaries", () => {
+        const simulation = new Simulation({ seed: 7, hosts: 3, databases: ["orders"] });
+        const b = simulation.endpoint("orders", "b");
+        b.reading = { ...b.reading, role: "primary" };
+        simulation.start();
+        simulation.run(3_000);
+        expect(simulation.started.has("orders")).toBe(false);
+        expect(simulation.status().problems.map(({ text }) => text).join(" ")).toContain("a, b");
+        b.reading = { ...b.reading, role: "replica" };
+        simulation.run(2_000);
+        expect(current(simulation)).toMatchObject({ term: 1, primary: "a" });
+    });
+
+    test("does not begin before a second primary had time to announce itself", () => {
+        const simulation = new Simulation({ seed: 7, hosts: 3, databases: ["orders"] });
+        const b = simulation.endpoint("orders", "b");
+        b.reading = { ...b.reading, role: "primary" };
+        simulation.elect(0);
+        simulation.run(100);
+        simulation.request("announce", announcement("orders", "a", 1));
+        simulation.run(300);
+        simulation.request("announce", announcement("orders", "b", 1));
+        simulation.run(3_000);
+        expect(simulation.started.has("orders")).toBe(false);
+    });
+});
