Estimate replay times from the times of answers

Cause: estimates used the time at which a position was asked for, 1 to 4 ms before the primary passed it, so replicas were expected too early and proofs failed. Change: positions carry both times; the time asked proves an age, the time of the answer feeds estimates.

--- a/packages/routing/src/primary-positions.ts
+++ b/packages/routing/src/primary-positions.ts
@@ -1,7 +1,10 @@
 import type { Position, Term } from "@medlarledge/protocol";
 
 interface Sample {
+    /** When the position was asked for: the time that it proves. */
     readonly at: number;
+    /** When the answer came: the base of estimates. */
+    readonly seenAt: number;
     readonly position: Position;
 }
 
@@ -22,7 +25,7 @@
     #samples: Sample[] = [];
 
     /** Takes a sample. A new term starts over, because positions of two terms do not compare. */
-    record(term: Term, position: Position, at: number): void {
+    record(term: Term, position: Position, at: number, seenAt: number): void {
         if (term < this.#term) {
             return;
         }
@@ -30,7 +33,7 @@
             this.#term = term;
             this.#samples = [];
         }
-        this.#add(position, at);
+        this.#add(position, at, seenAt);
     }
 
     latest(): Position | undefined {
@@ -45,17 +48,17 @@
 
     /** The time at which the primary was first seen at or past a position; undefined when it was not seen there. */
     passedAt(position: Position): number | undefined {
-        return this.#samples[this.#firstIndex(sample => sample.position >= position)]?.at;
+        return this.#samples[this.#firstIndex(sample => sample.position >= position)]?.seenAt;
     }
 
-    #add(position: Position, at: number): void {
+    #add(position: Position, at: number, seenAt: number): void {
         const last = this.#samples.at(-1);
         if (last !== undefined && at < last.at + SPACING_MS) {
             // The earlier time with the higher position asks for more than needed, never for less.
-            this.#samples[this.#samples.length - 1] = { at: last.at, position: Math.max(position, last.position) };
+            this.#samples[this.#samples.length - 1] = { ...last, position: Math.max(position, last.position) };
             return;
         }
-        this.#samples.push({ at, position: Math.max(position, last?.position ?? 0) });
+        this.#samples.push({ at, seenAt, position: Math.max(position, last?.position ?? 0) });
         if (this.#samples.length > MAX_SAMPLES) {
             this.#thin(at);
         }
--- a/packages/routing/src/replica-positions.ts
+++ b/packages/routing/src/replica-positions.ts
@@ -19,13 +19,20 @@
         return this.#replicas.get(endpoint);
     }
 
-    /** Takes a position that an endpoint answered to a query sent at `at`. */
-    report(endpoint: string, timeline: number, position: Position, at: number, primary: PrimaryPositions): void {
+    /** Takes a position that an endpoint answered at `seenAt` to a query sent at `at`. */
+    report(
+        endpoint: string,
+        timeline: number,
+        position: Position,
+        at: number,
+        seenAt: number,
+        primary: PrimaryPositions,
+    ): void {
         const former = this.#replicas.get(endpoint);
         if (former !== undefined && former.timeline === timeline && position < former.position) {
             return;
         }
-        const lagMs = estimateLag(former?.lagMs, position, at, primary);
+        const lagMs = estimateLag(former?.lagMs, position, seenAt, primary);
         this.#replicas.set(endpoint, { timeline, position, at, lagMs });
     }
 
--- a/packages/routing/tests/experiments/routing-model.ts
+++ b/packages/routing/tests/experiments/routing-model.ts
@@ -140,7 +140,7 @@
         this.#queue.add(now + distance(host.index, 0) + SERVICE_MS, committed => {
             const position = this.#replication.commit(committed);
             this.#queue.add(committed + distance(host.index, 0), answered => {
-                host.primary.record(1, position, now);
+                host.primary.record(1, position, now, answered);
                 session.floor = Math.max(session.floor, position);
                 done(answered);
             });
@@ -178,7 +178,7 @@
                 const after = this.#replication.positionOf(endpoint, ended);
                 this.#queue.add(ended + way, answered => {
                     host.inFlight[endpoint]!--;
-                    this.#report(host, endpoint, after, now);
+                    this.#report(host, endpoint, after, now, answered);
                     if (fails) {
                         this.#wasted++;
                         read.tried.push(decision.endpoint);
@@ -207,18 +207,18 @@
             const way = distance(host.index, endpoint);
             this.#queue.add(now + way, asked => {
                 const position = this.#replication.positionOf(endpoint, asked);
-                this.#queue.add(asked + way, () => this.#report(host, endpoint, position, now));
+                this.#queue.add(asked + way, answered => this.#report(host, endpoint, position, now, answered));
             });
         }
         this.#queue.add(now + PROBE_MS, next => this.#probe(host, next));
     }
 
-    #report(host: EntryHost, endpoint: number, position: number, sentAt: number): void {
+    #report(host: EntryHost, endpoint: number, position: number, sentAt: number, seenAt: number): void {
         if (endpoint === 0) {
-            host.primary.record(1, position, sentAt);
+            host.primary.record(1, position, sentAt, seenAt);
         }
         else {
-            host.replicas.report(`e${endpoint}`, 1, position, sentAt, host.primary);
+            host.replicas.report(`e${endpoint}`, 1, position, sentAt, seenAt, host.primary);
         }
     }
 
