Ask a replica again after a failed proof within the wait

Cause: one failed proof excluded the replica for the request, though it was often only a millisecond behind. Change: an endpoint counts as tried after a failed proof only when the wait since the arrival is over; its answer corrects the estimate of its lag in between. So far the model does this; the proxy has to.

--- a/packages/routing/src/route.ts
+++ b/packages/routing/src/route.ts
@@ -43,7 +43,10 @@
     readonly replicaReads: boolean;
     /** Without a lease only reads of a stated age run. */
     readonly leaseValid: boolean;
-    /** Endpoints that already failed this request or its proof. */
+    /**
+     * Endpoints that failed this request. One whose proof failed is only added when `waitMs` has passed since the
+     * arrival: its answer tells how far it is, and it may be there soon.
+     */
     readonly tried: readonly string[];
 }
 
--- a/packages/routing/tests/experiments/routing-model.ts
+++ b/packages/routing/tests/experiments/routing-model.ts
@@ -181,7 +181,9 @@
                     this.#report(host, endpoint, after, now, answered);
                     if (fails) {
                         this.#wasted++;
-                        read.tried.push(decision.endpoint);
+                        if (answered > read.arrivedAt + WAIT_MS) {
+                            read.tried.push(decision.endpoint);
+                        }
                         this.#route(read, answered, done);
                         return;
                     }
