Proxy: choose again when the term changes while a request waits

Change: a choice of endpoint holds for the term it was made in; the restarted floor is reported with ML003.

--- a/packages/proxy/src/endpoint-choice.ts
+++ b/packages/proxy/src/endpoint-choice.ts
@@ -1,4 +1,4 @@
-import type { Position } from "@medlarledge/protocol";
+import type { Position, Term } from "@medlarledge/protocol";
 import type { DatabaseContext, Rerouted } from "./database-context.js";
 import type { Failure } from "./failure.js";
 import { failures } from "./failure.js";
@@ -34,6 +34,8 @@
     /** Where the request runs and holds a slot. */
     #granted: Pool | undefined;
     #proof: Position | undefined;
+    /** The term under which the endpoint was chosen. */
+    #term: Term | undefined;
     #cancelWait: (() => void) | undefined;
     #active = false;
 
@@ -108,8 +110,8 @@
             this.#choose();
             return;
         }
-        const id = pool.endpoint.id;
-        if (this.#database.pool(id) !== pool || (this.#writes() && this.#database.primary() !== id)) {
+        // A decision holds for one term: the former primary needs no proof, a replica of the next term does.
+        if (this.#database.pool(pool.endpoint.id) !== pool || this.#database.term() !== this.#term) {
             this.#pool = undefined;
             pool.finished(this, false);
             this.#choose();
@@ -122,9 +124,10 @@
 
     granted(connection: PoolConnection, pool: Pool): void {
         this.#pool = undefined;
-        if (!this.#active) {
+        if (!this.#active || this.#database.term() !== this.#term) {
             pool.finished(this, false);
             pool.release(connection);
+            this.#choose();
             return;
         }
         const proof = this.#proof;
@@ -135,7 +138,7 @@
         }
         this.#end();
         this.#granted = pool;
-        this.#listener.chosen({ connection, pool, term: this.#database.term() ?? 0 }, proof);
+        this.#listener.chosen({ connection, pool, term: this.#term ?? 0 }, proof);
     }
 
     refused(reason: PoolRefusal): void {
@@ -276,6 +279,7 @@
             return;
         }
         this.#proof = proof;
+        this.#term = this.#database.term();
         this.#pool = pool;
         pool.acquire(this);
     }
--- a/packages/proxy/src/execution.ts
+++ b/packages/proxy/src/execution.ts
@@ -407,6 +407,7 @@
 
     #fail(failure: Failure): void {
         this.#answer.drop();
+        this.#reportFloor();
         this.#answer.push(errorResponse(failure.code, failure.text));
         if (this.#request?.complete === true) {
             this.#answer.push(readyForQuery(failure.status));
--- a/packages/proxy/tests/answer-release.test.ts
+++ b/packages/proxy/tests/answer-release.test.ts
@@ -129,6 +129,7 @@
         await world.run();
         world.promote("b", 120);
         caller.query("SELECT 1");
+        expect(caller.token).toBe("2:120");
         caller.query("SELECT 2");
         await world.run();
         expect(caller.take()).toEqual(["E:ML003", "Z:I", "T", "D:SELECT 2", "C:SELECT 1", "Z:I"]);
--- a/packages/proxy/tests/fake-server.ts
+++ b/packages/proxy/tests/fake-server.ts
@@ -237,7 +237,7 @@
                 this.settings += 1;
                 return [commandComplete("LISTEN")];
             default:
-                return row(sql);
+                return row(sql.startsWith("SELECT position") ? `${sql}@${this.server.position}` : sql);
         }
     }
 }
--- a/packages/proxy/tests/fake-wire.ts
+++ b/packages/proxy/tests/fake-wire.ts
@@ -30,6 +30,7 @@
     accepting = true;
     paused = false;
     closedByProxy = false;
+    onMessage: (word: string) => void = () => undefined;
     #handler: CallerHandler | undefined;
 
     constructor(readonly processId: number, options: Record<string, string> = {}) {
@@ -44,6 +45,7 @@
     send(bytes: Uint8Array): boolean {
         for (const frame of framesOf(bytes)) {
             this.received.push(word(frame));
+            this.onMessage(word(frame));
             const text = Buffer.from(frame.bytes.subarray(5)).toString().split("\0");
             this.token = frame.type === 0x53 && text[0] === "medlarledge.session" ? text[1]! : this.token;
         }
--- a/packages/proxy/tests/pool.test.ts
+++ b/packages/proxy/tests/pool.test.ts
@@ -114,6 +114,23 @@
         expect(world.server("b").committed.length).toBe(1);
     });
 
+    // Found by seed 406 of the interleavings: the read ran on the former primary and raised the floor of the next term.
+    it("chooses again for a read that waits for the former primary when the term changes", async () => {
+        const world = new World(["a", "b"]);
+        world.limit = 1;
+        const [open, reader] = [world.caller(), world.caller()];
+        open.query("BEGIN");
+        await world.run();
+        reader.query("SELECT 1");
+        await world.run();
+        world.promote("b", 100);
+        open.query("ROLLBACK");
+        await world.run();
+        expect(reader.take()).toEqual(["T", "D:SELECT 1", "C:SELECT 1", "Z:I"]);
+        expect(world.server("a").executed).not.toContain("SELECT 1");
+        expect(world.server("b").executed).toContain("SELECT 1");
+    });
+
     it("probes an idle endpoint and reports its silence", async () => {
         const world = new World();
         world.proxy.prepare("shop");
--- a/packages/proxy/tests/world.ts
+++ b/packages/proxy/tests/world.ts
@@ -57,7 +57,9 @@
         return { kind: "refuse", reason: "cutOff" };
     }
     const usable = candidates.filter(item => !request.tried.includes(item.endpoint.id));
-    const replica = usable.find(item => item.role === "replica" && item.timeline !== undefined);
+    // As the real router: only replicas that are known to follow the current term's timeline.
+    const timeline = request.terms.at(-1)!.timeline;
+    const replica = usable.find(item => item.role === "replica" && item.timeline === timeline);
     if (!request.write && request.replicaReads && replica !== undefined) {
         const known = (replica.knownPosition ?? 0) >= (request.floor ?? 0);
         return { kind: "send", endpoint: replica.endpoint.id, proof: known ? "known" : "self", floor: request.floor };
@@ -166,6 +168,8 @@
     lease: (term: number) => boolean = () => true;
     limit = 4;
     retryBudget = Number.POSITIVE_INFINITY;
+    /** Claims that what is known proves every read, to show that a check notices it. */
+    unprovedReads = false;
     #listeners: (() => void)[] = [];
     #callers = 0;
 
@@ -301,15 +305,21 @@
 
     #parts(): ProxyParts {
         return {
-            router: { choose },
+            router: {
+                choose: (request, candidates) => {
+                    const decision = choose(request, candidates);
+                    return decision.kind === "send" && this.unprovedReads ? { ...decision, proof: "known" } : decision;
+                },
+            },
             checkFloor: (terms, floor) => {
                 const last = terms.at(-1)!;
                 if (floor.term > last.term) {
                     return { kind: "unknownTerm", term: floor.term };
                 }
-                const next = terms.find(record => record.term > floor.term);
-                if (next?.start !== undefined && floor.position > next.start) {
-                    return { kind: "lost", term: last.term, position: next.start, survivedUpTo: next.start };
+                const later = terms.filter(record => record.term > floor.term);
+                const survived = Math.min(...later.map(record => record.start ?? Number.POSITIVE_INFINITY));
+                if (floor.position > survived) {
+                    return { kind: "lost", term: last.term, position: survived, survivedUpTo: survived };
                 }
                 return { kind: "holds", position: floor.position };
             },
