--- a/packages/agreement/src/segment.ts
+++ b/packages/agreement/src/segment.ts
@@ -6,15 +6,14 @@
  * A segment is a sequence of batches, each written and synced at once.
  *
  * batch:  magic u32 | segment u32 | offset in the file u32 | sequence u32 | bytes of the records u32 | CRC-32 u32
- * record: length u32 | CRC-32 u32 of length, index, term, members and payload |
- *         index f64 | term f64 | bytes of members u32 | members as JSON | payload
+ * record: CRC-32 u32 of all that follows | length u32 | index f64 | term f64 | bytes of members u32 |
+ *         members as JSON | payload
  *
  * A record of term 0 truncates the log from its index.
  */
 const BATCH_MAGIC = 0x4d4c4232;
 const BATCH_HEADER_BYTES = 24;
-const RECORD_HEADER_BYTES = 8;
-const RECORD_FIXED_BYTES = 20;
+const RECORD_HEADER_BYTES = 28;
 const TRUNCATION_TERM = 0;
 // Smallest unit that disks write whole; an unwritten one of a new file reads as zeros.
 const SECTOR_BYTES = 512;
@@ -65,22 +64,17 @@
 
 function encodeRecord(entry: LogEntry): Buffer {
     const members = entry.members === undefined ? Buffer.alloc(0) : Buffer.from(JSON.stringify(entry.members));
-    const length = RECORD_FIXED_BYTES + members.byteLength + entry.payload.byteLength;
-    const record = Buffer.alloc(RECORD_HEADER_BYTES + length);
-    record.writeUInt32BE(length, 0);
+    const record = Buffer.alloc(RECORD_HEADER_BYTES + members.byteLength + entry.payload.byteLength);
+    record.writeUInt32BE(record.byteLength, 4);
     record.writeDoubleBE(entry.index, 8);
     record.writeDoubleBE(entry.term, 16);
     record.writeUInt32BE(members.byteLength, 24);
-    record.set(members, 28);
-    record.set(entry.payload, 28 + members.byteLength);
-    record.writeUInt32BE(recordChecksum(record), 4);
+    record.set(members, RECORD_HEADER_BYTES);
+    record.set(entry.payload, RECORD_HEADER_BYTES + members.byteLength);
+    record.writeUInt32BE(crc32(record.subarray(4)), 0);
     return record;
 }
 
-function recordChecksum(record: Buffer): number {
-    return crc32(record.subarray(RECORD_HEADER_BYTES), crc32(record.subarray(0, 4)));
-}
-
 /** Decodes a segment and tells a torn last write from damage to synced data. */
 export function decodeSegment(content: Uint8Array, segment: number): SegmentContent {
     const bytes = Buffer.from(content.buffer, content.byteOffset, content.byteLength);
@@ -91,7 +85,7 @@
         const end = batchEnd(bytes, place);
         // A batch that ends between two of its records is as torn as one that ends within a record.
         const isWhole = end !== undefined && end <= bytes.byteLength;
-        const batch = isWhole ? decodeRecords(bytes.subarray(offset + BATCH_HEADER_BYTES, end)) : undefined;
+        const batch = isWhole ? decodeRecords(bytes, offset + BATCH_HEADER_BYTES, end) : undefined;
         if (end === undefined || batch === undefined) {
             return isTorn(bytes, place, end)
                 ? { batches, tornAt: offset, damage: undefined }
@@ -104,57 +98,61 @@
 }
 
 /** End of the batch at a place, also when it lies after the end of the file; undefined without a valid header. */
-function batchEnd(bytes: Buffer, place: BatchPlace): number | undefined {
-    const header = bytes.subarray(place.offset, place.offset + BATCH_HEADER_BYTES);
-    if (header.byteLength < BATCH_HEADER_BYTES) {
-        return undefined;
-    }
-    const length = header.readUInt32BE(16);
-    return encodeHeader(place, length).equals(header) ? place.offset + BATCH_HEADER_BYTES + length : undefined;
+function batchEnd(bytes: Buffer, { segment, offset, sequence }: BatchPlace): number | undefined {
+    const end = offset + BATCH_HEADER_BYTES;
+    const isValid = end <= bytes.byteLength
+        && bytes.readUInt32BE(offset) === BATCH_MAGIC
+        && bytes.readUInt32BE(offset + 4) === segment
+        && bytes.readUInt32BE(offset + 8) === offset
+        && bytes.readUInt32BE(offset + 12) === sequence
+        && bytes.readUInt32BE(offset + 20) === crc32(bytes.subarray(offset, offset + 20));
+    return isValid ? end + bytes.readUInt32BE(offset + 16) : undefined;
 }
 
-function decodeRecords(bytes: Buffer): PersistBatch | undefined {
+function decodeRecords(bytes: Buffer, from: number, to: number): PersistBatch | undefined {
     const entries: LogEntry[] = [];
     let truncateFrom: number | undefined;
-    let offset = 0;
-    while (offset < bytes.byteLength) {
-        const entry = decodeRecord(bytes.subarray(offset));
-        if (entry === undefined) {
+    let offset = from;
+    while (offset < to) {
+        const end = recordEnd(bytes, offset, to);
+        if (end === undefined) {
             return undefined;
         }
-        if (entry.value.term === TRUNCATION_TERM) {
-            truncateFrom = entry.value.index;
+        const entry = decodeRecord(bytes, offset, end);
+        if (entry.term === TRUNCATION_TERM) {
+            truncateFrom = entry.index;
         }
         else {
-            entries.push(entry.value);
+            entries.push(entry);
         }
-        offset += entry.bytes;
+        offset = end;
     }
     return truncateFrom === undefined ? { entries } : { truncateFrom, entries };
 }
 
-function decodeRecord(bytes: Buffer): { value: LogEntry; bytes: number; } | undefined {
-    if (bytes.byteLength < RECORD_HEADER_BYTES + RECORD_FIXED_BYTES) {
-        return undefined;
-    }
-    const record = bytes.subarray(0, RECORD_HEADER_BYTES + bytes.readUInt32BE(0));
-    if (record.byteLength < RECORD_HEADER_BYTES + bytes.readUInt32BE(0)) {
+/** End of a record whose checksum is right. */
+function recordEnd(bytes: Buffer, offset: number, to: number): number | undefined {
+    if (to - offset < RECORD_HEADER_BYTES) {
         return undefined;
     }
-    if (recordChecksum(record) !== record.readUInt32BE(4)) {
-        return undefined;
+    const end = offset + bytes.readUInt32BE(offset + 4);
+    const isValid = end <= to
+        && end >= offset + RECORD_HEADER_BYTES
+        && crc32(bytes.subarray(offset + 4, end)) === bytes.readUInt32BE(offset);
+    return isValid ? end : undefined;
+}
+
+function decodeRecord(bytes: Buffer, offset: number, end: number): LogEntry {
+    const membersAt = offset + RECORD_HEADER_BYTES;
+    const payloadAt = membersAt + bytes.readUInt32BE(offset + 24);
+    const index = bytes.readDoubleBE(offset + 8);
+    const term = bytes.readDoubleBE(offset + 16);
+    // A view: copying each payload would be most of the time of an opening. It keeps at most one segment in memory.
+    const payload = new Uint8Array(bytes.buffer, bytes.byteOffset + payloadAt, end - payloadAt);
+    if (payloadAt === membersAt) {
+        return { index, term, payload };
     }
-    const payloadAt = 28 + record.readUInt32BE(24);
-    const members = payloadAt === 28
-        ? {}
-        : { members: JSON.parse(record.toString("utf8", 28, payloadAt)) as Members };
-    const value = {
-        index: record.readDoubleBE(8),
-        term: record.readDoubleBE(16),
-        payload: new Uint8Array(record.subarray(payloadAt)),
-        ...members,
-    };
-    return { value, bytes: record.byteLength };
+    return { index, term, payload, members: JSON.parse(bytes.toString("utf8", membersAt, payloadAt)) as Members };
 }
 
 /**
--- a/packages/agreement/tests/group.ts
+++ b/packages/agreement/tests/group.ts
@@ -169,6 +169,15 @@
         }
     }
 
+    /** Starts an election without asking: safety must not depend on pre-vote. */
+    campaign(): void {
+        const host = this.#pickHost();
+        host.clock += 2 * OPTIONS.electionMs;
+        this.#handle(host, { kind: "tick" });
+        const message = { kind: "preVoteReply", term: host.written.hardState.term + 1, granted: true } as const;
+        host.agreement?.members.voters.forEach(from => this.#handle(host, { kind: "message", from, message }));
+    }
+
     deliverOne(): void {
         const [flight] = this.#flights.splice(this.pick(Math.max(1, this.#flights.length)), 1);
         if (flight !== undefined) {
