Tell replicas to follow the new primary, and hosts which hosts are silent

Cause: after a failover the other replicas went on following the dead primary, so with acknowledge "replica" no write could be acknowledged; and a dead host would have gone on managing the slots of its endpoints. Change: the leader orders every other endpoint to follow when a term starts and repeats it for replicas on an older timeline; it tells the hosts which registered hosts are silent.

--- /dev/null
+++ b/packages/control/src/following.ts
@@ -0,0 +1,35 @@
+import { type DatabaseView, type EndpointReading, EndpointRole } from "@medlarledge/protocol";
+import type { LeaderContext } from "./leader-context.js";
+import { presentEndpoints, startedTerm } from "./view.js";
+
+/** Tells every other endpoint of a database to replicate from the primary of the term that has just started. */
+export function followAll(context: LeaderContext, view: DatabaseView): void {
+    const primary = startedTerm(view)?.primary;
+    for (const { id } of presentEndpoints(view)) {
+        if (primary !== undefined && id !== primary) {
+            context.emit({ kind: "followPrimary", database: view.database, endpoint: id, primary });
+        }
+    }
+}
+
+/**
+ * Repeats the order to replicas that read as being on an older timeline: it was lost, or the replica was not
+ * reachable when the term started. The order changes nothing on a replica that follows already.
+ */
+export function followLate(
+    context: LeaderContext,
+    view: DatabaseView,
+    readings: ReadonlyMap<string, EndpointReading | undefined>,
+): void {
+    const term = startedTerm(view);
+    const timeline = term?.timeline;
+    if (term === undefined || timeline === undefined || view.terms.at(-1) !== term) {
+        return;
+    }
+    for (const { id } of presentEndpoints(view)) {
+        const reading = readings.get(id);
+        if (id !== term.primary && reading?.role === EndpointRole.Replica && reading.timeline < timeline) {
+            context.emit({ kind: "followPrimary", database: view.database, endpoint: id, primary: term.primary });
+        }
+    }
+}
--- a/packages/control/src/leader-types.ts
+++ b/packages/control/src/leader-types.ts
@@ -72,6 +72,13 @@
         readonly endpoint: string;
     }
     | { readonly kind: "promoteEndpoint"; readonly database: string; readonly endpoint: string; readonly term: Term; }
+    /** Tells a replica to replicate from the primary. */
+    | {
+        readonly kind: "followPrimary";
+        readonly database: string;
+        readonly endpoint: string;
+        readonly primary: string;
+    }
     | { readonly kind: "fenceEndpoint"; readonly database: string; readonly endpoint: string; }
     | { readonly kind: "reply"; readonly requestId: number; readonly ok: boolean; readonly body: unknown; }
     /** Becomes one log line. */
--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -3,12 +3,14 @@
 import { Exchange } from "./exchange.js";
 import { FailoverStep } from "./failover-step.js";
 import { Failover } from "./failover.js";
+import { followAll, followLate } from "./following.js";
 import { HostTable } from "./host-table.js";
 import type { LeaderContext } from "./leader-context.js";
 import type { LeaderEffect, LeaderEvent, LeaderOptions } from "./leader-types.js";
 import { Membership } from "./membership.js";
 import { answerRenewal, refuseRenewal } from "./renewal.js";
 import { Requests } from "./requests.js";
+import { Silence } from "./silence.js";
 import type { ControlState } from "./state.js";
 import { buildStatus, type Status } from "./status.js";
 import { Survey } from "./survey.js";
@@ -41,6 +43,7 @@
     readonly #exchange = new Exchange();
     readonly #requests = new Requests();
     readonly #survey = new Survey();
+    readonly #silence = new Silence();
     #quorumContactAt = Number.NEGATIVE_INFINITY;
 
     readonly #handlers: Handlers = {
@@ -168,6 +171,7 @@
         this.#membership.clear();
         this.#exchange.clear();
         this.#survey.clear();
+        this.#silence.clear();
     }
 
     #message(
@@ -243,7 +247,9 @@
             }
         }
         this.#distribution.pushView(context);
+        this.#silence.tick(context, this.#leadership?.electedAt ?? context.now);
         this.#survey.tick(context, (later, view) => {
+            followLate(later, view, this.#survey.readings(view.database));
             const first = view.terms.length === 0 ? this.#survey.solePrimary(view) : undefined;
             if (first !== undefined) {
                 this.#startFailover(later, view.database, "first primary of the database", first);
@@ -261,6 +267,9 @@
         this.#exchange.applied(context, command, result);
         if (command.kind === "beginTerm" || command.kind === "startTerm") {
             this.#removeDone(command.database);
+            if (command.kind === "startTerm" && "outcome" in result && result.outcome === "accepted") {
+                followAll(context, viewOf(this.#state, command.database));
+            }
             if (this.#isOpen()) {
                 this.#distribution.pushView(context);
             }
--- a/packages/control/tests/failover.test.ts
+++ b/packages/control/tests/failover.test.ts
@@ -94,6 +94,23 @@
     });
 });
 
+describe("the other replicas", () => {
+    // Without the order they would go on following the dead primary: no replica reads, no replica to promote next.
+    test("follow the new primary, also one that was unreachable when the term started", () => {
+        const simulation = started();
+        simulation.endpoint("orders", "c").alive = false;
+        kill(simulation);
+        simulation.run(GAP_MS);
+        expect(current(simulation)).toMatchObject({ term: 2, primary: "b" });
+        const { timeline } = simulation.endpoint("orders", "b").reading;
+        const late = simulation.endpoint("orders", "c");
+        expect(late.reading.timeline).toBeLessThan(timeline);
+        late.alive = true;
+        simulation.run(6_000);
+        expect(late.reading.timeline).toBe(timeline);
+    });
+});
+
 describe("a lost message", () => {
     // Guards against a step that waits for ever for an answer that never comes.
     test.each(["revoke", "revoked", "confirmEndpoint", "endpointObservation", "viewUpdate"] as const)(
--- a/packages/control/tests/simulation.ts
+++ b/packages/control/tests/simulation.ts
@@ -191,6 +191,15 @@
                 this.at(this.#delay(), () => handle({ ...effect, kind: "promoted", reading }));
             });
         }
+        else if (effect.kind === "followPrimary") {
+            const target = this.endpoint(effect.database, effect.endpoint);
+            const { timeline } = this.endpoint(effect.database, effect.primary).reading;
+            this.at(this.#delay(), () => {
+                if (target.alive && target.reading.role === "replica") {
+                    target.reading = { ...target.reading, timeline };
+                }
+            });
+        }
         else if (effect.kind === "reply") {
             this.replies.set(effect.requestId, effect);
         }
--- a/packages/daemon/src/control-task.ts
+++ b/packages/daemon/src/control-task.ts
@@ -27,6 +27,7 @@
     read(endpoint: Endpoint, timeoutMs: number): Promise<EndpointReading | undefined>;
     promote(endpoint: Endpoint, timeoutMs: number): Promise<EndpointReading | undefined>;
     fence(endpoint: Endpoint, timeoutMs: number): Promise<void>;
+    follow(endpoint: Endpoint, primary: Endpoint, timeoutMs: number): Promise<void>;
 }
 
 /** What a control host tells the rest of its process. */
@@ -85,6 +86,7 @@
         readEndpoint: effect => void this.#read(effect),
         promoteEndpoint: effect => void this.#promote(effect),
         fenceEndpoint: effect => void this.#fence(effect),
+        followPrimary: effect => void this.#follow(effect),
         reply: effect => this.#reply(effect.requestId, effect.ok, effect.body),
         event: effect => this.#logEvent(effect.name, effect.fields),
     };
@@ -229,6 +231,14 @@
         }
     }
 
+    async #follow(effect: Extract<LeaderEffect, { kind: "followPrimary"; }>): Promise<void> {
+        const endpoint = this.#endpoint(effect.database, effect.endpoint);
+        const primary = this.#endpoint(effect.database, effect.primary);
+        if (endpoint !== undefined && primary !== undefined) {
+            await this.#options.orders.follow(endpoint, primary, this.#options.leader.promoteTimeoutMs);
+        }
+    }
+
     #endpoint(database: string, id: string): Endpoint | undefined {
         return this.#state.database(database)?.endpoints.find(endpoint => endpoint.id === id);
     }
--- a/packages/proxy/src/database-context.ts
+++ b/packages/proxy/src/database-context.ts
@@ -141,10 +141,17 @@
             return;
         }
         if (endpoint === this.primary()) {
-            this.positions.observePrimary(endpoint, term, position, sentAt, this.leaseValid());
+            this.positions.observePrimary(
+                endpoint,
+                term,
+                position,
+                sentAt,
+                this.environment.clock(),
+                this.leaseValid(),
+            );
             return;
         }
-        const known = this.positions.observeReplica(endpoint, position, sentAt, timeline);
+        const known = this.positions.observeReplica(endpoint, position, sentAt, this.environment.clock(), timeline);
         if (known !== undefined && known === this.#view?.terms.at(-1)?.timeline) {
             this.replicas.observe(position, term);
         }
--- a/packages/proxy/src/ports.ts
+++ b/packages/proxy/src/ports.ts
@@ -140,7 +140,7 @@
 
 /** Positions of the primary over time, recorded under a valid lease only. */
 export interface PrimaryPositions {
-    record(term: Term, position: Position, at: number): void;
+    record(term: Term, position: Position, at: number, seenAt: number): void;
     latest(): Position | undefined;
 }
 
@@ -153,7 +153,14 @@
 
 export interface ReplicaPositions {
     of(endpoint: string): ReplicaPosition | undefined;
-    report(endpoint: string, timeline: number, position: Position, at: number, primary: PrimaryPositions): void;
+    report(
+        endpoint: string,
+        timeline: number,
+        position: Position,
+        at: number,
+        seenAt: number,
+        primary: PrimaryPositions,
+    ): void;
     forget(endpoint: string): void;
 }
 
--- a/packages/proxy/src/position-tracker.ts
+++ b/packages/proxy/src/position-tracker.ts
@@ -21,11 +21,18 @@
         return this.#replicas.of(endpoint);
     }
 
-    /** @param sentAt when the query was sent: the primary had at most this position then. */
-    observePrimary(endpoint: string, term: Term, position: Position, sentAt: number, leaseValid: boolean): void {
+    /** Records the answer that came at `seenAt` to a query sent at `sentAt`. */
+    observePrimary(
+        endpoint: string,
+        term: Term,
+        position: Position,
+        sentAt: number,
+        seenAt: number,
+        leaseValid: boolean,
+    ): void {
         this.#readAt.set(endpoint, sentAt);
         if (leaseValid) {
-            this.primary.record(term, position, sentAt);
+            this.primary.record(term, position, sentAt, seenAt);
         }
     }
 
@@ -34,11 +41,17 @@
      * one, and the router uses it only while it is the current term's.
      * @returns the timeline that the position is on, if it is known
      */
-    observeReplica(endpoint: string, position: Position, sentAt: number, timeline?: number): number | undefined {
+    observeReplica(
+        endpoint: string,
+        position: Position,
+        sentAt: number,
+        seenAt: number,
+        timeline?: number,
+    ): number | undefined {
         const known = timeline ?? this.#replicas.of(endpoint)?.timeline;
         if (known !== undefined) {
             this.#readAt.set(endpoint, sentAt);
-            this.#replicas.report(endpoint, known, position, sentAt, this.primary);
+            this.#replicas.report(endpoint, known, position, sentAt, seenAt, this.primary);
         }
         return known;
     }
