--- a/packages/control/tests/simulated-host.ts
+++ b/packages/control/tests/simulated-host.ts
@@ -49,7 +49,9 @@
             this.configuration = Math.max(this.configuration, message.change.number);
         }
         else if (message.kind === "confirmEndpoint") {
-            const suspicion = probe(this, message.database, message.endpoint) === "ok" ? "reachable" : "silent";
+            const key = JSON.stringify([message.database, message.endpoint]);
+            this.observer.observed(key, probe(this, message.database, message.endpoint), now);
+            const suspicion = this.observer.current(key);
             return [{ ...message, kind: "endpointObservation", suspicion }];
         }
         return [];
--- a/packages/control/tests/simulation.ts
+++ b/packages/control/tests/simulation.ts
@@ -241,7 +241,7 @@
 
     readonly #probe: Probe = ({ host: { id } }, database, endpointId) => {
         const endpoint = this.endpoint(database, endpointId);
-        if (endpoint.cutFrom.has(id)) {
+        if (endpoint.cutFrom.has(id) || this.random() < (this.options.loss ?? 0)) {
             return "timeout";
         }
         return endpoint.alive ? "ok" : "closed";
