Proxy: split the large files; position behind reads whose text has words like start

A request that failed with a transaction open behind it told the caller status I. Change: pools, probes, queue, run and lease in files of their own; only statements that may leave a transaction open go without the position query; such a transaction is rolled back and the caller told status E.

--- a/packages/proxy/src/attempt.ts
+++ b/packages/proxy/src/attempt.ts
@@ -1,10 +1,11 @@
 import type { Position } from "@medlarledge/protocol";
+import { acknowledges, isCommit, wantsTail } from "./acknowledging.js";
 import type { Answer } from "./answer.js";
+import type { AttemptListener, AttemptStart } from "./attempt-start.js";
 import { FromCaller, FromEndpoint, TransactionStatus } from "./message-type.js";
 import { errorCode, positionOf, primaryPosition } from "./messages.js";
 import type { ConnectionOwner, PoolConnection } from "./pool-connection.js";
 import type { Frame } from "./ports.js";
-import { StatementKind } from "./ports.js";
 import type { Request } from "./request-assembly.js";
 import type { RequestPlan } from "./request-plan.js";
 import type { RequestWriter } from "./request-writer.js";
@@ -13,33 +14,6 @@
 const MAX_HELD_BYTES = 1 << 20;
 const QUERY_CANCELED = "57014";
 
-/** Kinds whose success outside a transaction is the acknowledgement of a write. */
-const ACKNOWLEDGING = new Set<StatementKind>([StatementKind.Write, StatementKind.Commit, StatementKind.Pinned]);
-
-/** What an attempt reports. Each call but `callerFull` ends the attempt. */
-export interface AttemptListener {
-    /** The position in front is below the floor. The rest of the answer is still to come on the connection. */
-    proofFailed(position: Position | undefined): void;
-    /** The whole answer is there; a write's position is still to be asked elsewhere when `position` is undefined. */
-    answered(position: Position | undefined): void;
-    lost(reason: string): void;
-    /** A commit's answer is larger than what may be held. */
-    heldTooMuch(): void;
-    callerFull(): void;
-    /** The connection takes bytes again. */
-    drained(): void;
-}
-
-export interface AttemptStart {
-    readonly connection: PoolConnection;
-    readonly request: Request;
-    readonly plan: RequestPlan;
-    /** Position query of the endpoint's role. */
-    readonly positionQuery: Uint8Array;
-    /** Position that the query in front must reach, if one is to be sent. */
-    readonly proof: Position | undefined;
-}
-
 type Phase = "none" | "front" | "main" | "tail";
 
 /** One request on one connection: sends it with its position queries and reads the answers in order. */
@@ -101,12 +75,8 @@
 
     /** The answer acknowledges a write. */
     get ended(): boolean {
-        const start = this.#start;
-        if (this.#sawCommit) {
-            return true;
-        }
-        return start !== undefined && start.plan.executes && ACKNOWLEDGING.has(start.plan.kind)
-            && this.status === TransactionStatus.Idle;
+        const idle = this.status === TransactionStatus.Idle;
+        return this.#sawCommit || (idle && this.#start !== undefined && acknowledges(this.#start.plan));
     }
 
     /** Sends the request. Returns false when the connection's socket is full. */
@@ -115,7 +85,7 @@
         this.#start = start;
         this.#inTransaction = connection.status !== TransactionStatus.Idle;
         this.#position = undefined;
-        this.#tail = plan.tail && plan.executes && this.#wantsTail(plan);
+        this.#tail = wantsTail(plan, this.#inTransaction);
         this.#tailError = "";
         this.#tailRepeated = false;
         this.#holding = false;
@@ -215,13 +185,6 @@
         this.#listener.lost(reason);
     }
 
-    #wantsTail(plan: RequestPlan): boolean {
-        if (plan.kind === StatementKind.Commit) {
-            return true;
-        }
-        return !this.#inTransaction && (plan.kind === StatementKind.Read || ACKNOWLEDGING.has(plan.kind));
-    }
-
     #appendFrames(request: Request, connection: PoolConnection, out: Uint8Array[]): number {
         // A complete request keeps its frames, so that it can be sent again when that is allowed.
         request.started ||= !request.complete;
@@ -294,7 +257,7 @@
 
     /** Before its Sync a request that already runs has committed nothing, and its caller may wait for this message. */
     #acknowledges(start: AttemptStart): boolean {
-        return !this.#inTransaction && !start.request.started && ACKNOWLEDGING.has(start.plan.kind);
+        return !this.#inTransaction && !start.request.started && acknowledges(start.plan);
     }
 
     #emit(bytes: Uint8Array): void {
@@ -354,9 +317,3 @@
         this.#listener.answered(this.#position);
     }
 }
-
-const COMMIT_TAG = Buffer.from("COMMIT");
-
-function isCommit(commandComplete: Uint8Array): boolean {
-    return COMMIT_TAG.every((byte, index) => commandComplete[5 + index] === byte);
-}
--- a/packages/proxy/src/caller-session.ts
+++ b/packages/proxy/src/caller-session.ts
@@ -1,7 +1,8 @@
 import { BrokenTransaction } from "./broken-transaction.js";
+import { CallerFlow } from "./caller-flow.js";
 import type { DatabaseContext } from "./database-context.js";
+import type { ExecutionHost } from "./execution-host.js";
 import { Execution } from "./execution.js";
-import type { ExecutionHost } from "./execution.js";
 import { ErrorCode, failures } from "./failure.js";
 import type { Failure } from "./failure.js";
 import { KeptConnection } from "./kept-connection.js";
@@ -9,20 +10,19 @@
 import { localAnswer } from "./local-answer.js";
 import type { LocalResult } from "./local-answer.js";
 import { FromCaller, TransactionStatus } from "./message-type.js";
-import { errorResponse, readyForQuery, textAt } from "./messages.js";
+import { errorResponse, readyForQuery } from "./messages.js";
 import { OwnStatements } from "./own-statements.js";
 import type { CallerConnection, CallerHandler, Classifier, Frame, SessionState, TokenCodec } from "./ports.js";
 import { CallerStatements } from "./prepared-statements.js";
 import type { StatementNames } from "./prepared-statements.js";
 import { RequestAssembly } from "./request-assembly.js";
 import type { Request } from "./request-assembly.js";
-import { planQuery, planRequest } from "./request-plan.js";
+import { planOf } from "./request-plan.js";
 import type { RequestPlan } from "./request-plan.js";
+import { RequestQueue } from "./request-queue.js";
 
-/** A request larger than this starts before its end has arrived, and a caller's queue is held below it. */
+/** A request larger than this starts before its end has arrived. */
 const MAX_BUFFERED_BYTES = 1 << 20;
-const MAX_QUEUED_REQUESTS = 128;
-const HEADER_BYTES = 5;
 
 export interface CallerSessionOptions {
     readonly caller: CallerConnection;
@@ -48,22 +48,20 @@
     readonly #kept: KeptConnection;
     readonly #broken = new BrokenTransaction();
     readonly #own: OwnStatements;
-    #queue: Request[] = [];
-    #queuedBytes = 0;
+    readonly #queue = new RequestQueue();
+    readonly #flow: CallerFlow;
     /** A request that was answered with an error before its Sync arrived, and the status to report at the Sync. */
     #skipped: { readonly request: Request; readonly status: number; } | undefined;
     #running: Request | undefined;
     #plan: RequestPlan | undefined;
     #pumping = false;
-    #callerFull = false;
-    #endpointFull = false;
-    #paused = false;
     #closed = false;
 
     constructor(options: CallerSessionOptions) {
         this.#options = options;
         this.caller = options.caller;
         this.session = options.session;
+        this.#flow = new CallerFlow(options.caller);
         this.#execution = new Execution(this, options.database, options.tokens, options.names);
         this.#own = new OwnStatements(options.database, options.session, options.tokens);
         this.#kept = new KeptConnection(options.caller, (inTransaction, reason) => {
@@ -88,7 +86,7 @@
 
     /** No request runs or waits, and no transaction is open. */
     get atBoundary(): boolean {
-        return !this.#execution.active && this.#queue.length === 0 && this.#skipped === undefined
+        return !this.#execution.active && this.#queue.empty && this.#skipped === undefined
             && !this.#kept.inTransaction && !this.#kept.rollingBack && !this.#broken.active && !this.#assembly.partial;
     }
 
@@ -105,7 +103,7 @@
     }
 
     drained(): void {
-        this.#callerFull = false;
+        this.#flow.callerFull = false;
         this.#execution.callerDrained();
         this.#pump();
         this.#updatePause();
@@ -116,7 +114,7 @@
             return;
         }
         this.#closed = true;
-        this.#queue = [];
+        this.#queue.clear();
         this.#execution.abort();
         this.#kept.giveBack();
         this.#options.ended(this);
@@ -137,7 +135,7 @@
         this.closed();
     }
 
-    completed(_execution: Execution, lease: Lease | undefined, failure: Failure | undefined): void {
+    completed(lease: Lease | undefined, failure: Failure | undefined): void {
         const request = this.#running;
         const plan = this.#plan;
         this.#running = undefined;
@@ -155,17 +153,17 @@
             this.terminate(ErrorCode.ConnectionFailure, "the connection that held this session's state was lost");
             return;
         }
-        this.#endpointFull = false;
+        this.#flow.endpointFull = false;
         this.#pump();
         this.#updatePause();
     }
 
     callerFull(): void {
-        this.#callerFull = true;
+        this.#flow.callerFull = true;
     }
 
     endpointFull(full: boolean): void {
-        this.#endpointFull = full;
+        this.#flow.endpointFull = full;
         this.#updatePause();
     }
 
@@ -189,7 +187,6 @@
         }
         if (request !== undefined) {
             this.#queue.push(request);
-            this.#queuedBytes += request.bytes;
         }
     }
 
@@ -210,14 +207,13 @@
         }
         this.#pumping = true;
         while (
-            !this.#closed && !this.#execution.active && !this.#callerFull && this.#skipped === undefined
+            !this.#closed && !this.#execution.active && !this.#flow.callerFull && this.#skipped === undefined
             && !this.#kept.rollingBack
         ) {
             const request = this.#queue.shift();
             if (request === undefined) {
                 break;
             }
-            this.#queuedBytes -= request.bytes;
             this.#start(request);
         }
         this.#pumping = false;
@@ -227,7 +223,7 @@
     }
 
     #start(request: Request): void {
-        const plan = this.#planOf(request);
+        const plan = planOf(request, this.#options.classifier, this.#options.names, this.statements);
         if (this.#broken.active) {
             const { local, status } = this.#broken.answer(plan);
             this.#answerLocally(request, local, status);
@@ -258,17 +254,6 @@
         );
     }
 
-    #planOf(request: Request): RequestPlan {
-        const [first] = request.frames;
-        if (request.simple && first?.type === FromCaller.Query) {
-            // A simple query destroys the unnamed statement.
-            this.statements.delete("");
-            const text = textAt(first.bytes, HEADER_BYTES);
-            return planQuery(text, this.#options.classifier.classify(text));
-        }
-        return planRequest(request, this.#options.names, this.statements);
-    }
-
     #refusal(plan: RequestPlan): string | undefined {
         if (plan.transactionOnly && plan.executes && this.#kept.lease === undefined) {
             return "it reads what an earlier statement left on a connection; use a transaction";
@@ -308,7 +293,7 @@
     #reply(request: Request, answer: Uint8Array): void {
         request.frames.length = 0;
         if (!this.caller.send(answer)) {
-            this.#callerFull = true;
+            this.#flow.callerFull = true;
         }
     }
 
@@ -346,16 +331,8 @@
     }
 
     #updatePause(): void {
-        const pause = this.#endpointFull || this.#callerFull || this.#queuedBytes > MAX_BUFFERED_BYTES
-            || this.#queue.length > MAX_QUEUED_REQUESTS;
-        if (pause !== this.#paused && !this.#closed) {
-            this.#paused = pause;
-            if (pause) {
-                this.caller.pause();
-            }
-            else {
-                this.caller.resume();
-            }
+        if (!this.#closed) {
+            this.#flow.update(this.#queue.full);
         }
     }
 }
--- a/packages/proxy/src/database-context.ts
+++ b/packages/proxy/src/database-context.ts
@@ -1,6 +1,7 @@
 import type { DatabaseView, Endpoint, Position, RegisteredEndpoint, Term } from "@medlarledge/protocol";
 import { EndpointState } from "@medlarledge/protocol";
 import { AnswerRelease } from "./answer-release.js";
+import { EndpointProber } from "./endpoint-prober.js";
 import { primaryPosition, reading as combinedReading, replicaPosition } from "./messages.js";
 import type { PositionAnswer } from "./messages.js";
 import { Pool } from "./pool.js";
@@ -14,7 +15,6 @@
 
 /** A reading that takes longer than this is given up; three missed probes count as silence. */
 const READING_TIMEOUT_MS = 300;
-const PROBE_MS = 100;
 
 /** What all databases of one process share. */
 export interface Environment {
@@ -49,9 +49,8 @@
     readonly waitingForPosition = new Set<Rerouted>();
     readonly #pools = new Map<string, Pool>();
     readonly #asked = new Set<string>();
-    readonly #probes = new Map<string, number>();
+    readonly #prober: EndpointProber;
     #view: DatabaseView | undefined;
-    #cancelProbe: (() => void) | undefined;
     #closed = false;
 
     constructor(name: string, environment: Environment) {
@@ -73,8 +72,20 @@
         this.primaryPosition = new SharedPosition((sent, done) => {
             this.#readPrimary(sent, done);
         });
+        this.#prober = new EndpointProber({
+            pools: this.#pools,
+            positions: this.positions,
+            clock: environment.clock,
+            schedule: environment.schedule,
+            read: (endpoint, done) => {
+                this.#read(endpoint, combinedReading, () => undefined, done);
+            },
+            silent: (pool, forMs) => {
+                environment.events.silent(pool.endpoint, forMs);
+                this.health.failed(pool.endpoint.id, environment.clock());
+            },
+        });
         this.changed();
-        this.#scheduleProbe();
     }
 
     view(): DatabaseView | undefined {
@@ -165,7 +176,7 @@
             this.#updatePools(view?.endpoints ?? []);
             if (this.primary() !== formerPrimary) {
                 // Replicas are used again once they are known to follow the new timeline.
-                this.#probe(0);
+                this.#prober.probe(0);
             }
         }
         for (const pool of this.#pools.values()) {
@@ -181,7 +192,7 @@
 
     close(): void {
         this.#closed = true;
-        this.#cancelProbe?.();
+        this.#prober.stop();
         this.replicas.stop();
         for (const pool of this.#pools.values()) {
             pool.close();
@@ -292,34 +303,6 @@
             }
         }
     }
-
-    #scheduleProbe(): void {
-        this.#cancelProbe = this.environment.schedule(PROBE_MS, () => {
-            this.#probe(PROBE_MS);
-            this.#scheduleProbe();
-        });
-    }
-
-    /** Reads the position of each endpoint whose position no other answer told since the last probe. */
-    #probe(minimumAgeMs: number): void {
-        const now = this.environment.clock();
-        for (const [id, pool] of this.#pools) {
-            const since = this.#probes.get(id);
-            if (since !== undefined) {
-                this.environment.events.silent(pool.endpoint, now - since);
-                this.health.failed(id, now);
-                continue;
-            }
-            // An endpoint all of whose connections run statements may be slow: that is no evidence of silence.
-            const readAt = this.positions.readAt(id) ?? Number.NEGATIVE_INFINITY;
-            if (pool.idle() > 0 && now - readAt >= minimumAgeMs) {
-                this.#probes.set(id, now);
-                this.#read(id, combinedReading, () => undefined, () => {
-                    this.#probes.delete(id);
-                });
-            }
-        }
-    }
 }
 
 function sameServer(left: Endpoint, right: Endpoint): boolean {
--- a/packages/proxy/src/execution.ts
+++ b/packages/proxy/src/execution.ts
@@ -1,40 +1,27 @@
 import type { Floor, Position } from "@medlarledge/protocol";
 import { Answer } from "./answer.js";
+import type { AttemptListener } from "./attempt-start.js";
 import { Attempt } from "./attempt.js";
-import type { AttemptListener } from "./attempt.js";
 import type { DatabaseContext } from "./database-context.js";
 import { EndpointChoice } from "./endpoint-choice.js";
+import type { ExecutionHost } from "./execution-host.js";
 import type { Failure } from "./failure.js";
 import { failures } from "./failure.js";
+import { abandon, hasOpenTransaction, refusalOfKept } from "./lease.js";
 import type { Lease } from "./lease.js";
 import { TransactionStatus } from "./message-type.js";
 import { errorResponse, parameterStatus, primaryPosition, readyForQuery, replicaPosition } from "./messages.js";
-import type { CallerConnection, Frame, RequestClass, SessionState, TokenCodec } from "./ports.js";
-import { Outcome, StatementKind } from "./ports.js";
-import type { CallerStatements, StatementNames } from "./prepared-statements.js";
+import type { Frame, RequestClass, TokenCodec } from "./ports.js";
+import { Outcome } from "./ports.js";
+import type { StatementNames } from "./prepared-statements.js";
 import type { Request } from "./request-assembly.js";
 import type { RequestPlan } from "./request-plan.js";
 import { joinPlans, planRequest } from "./request-plan.js";
 import { RequestWriter } from "./request-writer.js";
+import { Run } from "./run.js";
 import { WriteRelease } from "./write-release.js";
 import type { WriteReleaseListener } from "./write-release.js";
 
-/** What an execution needs of its caller. */
-export interface ExecutionHost {
-    readonly caller: CallerConnection;
-    readonly session: SessionState;
-    readonly statements: CallerStatements;
-    /** Session state of the caller is on its connection. */
-    readonly pinned: boolean;
-    /** The request has its answer. `lease` is what the caller had or got, when it is still usable. */
-    completed(execution: Execution, lease: Lease | undefined, failure: Failure | undefined): void;
-    callerFull(): void;
-    endpointFull(full: boolean): void;
-}
-
-/** Time that a write gets to end after its caller left. */
-const ABANDONED_WRITE_MS = 5_000;
-
 type Stage = "idle" | "choosing" | "running" | "releasing";
 
 /** Runs the requests of one caller, one after the other: chooses, sends, retries, holds and answers. */
@@ -48,19 +35,11 @@
     readonly #choice: EndpointChoice;
     readonly #release: WriteRelease;
     #stage: Stage = "idle";
-    #request: Request | undefined;
-    #plan: RequestPlan | undefined;
-    #class: RequestClass | undefined;
+    #run: Run | undefined;
     #lease: Lease | undefined;
-    /** The caller kept this connection from earlier requests. */
-    #kept = false;
     #cancelDeadline: (() => void) | undefined;
     /** The floor that the caller was last told. */
     #reported: Floor | undefined;
-    #sentAt = 0;
-    #retries = 0;
-    #fresh = true;
-    #replica = false;
 
     constructor(host: ExecutionHost, database: DatabaseContext, tokens: TokenCodec, names: StatementNames) {
         this.#host = host;
@@ -85,72 +64,60 @@
     }
 
     start(request: Request, plan: RequestPlan, requestClass: RequestClass, kept: Lease | undefined): void {
-        const now = this.#database.environment.clock();
-        const deadlineAt = request.arrivedAt + requestClass.deadlineMs;
-        this.#request = request;
-        this.#plan = plan;
-        this.#class = requestClass;
-        this.#kept = kept !== undefined;
+        const { clock, schedule } = this.#database.environment;
+        const now = clock();
+        const run = new Run(request, plan, requestClass, kept !== undefined);
+        const expired = now >= run.deadlineAt;
+        this.#run = run;
         this.#lease = undefined;
-        this.#retries = 0;
-        this.#fresh = true;
-        this.#replica = false;
+        this.#stage = "choosing";
         this.#answer.begin();
-        this.#cancelDeadline = this.#database.environment.schedule(Math.max(0, deadlineAt - now), () => {
+        this.#cancelDeadline = schedule(Math.max(0, run.deadlineAt - now), () => {
             this.#expire();
         });
         this.#database.retries.attempted(now);
-        this.#stage = "choosing";
         if (kept !== undefined) {
-            this.#continue(kept, now >= deadlineAt);
+            this.#continue(run, kept, expired);
         }
-        else if (now >= deadlineAt) {
+        else if (expired) {
             this.#expire();
         }
         else {
-            this.#choice.start(request, plan, requestClass, deadlineAt);
+            this.#choice.start(request, plan, requestClass, run.deadlineAt);
         }
     }
 
     /** Runs the request on the connection that the caller kept, unless that is too late. */
-    #continue(kept: Lease, expired: boolean): void {
+    #continue(run: Run, kept: Lease, expired: boolean): void {
         const term = this.#database.term();
-        const reason = kept.term === term
-            ? (expired ? "the deadline passed" : undefined)
-            : "the primary changed";
-        if (reason === undefined) {
+        const refusal = refusalOfKept(kept, term, expired, run.plan);
+        if (refusal === undefined) {
             this.#send(kept, undefined);
             return;
         }
-        const inTransaction = kept.connection.status !== TransactionStatus.Idle;
-        if (kept.term === term && !inTransaction) {
+        if (kept.term === term && !hasOpenTransaction(kept)) {
             this.#lease = kept;
-            this.#fail(failures.notRun(reason, this.#plan));
-            return;
         }
-        // COMMIT was not sent, so the transaction ends without effect.
-        kept.pool.discard(kept.connection, true);
-        this.#fail(
-            inTransaction
-                ? failures.rolledBack(reason, TransactionStatus.Failed)
-                : failures.notRun(reason, this.#plan),
-        );
+        else {
+            kept.pool.discard(kept.connection, true);
+        }
+        this.#fail(refusal);
     }
 
     /** More of a request that has already started arrived. */
     extended(): void {
-        const request = this.#request;
-        if (this.#stage !== "running" || request?.started !== true || request.frames.length === 0) {
+        const run = this.#run;
+        if (this.#stage !== "running" || run?.request.started !== true || run.request.frames.length === 0) {
             return;
         }
-        const more = planRequest(request, this.#names, this.#host.statements);
+        const more = planRequest(run.request, this.#names, this.#host.statements);
         if (more.refusal !== undefined) {
             const status = this.#attempt.inTransaction ? TransactionStatus.Failed : TransactionStatus.Idle;
             this.#stop({ ...failures.cannotBePooled(more.refusal), status });
             return;
         }
-        this.#plan = this.#plan === undefined ? more : joinPlans(this.#plan, more);
-        this.#host.endpointFull(!this.#attempt.extend(request, this.#plan));
+        run.plan = joinPlans(run.plan, more);
+        this.#host.endpointFull(!this.#attempt.extend(run.request, run.plan));
     }
 
     /** The endpoint takes COPY data from the caller. */
@@ -180,40 +147,31 @@
         this.#lease?.connection.wire.resume();
     }
 
-    /** The caller closed. A write that was sent runs to its end; everything else is stopped. */
+    /** The caller closed. */
     abort(): void {
         const lease = this.#lease;
-        const stage = this.#stage;
-        if (stage === "idle") {
+        const run = this.#run;
+        if (this.#stage === "idle") {
             return;
         }
+        const mayEnd = this.#stage === "releasing" || (run?.repeatable === false && run.request.complete);
         this.#finishStage();
-        if (lease === undefined) {
-            return;
-        }
-        const writes = this.#plan?.kind !== StatementKind.Read && this.#request?.complete === true;
-        const open = this.#attempt.inTransaction || lease.connection.status !== TransactionStatus.Idle;
-        if (stage === "running" && (!writes || open) && lease.connection.outstanding > 0) {
-            lease.pool.cancelAndClose(lease.connection);
-        }
-        else if (lease.connection.clean) {
-            lease.pool.release(lease.connection);
-        }
-        else {
-            lease.pool.discard(lease.connection, true, ABANDONED_WRITE_MS);
+        if (lease !== undefined) {
+            abandon(lease, mayEnd && !this.#attempt.inTransaction && !hasOpenTransaction(lease));
         }
     }
 
     proofFailed(position: Position | undefined): void {
         const lease = this.#lease;
-        if (lease === undefined) {
+        const run = this.#run;
+        if (lease === undefined || run === undefined) {
             return;
         }
         this.#lease = undefined;
-        this.#fresh = false;
+        run.fresh = false;
         this.#answer.drop();
         if (position !== undefined) {
-            this.#database.observe(lease.pool.endpoint.id, position, this.#sentAt, lease.term);
+            this.#database.observe(lease.pool.endpoint.id, position, run.sentAt, lease.term);
         }
         lease.pool.discard(lease.connection, false);
         this.#chooseAgain(lease.pool.endpoint.id, 0);
@@ -221,22 +179,21 @@
 
     answered(position: Position | undefined): void {
         const lease = this.#lease;
-        const plan = this.#plan;
-        if (lease === undefined || plan === undefined) {
+        const run = this.#run;
+        if (lease === undefined || run === undefined) {
             return;
         }
-        const environment = this.#database.environment;
-        lease.pool.answered(environment.clock() - this.#sentAt);
+        lease.pool.answered(this.#database.environment.clock() - run.sentAt);
         this.#choice.finished(true);
         if (position !== undefined) {
-            this.#database.observe(lease.pool.endpoint.id, position, this.#sentAt, lease.term);
+            this.#database.observe(lease.pool.endpoint.id, position, run.sentAt, lease.term);
         }
         this.#stage = "releasing";
         if (!this.#attempt.ended) {
-            this.#readAnswered(position);
+            this.#readAnswered(run, position);
         }
         else if (position !== undefined) {
-            this.#giveBackEarly(lease, plan);
+            this.#giveBackEarly(lease, run.plan);
             this.#release.written(lease.term, position);
         }
         else if (this.#attempt.status === TransactionStatus.Idle) {
@@ -294,19 +251,19 @@
     }
 
     #send(lease: Lease, proof: Position | undefined): void {
-        const { request, plan } = { request: this.#request, plan: this.#plan };
-        if (request === undefined || plan === undefined) {
+        const run = this.#run;
+        if (run === undefined) {
             return;
         }
         this.#stage = "running";
         this.#lease = lease;
-        this.#sentAt = this.#database.environment.clock();
-        this.#replica = lease.pool.endpoint.id !== this.#database.primary();
+        run.sentAt = this.#database.environment.clock();
+        run.replica = lease.pool.endpoint.id !== this.#database.primary();
         const accepted = this.#attempt.begin({
             connection: lease.connection,
-            request,
-            plan,
-            positionQuery: this.#replica && !this.#kept ? replicaPosition : primaryPosition,
+            request: run.request,
+            plan: run.plan,
+            positionQuery: run.replica ? replicaPosition : primaryPosition,
             proof,
         });
         if (!accepted) {
@@ -314,10 +271,8 @@
         }
     }
 
-    #readAnswered(position: Position | undefined): void {
-        const proves = this.#plan?.kind === StatementKind.Read && this.#plan.executes && this.#plan.tail
-            && !this.#attempt.inTransaction && !this.#attempt.failed;
-        if (!proves) {
+    #readAnswered(run: Run, position: Position | undefined): void {
+        if (!run.raisesFloor || this.#attempt.inTransaction || this.#attempt.failed) {
             this.#finish();
         }
         else if (position !== undefined) {
@@ -341,7 +296,7 @@
     #expire(): void {
         this.#cancelDeadline = undefined;
         if (this.#stage === "choosing") {
-            this.#fail(failures.notRun("the deadline passed before the request could be sent", this.#plan));
+            this.#fail(failures.notRun("the deadline passed before the request could be sent", this.#run?.plan));
         }
         else if (this.#stage === "running") {
             this.#stop(this.#interrupted("the deadline passed"));
@@ -361,7 +316,7 @@
 
     /** What a caller is told when a request was sent and its answer will not come. */
     #interrupted(reason: string): Failure {
-        const plan = this.#plan;
+        const plan = this.#run?.plan;
         return plan === undefined
             ? failures.unknown(reason)
             : failures.interrupted(reason, plan, this.#attempt.inTransaction, this.#attempt.sawCommit);
@@ -369,23 +324,19 @@
 
     /** Sends the request again elsewhere when that can do no harm. Returns false when it may not. */
     #retry(endpoint: string | undefined): boolean {
-        const plan = this.#plan;
-        const request = this.#request;
-        if (plan === undefined || request === undefined || this.#kept || request.started || this.#answer.sent) {
+        const run = this.#run;
+        if (run?.repeatable !== true || this.#answer.sent) {
             return false;
         }
-        if (plan.kind !== StatementKind.Read && plan.executes && this.#class?.repeatable !== true) {
-            return false;
-        }
-        const environment = this.#database.environment;
-        const delay = this.#database.retries.retry(endpoint ?? "", this.#retries + 1, environment.clock());
+        const now = this.#database.environment.clock();
+        const delay = this.#database.retries.retry(endpoint ?? "", run.retries + 1, now);
         if (delay === undefined) {
             return false;
         }
         const lease = this.#lease;
         this.#lease = undefined;
         lease?.pool.release(lease.connection);
-        this.#retries += 1;
+        run.retries += 1;
         this.#answer.drop();
         this.#chooseAgain(endpoint, delay);
         return true;
@@ -406,24 +357,32 @@
     }
 
     #fail(failure: Failure): void {
+        const lease = this.#lease;
+        const open = lease !== undefined && hasOpenTransaction(lease);
+        const status = open ? TransactionStatus.Failed : failure.status;
+        if (open) {
+            // The caller cannot know of a transaction that began in the request that failed.
+            this.#lease = undefined;
+            lease.pool.discard(lease.connection, true);
+        }
         this.#answer.drop();
         this.#reportFloor();
         this.#answer.push(errorResponse(failure.code, failure.text));
-        if (this.#request?.complete === true) {
-            this.#answer.push(readyForQuery(failure.status));
+        if (this.#run?.request.complete === true) {
+            this.#answer.push(readyForQuery(status));
         }
-        this.#end(failure.outcome, failure);
+        this.#end(failure.outcome, { ...failure, status });
     }
 
     #end(outcome: Outcome, failure: Failure | undefined): void {
         const full = !this.#answer.flush();
         const lease = this.#lease;
-        this.#record(outcome);
+        this.#run?.record(this.#database, outcome);
         this.#finishStage();
         if (full) {
             this.#host.callerFull();
         }
-        this.#host.completed(this, lease, failure);
+        this.#host.completed(lease, failure);
     }
 
     #finishStage(): void {
@@ -437,21 +396,4 @@
         this.#attempt.detach();
         this.#answer.drop();
     }
-
-    #record(outcome: Outcome): void {
-        const { clock, events } = this.#database.environment;
-        const { name = "", worth = 0, deadlineMs = 0 } = this.#class ?? {};
-        const latencyMs = clock() - (this.#request?.arrivedAt ?? 0);
-        events.served({
-            database: this.#database.name,
-            className: name,
-            worth,
-            outcome,
-            latencyMs,
-            replica: outcome === Outcome.Done && this.#replica,
-            deadlineMet: outcome === Outcome.Done && latencyMs <= deadlineMs,
-            fresh: this.#fresh,
-            retries: this.#retries,
-        });
-    }
 }
--- a/packages/proxy/src/pool-connection.ts
+++ b/packages/proxy/src/pool-connection.ts
@@ -24,9 +24,7 @@
     dirty = false;
     /** Must not be used again. */
     unfit = false;
-    lastUsedAt = 0;
     readonly #onLost: (connection: PoolConnection, reason: string) => void;
-    readonly #onAnswer: (connection: PoolConnection) => void;
     #owner: ConnectionOwner | undefined;
     #outstanding = 0;
     #status: number = TransactionStatus.Idle;
@@ -34,11 +32,9 @@
 
     constructor(
         wire: EndpointConnection,
-        onAnswer: (connection: PoolConnection) => void,
         onLost: (connection: PoolConnection, reason: string) => void,
     ) {
         this.wire = wire;
-        this.#onAnswer = onAnswer;
         this.#onLost = onLost;
         wire.setHandler({
             frames: frames => {
@@ -95,7 +91,6 @@
         if (this.#closed) {
             return;
         }
-        this.#onAnswer(this);
         for (const frame of frames) {
             if (frame.type === FromEndpoint.ReadyForQuery) {
                 this.#outstanding -= 1;
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -1,9 +1,8 @@
 import type { Endpoint } from "@medlarledge/protocol";
-import { TransactionStatus } from "./message-type.js";
-import { discardAll, rollback } from "./messages.js";
+import { DISCARD_MS, PoolCleaner } from "./pool-cleaner.js";
+import { PoolCloser } from "./pool-closer.js";
 import { PoolConnection } from "./pool-connection.js";
 import { PoolOpener } from "./pool-opener.js";
-import { AnswerDiscarder } from "./pool-owners.js";
 import { PoolQueue } from "./pool-queue.js";
 import type { Admission, EndpointConnection, EndpointConnector, Schedule } from "./ports.js";
 
@@ -41,10 +40,6 @@
 }
 
 const WARM_CONNECTIONS = 2;
-/** Time to finish an answer that nobody waits for; a new connection costs about 12 ms, so longer does not pay. */
-const DISCARD_MS = 200;
-/** A cancelled connection counts against the limit until the endpoint answered the cancel request, at most this long. */
-const CANCEL_MS = 2_000;
 
 /** The connections to one endpoint. */
 export class Pool {
@@ -55,9 +50,9 @@
     readonly #readings: ConnectionWaiter[] = [];
     readonly #queue: PoolQueue;
     readonly #opener: PoolOpener;
-    #closing = 0;
+    readonly #closer: PoolCloser;
+    readonly #cleaner: PoolCleaner;
     #leaving = false;
-    #lastAnswerAt = 0;
 
     constructor(options: PoolOptions) {
         this.endpoint = options.endpoint;
@@ -76,9 +71,21 @@
                 }
             },
             retry: () => {
-                this.#refill();
+                this.warm();
             },
         });
+        this.#closer = new PoolCloser(options.connector, options.schedule, () => {
+            this.warm();
+        });
+        this.#cleaner = new PoolCleaner(
+            options.schedule,
+            connection => {
+                this.release(connection);
+            },
+            connection => {
+                this.cancelAndClose(connection);
+            },
+        );
         this.#queue = new PoolQueue({
             admission: options.admission,
             clock: options.clock,
@@ -101,7 +108,7 @@
 
     /** Connections that count against the limit. */
     size(): number {
-        return this.#all.size + this.#opener.opening + this.#closing;
+        return this.#all.size + this.#opener.opening + this.#closer.closing;
     }
 
     /** Requests that run or wait here. */
@@ -113,15 +120,7 @@
         return this.#idle.length;
     }
 
-    lastAnswerAt(): number {
-        return this.#lastAnswerAt;
-    }
-
-    get leaving(): boolean {
-        return this.#leaving;
-    }
-
-    /** Opens the warm minimum in the background. */
+    /** Opens connections in the background while requests wait or the warm minimum is not met. */
     warm(): void {
         while (this.#open()) {
             // One attempt each, until the minimum is reached.
@@ -157,7 +156,7 @@
             return;
         }
         if (connection.dirty) {
-            this.#reset(connection);
+            this.#cleaner.reset(connection);
             return;
         }
         this.#offer(connection);
@@ -166,46 +165,15 @@
     /** Takes back a connection whose remaining answers nobody waits for; `undo` rolls back its transaction. */
     discard(connection: PoolConnection, undo: boolean, limitMs = DISCARD_MS): void {
         connection.wire.resume();
-        const cancel = this.#options.schedule(limitMs, () => {
-            this.cancelAndClose(connection);
-        });
-        const finish = (): void => {
-            if (undo && connection.status !== TransactionStatus.Idle) {
-                this.#await(connection, rollback, () => {
-                    cancel();
-                    this.release(connection);
-                }, cancel);
-                return;
-            }
-            cancel();
-            this.release(connection);
-        };
-        if (connection.outstanding === 0) {
-            finish();
-            return;
-        }
-        this.#await(connection, undefined, finish, cancel);
+        this.#cleaner.discard(connection, undo, limitMs);
     }
 
     /** Stops the statement that runs on the connection and closes it; it is never used again. */
     cancelAndClose(connection: PoolConnection): void {
-        if (!this.#all.has(connection)) {
-            return;
+        if (this.#all.has(connection)) {
+            this.#closer.cancel(connection);
+            this.#drop(connection);
         }
-        this.#closing += 1;
-        let settled = false;
-        const settle = (): void => {
-            if (!settled) {
-                settled = true;
-                stop();
-                this.#closing -= 1;
-                this.#refill();
-            }
-        };
-        const stop = this.#options.schedule(CANCEL_MS, settle);
-        const { processId, secretKey } = connection.wire;
-        this.#options.connector.cancel(this.endpoint, processId, secretKey).then(settle, settle);
-        this.#drop(connection);
     }
 
     answered(latencyMs: number): void {
@@ -280,32 +248,6 @@
         return undefined;
     }
 
-    #reset(connection: PoolConnection): void {
-        const cancel = this.#options.schedule(DISCARD_MS, () => {
-            this.cancelAndClose(connection);
-        });
-        this.#await(connection, discardAll, failed => {
-            cancel();
-            connection.dirty = false;
-            connection.unfit ||= failed;
-            connection.statements.clear();
-            this.release(connection);
-        }, cancel);
-    }
-
-    /** Sends a query, if any, and waits until the connection has nothing outstanding. */
-    #await(
-        connection: PoolConnection,
-        query: Uint8Array | undefined,
-        done: (failed: boolean) => void,
-        lost: () => void,
-    ): void {
-        connection.own(new AnswerDiscarder(() => connection.outstanding, done, lost));
-        if (query !== undefined) {
-            connection.send(query, 1);
-        }
-    }
-
     #drop(connection: PoolConnection): void {
         this.#all.delete(connection);
         const at = this.#idle.indexOf(connection);
@@ -313,11 +255,6 @@
             this.#idle.splice(at, 1);
         }
         connection.close();
-        this.#refill();
-    }
-
-    /** Replaces closed connections when requests wait or the warm minimum is not met. */
-    #refill(): void {
         this.warm();
     }
 
@@ -335,17 +272,13 @@
     #opened(wire: EndpointConnection): void {
         const connection = new PoolConnection(
             wire,
-            () => {
-                this.#lastAnswerAt = this.#options.clock();
-            },
             (lost, reason) => {
                 this.#lost(lost, reason);
             },
         );
         this.#all.add(connection);
-        this.#lastAnswerAt = this.#options.clock();
         this.#offer(connection);
-        this.#refill();
+        this.warm();
     }
 
     #lost(connection: PoolConnection, reason: string): void {
--- a/packages/proxy/src/request-plan.ts
+++ b/packages/proxy/src/request-plan.ts
@@ -1,6 +1,6 @@
 import { FromCaller } from "./message-type.js";
 import { textAt } from "./messages.js";
-import type { Classification, OwnSetting } from "./ports.js";
+import type { Classification, Classifier, OwnSetting } from "./ports.js";
 import { StatementKind } from "./ports.js";
 import type { CallerStatements, Statement, StatementNames } from "./prepared-statements.js";
 import type { Request } from "./request-assembly.js";
@@ -39,6 +39,7 @@
 const COPY_WORD = /\bcopy\b/i;
 const STDIN_WORD = /\bstdin\b/i;
 const BEGIN_WORD = /\b(begin|start|chain)\b/i;
+const CHAIN_WORD = /\bchain\b/i;
 const COMMIT_WORD = /\b(commit|end|prepare|call|do)\b/i;
 const DEALLOCATE_ALL = /^\s*deallocate\s+(prepare\s+)?all\b/i;
 const NO_COMMENT = {};
@@ -52,7 +53,7 @@
     }
     const found = {
         copies: COPY_WORD.test(text) && STDIN_WORD.test(text),
-        begins: BEGIN_WORD.test(text),
+        begins: leavesTransaction(text, classification),
         mayCommit: COMMIT_WORD.test(text),
         deallocatesAll: DEALLOCATE_ALL.test(text),
     };
@@ -60,6 +61,17 @@
     return found;
 }
 
+/** Whether a transaction may be open behind the statements; the position query must not be the first in it. */
+function leavesTransaction(text: string, classification: Classification): boolean {
+    if (classification.kind === StatementKind.Begin) {
+        return true;
+    }
+    if (classification.kind === StatementKind.Commit) {
+        return CHAIN_WORD.test(text);
+    }
+    return classification.kind !== StatementKind.Read && classification.statements > 1 && BEGIN_WORD.test(text);
+}
+
 /** Kinds in the order in which one of them determines a request with several statements. */
 const PRECEDENCE: readonly StatementKind[] = [
     StatementKind.Read,
@@ -178,11 +190,23 @@
     return names.intern(body);
 }
 
-/** Plans a request of one simple Query. */
-export function planQuery(text: string, classification: Classification): RequestPlan {
+/** Plans any request. */
+export function planOf(
+    request: Request,
+    classifier: Classifier,
+    names: StatementNames,
+    statements: CallerStatements,
+): RequestPlan {
+    const [first] = request.frames;
+    if (!request.simple || first?.type !== FromCaller.Query) {
+        return planRequest(request, names, statements);
+    }
+    // A simple query destroys the unnamed statement.
+    statements.delete("");
+    const text = textAt(first.bytes, NAME_AT);
     const builder = new PlanBuilder();
     builder.executes = true;
-    builder.add(text, classification);
+    builder.add(text, classifier.classify(text));
     return builder.build(true);
 }
 
