--- a/packages/proxy/tests/fake-server.ts
+++ b/packages/proxy/tests/fake-server.ts
@@ -215,6 +215,7 @@
                     this.#writes = [];
                 }
                 this.#commit();
+                this.#status = sql.includes("CHAIN") ? "T" : "I";
                 return [commandComplete(failed ? "ROLLBACK" : "COMMIT")];
             }
             case "ROLLBACK":
--- a/packages/proxy/tests/interleaving.ts
+++ b/packages/proxy/tests/interleaving.ts
@@ -41,7 +41,12 @@
         this.#sabotage = sabotage;
         const world = this.#world;
         world.limit = LIMIT;
-        world.databaseSettings = { ...world.databaseSettings, replicaReads: true, roaming: "strict" };
+        world.databaseSettings = {
+            acknowledge: seed % 3 === 0 ? "replica" : "primary",
+            roaming: "strict",
+            replicaReads: true,
+            replicaWaitMs: 0,
+        };
         world.requestClass = {
             ...world.requestClass,
             deadlineMs: DEADLINE_MS,
@@ -199,7 +204,14 @@
         if (!this.#leaseValid) {
             this.#violations.push(`${sql} acknowledged without a lease`);
         }
-        const committed = this.#world.server(this.#primary()).committed;
+        const { committed, position } = this.#world.server(this.#primary());
+        const at = sql === "COMMIT" ? -1 : committed.findIndex(item => item.sql === sql);
+        const written = position - 10 * (committed.length - 1 - at);
+        const servers = [...this.#world.network.servers.values()];
+        const replicated = servers.some(server => server.replica && server.position >= written);
+        if (at >= 0 && !replicated && this.#world.databaseSettings.acknowledge === "replica") {
+            this.#violations.push(`${sql} acknowledged before a replica had it`);
+        }
         if (sql !== "COMMIT" && !committed.some(item => item.sql === sql)) {
             this.#violations.push(`${sql} acknowledged by another endpoint than the primary`);
         }
--- a/packages/proxy/tests/transaction.test.ts
+++ b/packages/proxy/tests/transaction.test.ts
@@ -70,7 +70,64 @@
     });
 });
 
+describe("COMMIT AND CHAIN", () => {
+    it("is acknowledged after the position was read over another connection", async () => {
+        const { world, caller } = await open();
+        caller.query("COMMIT AND CHAIN");
+        await world.run();
+        expect(caller.take()).toEqual(["C:COMMIT", "Z:T"]);
+        expect(caller.token).toBe("1:110");
+        const [session] = world.sessions().filter(item => item.status === "T");
+        expect(session!.executed.at(-1)).toBe("COMMIT AND CHAIN");
+    });
+
+    it("leaves no transaction open that the caller does not know of, when it is not acknowledged", async () => {
+        const { world, caller } = await open();
+        caller.query("COMMIT AND CHAIN");
+        await world.settle();
+        world.lease = () => false;
+        await world.advance(1_000);
+        expect(caller.take()).toEqual(["E:ML002", "Z:E"]);
+        world.lease = () => true;
+        world.changed();
+        caller.query("INSERT 2");
+        caller.query("ROLLBACK");
+        caller.query("INSERT 3");
+        await world.run();
+        expect(caller.take()).toEqual(["E:25P02", "Z:E", "C:ROLLBACK", "Z:I", "C:INSERT 0 1", "Z:I"]);
+        expect(world.server().committed.map(item => item.sql)).toEqual(["INSERT 1", "INSERT 3"]);
+    });
+});
+
 describe("a transaction", () => {
+    it("keeps a pinned connection when it is rolled back for a refused statement", async () => {
+        const world = new World();
+        const caller = world.caller();
+        for (const sql of ["LISTEN x", "BEGIN", "INSERT 1", "PREPARE x", "ROLLBACK", "SELECT 2"]) {
+            caller.query(sql);
+        }
+        await world.run();
+        expect(caller.take().slice(-7)).toEqual(
+            ["E:ML004", "Z:E", "C:ROLLBACK", "Z:I", "T", "D:SELECT 2", "C:SELECT 1", "Z:I"].slice(1),
+        );
+        expect(world.sessions().find(item => item.settings === 1)!.executed).toContain("SELECT 2");
+        expect(world.server().committed).toEqual([]);
+    });
+
+    it("is rolled back when a statement waited behind others until its deadline", async () => {
+        const { world, caller } = await open();
+        world.requestClass = { ...world.requestClass, deadlineMs: 100_000 };
+        caller.query("SELECT slow");
+        await world.settle();
+        world.requestClass = { ...world.requestClass, deadlineMs: 10 };
+        caller.query("INSERT 2");
+        caller.query("COMMIT");
+        world.time.runDue(world.time.now + 50);
+        await world.run();
+        expect(caller.take().slice(-4)).toEqual(["E:40001", "Z:E", "C:ROLLBACK", "Z:I"]);
+        expect(world.server().committed).toEqual([]);
+    });
+
     it("is rolled back at a statement's deadline", async () => {
         const { world, caller } = await open();
         caller.query("INSERT 2");
