--- a/packages/daemon/src/entry-task.ts
+++ b/packages/daemon/src/entry-task.ts
@@ -157,6 +157,12 @@
         }
     }
 
+    /** Asks an endpoint over a connection of its own, when its pool cannot tell whether it is silent. */
+    async probe(endpoint: Endpoint): Promise<void> {
+        const reading = await this.#options.probe(endpoint, CONFIRM_TIMEOUT_MS);
+        this.observed(endpoint, reading === undefined ? "timeout" : "ok");
+    }
+
     #handle(event: EntryEvent): void {
         if (event.kind === "tick") {
             this.#tick();
--- a/packages/daemon/src/host-process.ts
+++ b/packages/daemon/src/host-process.ts
@@ -154,6 +154,7 @@
             log: this.#log,
             metrics: this.#metrics,
             observed: (endpoint, outcome) => this.#entry.observed(endpoint, outcome),
+            stalled: endpoint => void this.#entry.probe(endpoint),
             slotsWanted: (endpoint, wanted) =>
                 this.#slots.wanted(endpoint, wanted, Math.min(wanted, this.#slots.slots(endpoint))),
             served: (database, count) => this.#reporter.add(database, count),
--- a/packages/daemon/src/serving-host.ts
+++ b/packages/daemon/src/serving-host.ts
@@ -26,6 +26,8 @@
     readonly log: Log;
     readonly metrics: Metrics;
     readonly observed: (endpoint: Endpoint, outcome: "ok" | "closed" | "timeout") => void;
+    /** The pool alone cannot tell whether the endpoint is silent. */
+    readonly stalled: (endpoint: Endpoint) => void;
     readonly slotsWanted: (endpoint: Endpoint, wanted: number) => void;
     readonly served: (database: string, count: Partial<ServiceCount>) => void;
     /** Passes a cancel request on that is not for a caller of this host. */
@@ -125,7 +127,7 @@
     }
 
     #events(): ProxyEvents {
-        const { observed, slotsWanted, log } = this.#options;
+        const { observed, stalled, slotsWanted, log } = this.#options;
         return {
             answered: endpoint => observed(endpoint, "ok"),
             closed: (endpoint, reason) => {
@@ -136,6 +138,7 @@
                 log.event("endpointSilent", { database: endpoint.database, endpoint: endpoint.id, forMs });
                 observed(endpoint, "timeout");
             },
+            stalled: endpoint => stalled(endpoint),
             slotsWanted: (endpoint, wanted) => slotsWanted(endpoint, wanted),
             served: record => this.#served(record),
         };
--- a/packages/proxy/src/ports.ts
+++ b/packages/proxy/src/ports.ts
@@ -283,6 +283,8 @@
     answered(endpoint: Endpoint, latencyMs: number): void;
     closed(endpoint: Endpoint, reason: string): void;
     silent(endpoint: Endpoint, forMs: number): void;
+    /** All connections are busy and none has answered for `forMs`: the endpoint is silent, or its statements are long. */
+    stalled(endpoint: Endpoint, forMs: number): void;
     /** Slots that this host has work for, after it changed. */
     slotsWanted(endpoint: Endpoint, wanted: number): void;
     served(record: ServiceRecord): void;
--- a/packages/proxy/tests/world.ts
+++ b/packages/proxy/tests/world.ts
@@ -156,6 +156,7 @@
     readonly network = new FakeNetwork();
     readonly records: ServiceRecord[] = [];
     readonly silent: string[] = [];
+    readonly stalled: string[] = [];
     readonly proxy: Proxy;
     databaseView: DatabaseView;
     databaseSettings: DatabaseSettings = {
@@ -201,6 +202,7 @@
                 answered: () => undefined,
                 closed: () => undefined,
                 silent: item => this.silent.push(item.id),
+                stalled: item => this.stalled.push(item.id),
                 slotsWanted: () => undefined,
                 served: record => this.records.push(record),
             },
