--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -97,7 +97,14 @@
         this.#waiting = this.#waiting.filter(request => request.id !== id);
     }
 
-    /** Refuses what can no longer make its deadline; to be called about every 10 ms while requests wait. */
+    /** The next time at which a waiting request can no longer make its deadline: `tick` is due just after it. */
+    wakeAt(): number | undefined {
+        return this.#waiting.length === 0
+            ? undefined
+            : Math.min(...this.#waiting.map(item => item.deadlineAt - this.#times.expected(item.costKey)));
+    }
+
+    /** Refuses what can no longer make its deadline. */
     tick(now: number): readonly AdmissionEffect[] {
         return this.#dispatch(now);
     }
