--- a/packages/agreement/tests/agreement.test.ts
+++ b/packages/agreement/tests/agreement.test.ts
@@ -92,6 +92,10 @@
         this.handle({ kind: "proposeMembers", requestId, members });
     }
 
+    get members(): Members {
+        return this.#agreement.members;
+    }
+
     role(): string | undefined {
         return this.effects.findLast(effect => effect.kind === "role")?.role;
     }
@@ -345,3 +349,46 @@
     member.receive("c", { ...reply, offset: 25, done: true });
     expect(member.take("append").at(-1)).toMatchObject({ previousIndex: 4 });
 });
+
+test("a received snapshot is acknowledged only when it is durable", () => {
+    const member = new Member();
+    member.isSlow = true;
+    const fields = { lastIndex: 9, lastTerm: 2, members: MEMBERS, offset: 0, data: PAYLOAD, done: true, sentAt: 0 };
+    member.receive("c", { kind: "snapshotChunk", term: 2, ...fields });
+    expect(member.sent).toEqual([]);
+    member.sync();
+    expect(member.take("snapshotReply")).toMatchObject([{ done: true, lastIndex: 9 }]);
+});
+
+test("an entry that replaces an unsynced one is not durable with the batch of the one replaced", () => {
+    const member = new Member();
+    member.isSlow = true;
+    member.receive("b", append(1, { entries: [entry(1, 1), entry(2, 1)] }));
+    const replaced = member.batch;
+    member.receive("c", append(2, { entries: [entry(1, 2), entry(2, 2)], commitIndex: 2 }));
+    member.handle({ kind: "persisted", batch: replaced });
+    expect(member.effects.some(effect => effect.kind === "commit")).toBe(false);
+    member.sync();
+    expect(member.effects.find(effect => effect.kind === "commit")?.entries).toEqual([entry(1, 2), entry(2, 2)]);
+});
+
+test("a change of the members that is replaced in the log is taken back", () => {
+    const member = new Member();
+    const members = { voters: ["a", "b"], learners: [] };
+    member.receive("b", append(1, { entries: [{ ...entry(1, 1), members }] }));
+    expect(member.members).toEqual(members);
+    member.receive("c", append(2, { entries: [entry(1, 2)] }));
+    expect(member.members).toEqual(MEMBERS);
+});
+
+test("a voter whose removal is not committed starts elections, and none after it is", () => {
+    const member = new Member();
+    const members = { voters: ["b", "c"], learners: [] };
+    const change = append(1, { entries: [{ ...entry(1, 1), members }] });
+    member.receive("b", change);
+    member.advance(600);
+    expect(member.take("preVote")).not.toEqual([]);
+    member.receive("b", { ...change, commitIndex: 1 });
+    member.advance(1_200);
+    expect(member.take("preVote")).toEqual([]);
+});
