Count reads and causes of refusals for the burn report

Cause: the record of a served request told neither whether it was a read nor why it was refused. Change: both are in the record; the counts of the burn report and the metrics use them.

--- a/packages/daemon/src/serving-host.ts
+++ b/packages/daemon/src/serving-host.ts
@@ -153,7 +153,8 @@
             metrics.count("request.done", 1, { ...tags, role: record.replica ? "replica" : "primary" });
         }
         else {
-            metrics.count(record.outcome === "notRun" ? "request.not_run" : "request.unknown", 1, tags);
+            const name = record.outcome === "notRun" ? "request.not_run" : "request.unknown";
+            metrics.count(name, 1, { ...tags, cause: record.cause ?? "other" });
         }
         if (!record.deadlineMet) {
             metrics.count("request.late", 1, tags);
@@ -172,14 +173,17 @@
 /** Turns what one request received into its contribution to the service level. */
 export function serviceCount(record: ServiceRecord): Partial<ServiceCount> {
     const done = record.outcome === "done";
+    const byCause = { [record.cause ?? "other"]: 1 };
     return {
         requests: 1,
         worth: record.worth,
         worthInTime: done && record.deadlineMet ? record.worth : 0,
-        replicaReads: done && record.replica ? 1 : 0,
-        late: record.deadlineMet ? 0 : 1,
+        reads: record.read ? 1 : 0,
+        replicaReads: record.read && done && record.replica ? 1 : 0,
+        freshReads: record.read && done ? 1 : 0,
+        late: done && !record.deadlineMet ? 1 : 0,
         retries: record.retries,
-        notRun: record.outcome === "notRun" ? { any: 1 } : {},
-        unknown: record.outcome === "unknown" ? { any: 1 } : {},
+        notRun: record.outcome === "notRun" ? byCause : {},
+        unknown: record.outcome === "unknown" ? byCause : {},
     };
 }
--- a/packages/proxy/src/execution.ts
+++ b/packages/proxy/src/execution.ts
@@ -377,7 +377,7 @@
     #end(outcome: Outcome, failure: Failure | undefined): void {
         const full = !this.#answer.flush();
         const lease = this.#lease;
-        this.#run?.record(this.#database, outcome);
+        this.#run?.record(this.#database, outcome, failure);
         this.#finishStage();
         if (full) {
             this.#host.callerFull();
--- a/packages/proxy/src/failure.ts
+++ b/packages/proxy/src/failure.ts
@@ -88,3 +88,9 @@
 
 /** Failures by how a request ended. */
 export const failures = { notRun, stateLost, cannotBePooled, unknown, rolledBack, interrupted };
+
+/** The reason of a failure without its outcome and its details, for counting. */
+export function causeOf(failure: Failure): string {
+    const [, reason] = failure.text.split(": ", 2);
+    return reason ?? failure.text;
+}
--- a/packages/proxy/src/ports.ts
+++ b/packages/proxy/src/ports.ts
@@ -270,7 +270,11 @@
     readonly database: string;
     readonly className: string;
     readonly worth: number;
+    /** The request reads and may run on a replica. */
+    readonly read: boolean;
     readonly outcome: Outcome;
+    /** Why the request was not done, without details. */
+    readonly cause: string | undefined;
     readonly latencyMs: number;
     readonly replica: boolean;
     readonly deadlineMet: boolean;
--- a/packages/proxy/src/run.ts
+++ b/packages/proxy/src/run.ts
@@ -1,4 +1,6 @@
 import type { DatabaseContext } from "./database-context.js";
+import { causeOf } from "./failure.js";
+import type { Failure } from "./failure.js";
 import type { Outcome, RequestClass } from "./ports.js";
 import { Outcome as Outcomes, StatementKind } from "./ports.js";
 import type { Request } from "./request-assembly.js";
@@ -41,7 +43,7 @@
         return this.plan.kind === StatementKind.Read && this.plan.executes && this.plan.tail;
     }
 
-    record(database: DatabaseContext, outcome: Outcome): void {
+    record(database: DatabaseContext, outcome: Outcome, failure: Failure | undefined): void {
         const { clock, events } = database.environment;
         const { name, worth, deadlineMs } = this.requestClass;
         const latencyMs = clock() - this.request.arrivedAt;
@@ -50,7 +52,9 @@
             database: database.name,
             className: name,
             worth,
+            read: this.plan.kind === StatementKind.Read && this.plan.executes,
             outcome,
+            cause: failure === undefined ? undefined : causeOf(failure),
             latencyMs,
             replica: done && this.replica,
             deadlineMet: done && latencyMs <= deadlineMs,
--- a/packages/telemetry/src/service-count.ts
+++ b/packages/telemetry/src/service-count.ts
@@ -1,17 +1,3 @@
-/** Why a request was not carried as asked. */
-export const Cause = {
-    Overload: "overload",
-    Deadline: "deadline",
-    NoPrimary: "noPrimary",
-    NoEndpoint: "noEndpoint",
-    LeaseLost: "leaseLost",
-    ConnectionLost: "connectionLost",
-    Session: "session",
-    Statement: "statement",
-    Draining: "draining",
-} as const;
-export type Cause = (typeof Cause)[keyof typeof Cause];
-
 /** Sums over requests of one database in one span of time. Worth is a plain number without unit. */
 export interface ServiceCount {
     readonly requests: number;
