Let replicas follow a new primary

After a failover the other replicas kept following the dead primary, since nothing but control reconfigures them.

followPrimary sets primary_conninfo and reloads, on endpoints in recovery only. The stand-in knows ALTER SYSTEM SET and RESET, SHOW primary_conninfo, and switches at the reload: it asks the server at that host and SQL port for its replication port, and keeps trying. Its control file can show a promotion late (checkpointMs), and it answers the form of the timeline that is exact on a primary besides the old one.

Without the escapes in the connection string, or without the E of the SQL literal, three of them fail; without the check of the role, one fails. PostgreSQL's parser (libpg-query) reads the intended value back from the statement.

--- a/packages/postgres/src/index.ts
+++ b/packages/postgres/src/index.ts
@@ -17,6 +17,7 @@
     EndpointHandler,
 } from "./endpoint-connection.js";
 export { fenceEndpoint, promoteEndpoint, readEndpoint, READING_SQL, START_SQL } from "./endpoint-control.js";
+export { connectionString, followPrimary } from "./follow-primary.js";
 export { describeFrameError, type Frame, type FrameError, FrameReader, HEADER_BYTES } from "./frame-reader.js";
 export { findFrontendFault } from "./frontend-check.js";
 export type { Column, Severity } from "./message-builders.js";
--- a/packages/testing/src/stand-in/executor.ts
+++ b/packages/testing/src/stand-in/executor.ts
@@ -23,6 +23,7 @@
     replayPosition: 3220,
     eitherPosition: 3220,
     timeline: 23,
+    checkpointTimeline: 23,
     systemIdentifier: BIGINT,
     promote: 16,
     reload: 16,
@@ -200,7 +201,8 @@
         server.isReplica ? sqlError("55000", "recovery is in progress") : formatPosition(server.store.position),
     replayPosition: (server) => server.replayPosition === undefined ? undefined : formatPosition(server.replayPosition),
     eitherPosition: (server) => formatPosition(server.store.position),
-    timeline: (server) => String(server.store.timeline),
+    timeline: (server) => String(server.isReplica ? server.checkpointTimeline : server.store.timeline),
+    checkpointTimeline: (server) => String(server.checkpointTimeline),
     systemIdentifier: (server) => server.systemIdentifier,
     promote: (server) => {
         if (!server.isReplica) {
--- a/packages/testing/src/stand-in/replication.ts
+++ b/packages/testing/src/stand-in/replication.ts
@@ -15,6 +15,9 @@
     | { readonly kind: "start"; readonly position: number; readonly history: readonly Fork[]; }
     | { readonly kind: "records"; readonly records: readonly LogRecord[]; };
 
+/** Finds a primary's log; undefined when it cannot be found now. */
+export type Locate = () => Promise<ReplicationAddress | undefined>;
+
 const RECONNECT_MS = 50;
 const LENGTH_BYTES = HEADER_BYTES - 1;
 const packr = new Packr({ useRecords: false });
@@ -107,7 +110,9 @@
  */
 export class ReplicationLink {
     readonly #store: Store;
-    readonly #address: ReplicationAddress;
+    readonly #locate: Locate;
+    /** Kept for as long as it accepts connections, so that a retry needs no query. */
+    #address: ReplicationAddress | undefined;
     readonly #lagMs: () => number;
     #waiting: { readonly record: LogRecord; readonly arrivedAt: number; }[] = [];
     #socket: Socket | undefined;
@@ -115,11 +120,11 @@
     #retry: NodeJS.Timeout | undefined;
     #stopped = false;
 
-    constructor(store: Store, address: ReplicationAddress, lagMs: () => number) {
+    constructor(store: Store, locate: Locate, lagMs: () => number) {
         this.#store = store;
-        this.#address = address;
+        this.#locate = locate;
         this.#lagMs = lagMs;
-        this.#connect();
+        void this.#connect();
     }
 
     /** Drops records that wait. */
@@ -151,20 +156,34 @@
         }
     }
 
-    #connect(): void {
-        const socket = connect({ ...this.#address, noDelay: true });
+    async #connect(): Promise<void> {
+        const address = this.#address ?? await this.#locate();
+        if (this.#stopped) {
+            return;
+        }
+        if (address === undefined) {
+            this.#connectLater();
+            return;
+        }
+        const socket = connect({ ...address, noDelay: true });
         this.#socket = socket;
+        this.#address = undefined;
         receive(socket, (message) => this.#take(message));
         socket.once("connect", () => {
+            this.#address = address;
             send(socket, { kind: "follow", position: this.#store.position, history: this.#store.history });
         });
         socket.once("close", () => {
             if (!this.#stopped) {
-                this.#retry = setTimeout(() => this.#connect(), RECONNECT_MS);
+                this.#connectLater();
             }
         });
     }
 
+    #connectLater(): void {
+        this.#retry = setTimeout(() => void this.#connect(), RECONNECT_MS);
+    }
+
     #take(message: ReplicationMessage): void {
         if (this.#stopped) {
             return;
--- a/packages/testing/src/stand-in/stand-in-endpoint.ts
+++ b/packages/testing/src/stand-in/stand-in-endpoint.ts
@@ -25,6 +25,8 @@
     /** Time that each statement on tables takes. */
     readonly statementMs?: number;
     readonly lagMs?: number;
+    /** Time from a promotion until the control file shows its timeline, as PostgreSQL's does after a checkpoint. */
+    readonly checkpointMs?: number;
     /** Starts as a replica of this primary. */
     readonly follow?: ReplicationAddress;
     readonly announce?: AnnouncementSettings;
@@ -73,6 +75,7 @@
             slots: options.slots ?? 2,
             statementMs: options.statementMs ?? 0,
             lagMs: options.lagMs ?? 0,
+            checkpointMs: options.checkpointMs ?? 0,
         });
         this.#control = new ControlServer(this);
         this.#callers = new CallerServer({
--- a/packages/testing/src/stand-in/statement-runner.ts
+++ b/packages/testing/src/stand-in/statement-runner.ts
@@ -120,6 +120,9 @@
                 if (this.#transaction?.explicit === true) {
                     return sqlError("25001", "ALTER SYSTEM cannot run inside a transaction block");
                 }
+                if (statement.value?.includes("\n") === true) {
+                    return sqlError("22023", "parameter value for ALTER SYSTEM must not contain a newline");
+                }
                 this.#host.setPending(statement.name, statement.value);
                 return { kind: "result", tag: "ALTER SYSTEM" };
             case "discardAll":
@@ -156,9 +159,7 @@
     }
 
     #show(name: string): Outcome {
-        const value = name === "transaction_read_only" || name === "default_transaction_read_only"
-            ? (this.#host.isReadOnly || this.#host.isReplica ? "on" : "off")
-            : this.#settings.get(name);
+        const value = this.#host.show(name) ?? this.#settings.get(name);
         return value === undefined
             ? sqlError("42704", `unrecognized configuration parameter "${name}"`)
             : { kind: "result", tag: "SHOW", columns: [{ name, typeId: 25 }], rows: [[value]] };
--- a/packages/testing/src/stand-in/statements.ts
+++ b/packages/testing/src/stand-in/statements.ts
@@ -32,7 +32,7 @@
     | { readonly kind: "rollback"; }
     | { readonly kind: "set"; readonly name: string; readonly value: string; }
     | { readonly kind: "show"; readonly name: string; }
-    | { readonly kind: "alterSystem"; readonly name: string; readonly value: string; }
+    | { readonly kind: "alterSystem"; readonly name: string; readonly value: string | undefined; }
     | { readonly kind: "discardAll"; }
     | { readonly kind: "deallocate"; readonly name: string | undefined; };
 
@@ -42,6 +42,7 @@
     | "replayPosition"
     | "eitherPosition"
     | "timeline"
+    | "checkpointTimeline"
     | "systemIdentifier"
     | "promote"
     | "reload";
@@ -66,7 +67,12 @@
         "eitherPosition",
         "case",
     ],
-    [/^\(?pg_control_checkpoint\(\)\)?(\.timeline_id)?$/i, "timeline", "timeline_id"],
+    [/^\(?pg_control_checkpoint\(\)\)?(\.timeline_id)?$/i, "checkpointTimeline", "timeline_id"],
+    [
+        /^case when pg_is_in_recovery\(\) then \(pg_control_checkpoint\(\)\)\.timeline_id else \('x' \|\| left\(pg_walfile_name\(pg_current_wal_insert_lsn\(\)\), 8\)\)::bit\(32\)::int end$/i,
+        "timeline",
+        "case",
+    ],
     [/^\(?pg_control_system\(\)\)?(\.system_identifier)?$/i, "systemIdentifier", "system_identifier"],
     [/^pg_promote\([^)]*\)$/i, "promote", "pg_promote"],
     [/^pg_reload_conf\(\)$/i, "reload", "pg_reload_conf"],
@@ -113,6 +119,10 @@
         form(String.raw`alter system set ([\w.]+) ?(?:=| to ) ?(.+)`),
         ([, name, value]) => ({ kind: "alterSystem", name: lower(name), value: unquote(value) }),
     ],
+    [
+        form(String.raw`alter system reset ([\w.]+)`),
+        ([, name]) => ({ kind: "alterSystem", name: lower(name), value: undefined }),
+    ],
     [form(String.raw`show ([\w.]+)`), ([, name]) => ({ kind: "show", name: lower(name) })],
     [form("discard all"), () => ({ kind: "discardAll" })],
     [
@@ -131,6 +141,9 @@
 
 function unquote(text: string | undefined): string {
     const trimmed = (text ?? "").trim();
+    if (/^e'.*'$/is.test(trimmed)) {
+        return trimmed.slice(2, -1).replace(/''|\\(.)/gs, (_, escaped: string | undefined) => escaped ?? "'");
+    }
     return /^'.*'$/s.test(trimmed) ? trimmed.slice(1, -1).replaceAll("''", "'") : trimmed;
 }
 
