Carry out the order to follow the new primary

Cause: replicas stayed on the dead primary after a failover. Change: the daemon sends primary_conninfo to the other endpoints when control orders it.

--- a/packages/daemon/src/host-process.ts
+++ b/packages/daemon/src/host-process.ts
@@ -1,4 +1,11 @@
-import { fenceEndpoint, PostgresConnector, promoteEndpoint, readEndpoint } from "@medlarledge/postgres";
+import {
+    type Credentials,
+    fenceEndpoint,
+    followPrimary,
+    PostgresConnector,
+    promoteEndpoint,
+    readEndpoint,
+} from "@medlarledge/postgres";
 import type { Endpoint, Host, Message } from "@medlarledge/protocol";
 import { formatFinding, type HostSettings } from "@medlarledge/settings";
 import { type Log, Metrics } from "@medlarledge/telemetry";
@@ -67,10 +74,7 @@
             address: settings.statsdAddress,
         });
         this.#configuration = new ConfigurationHolder(settings.dataFolder);
-        this.#connector = new PostgresConnector(() => ({
-            user: settings.endpointUser,
-            password: settings.endpointPassword,
-        }));
+        this.#connector = new PostgresConnector(() => this.#credentials());
         const listed = settings.control.map(member => member.id);
         this.#reporter = new ServiceReporter(listed, (to, message) => this.#send(to, message));
         this.#entry = this.#buildEntry(listed);
@@ -218,6 +222,9 @@
             fence: async (endpoint, timeoutMs) => {
                 await fenceEndpoint(this.#connector, endpoint, timeoutMs);
             },
+            follow: async (endpoint, primary, timeoutMs) => {
+                await followPrimary(this.#connector, endpoint, primary, this.#credentials(), timeoutMs);
+            },
         };
         return new ControlHost({
             self: this.#self,
@@ -251,6 +258,10 @@
         });
     }
 
+    #credentials(): Credentials {
+        return { user: this.#settings.endpointUser, password: this.#settings.endpointPassword };
+    }
+
     #connectToControl(): void {
         const isControl = this.#control !== undefined;
         for (const { id, address } of this.#settings.control) {
--- a/packages/testing/src/quickstart/quickstart.ts
+++ b/packages/testing/src/quickstart/quickstart.ts
@@ -119,10 +119,6 @@
     const current = after.databases.find(database => database.database === DATABASE);
     step(`${current?.primary ?? "nobody"} is the primary of term ${current?.term ?? 0}`);
     const next = cluster.endpoints(DATABASE).find(endpoint => endpoint.id === current?.primary);
-    const others = cluster.endpoints(DATABASE).filter(endpoint => endpoint.running && endpoint !== next);
-    if (next !== undefined) {
-        await Promise.all(others.map(endpoint => endpoint.follow(next)));
-    }
     for (let index = 0; index < WRITES_AFTER; index++) {
         findings.results.push(await write(writer, `after-${index}`));
     }
