End the fencing at a promotion, and read the exact timeline

A former primary that was fenced, rejoined as replica and promoted again kept default_transaction_read_only = on and refused the writes of its new term. The timeline came from the control file, which keeps the old one until the checkpoint after a promotion.

promoteEndpoint resets the setting before pg_promote(): a reload takes effect with a delay, and a replica refuses writes anyway. A primary stays as it is, fenced or not. READING_SQL and START_SQL take a primary's timeline from the name of its log file.

Two tests; each fails without its change.

--- a/packages/postgres/src/endpoint-control.ts
+++ b/packages/postgres/src/endpoint-control.ts
@@ -3,15 +3,22 @@
 import { type Row, ShortConnection } from "./short-connection.js";
 
 /**
- * Role, timeline, position and identity in one answer. The CASE keeps pg_current_wal_insert_lsn(), which fails during
- * recovery, from being evaluated on a replica.
+ * After a promotion the control file keeps the old timeline until the next checkpoint. The name of the current log
+ * file begins with the timeline in 8 hexadecimal digits and is exact on a primary.
  */
-export const READING_SQL = "SELECT pg_is_in_recovery(), (pg_control_checkpoint()).timeline_id, "
+const TIMELINE_SQL = "CASE WHEN pg_is_in_recovery() THEN (pg_control_checkpoint()).timeline_id "
+    + "ELSE ('x' || left(pg_walfile_name(pg_current_wal_insert_lsn()), 8))::bit(32)::int END";
+
+/**
+ * Role, timeline, position and identity in one answer. CASE keeps pg_current_wal_insert_lsn() and pg_walfile_name(),
+ * which fail during recovery, from being evaluated on a replica.
+ */
+export const READING_SQL = `SELECT pg_is_in_recovery(), ${TIMELINE_SQL}, `
     + "CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn() ELSE pg_current_wal_insert_lsn() END, "
     + "(pg_control_system()).system_identifier";
 
 /** As `READING_SQL`, with the position at which a promoted replica stopped replaying; NULL if it never was a replica. */
-export const START_SQL = "SELECT pg_is_in_recovery(), (pg_control_checkpoint()).timeline_id, "
+export const START_SQL = `SELECT pg_is_in_recovery(), ${TIMELINE_SQL}, `
     + "pg_last_wal_replay_lsn(), (pg_control_system()).system_identifier";
 
 /** Reads an endpoint's role, timeline, position and identity; undefined when it does not answer in time. */
@@ -25,7 +32,7 @@
 
 /**
  * Makes a replica the primary and reads it. The position of the result is the start of the new term: the last record
- * replayed. A primary is not changed, only read. The result may still say replica, when the promotion did not finish;
+ * replayed. A fencing of its time as a former primary ends. A primary is not changed, only read. The result may still say replica, when the promotion did not finish;
  * undefined means that the endpoint did not answer, and the promotion may have happened.
  */
 export function promoteEndpoint(
@@ -36,6 +43,10 @@
     return ShortConnection.use(connector, endpoint, timeoutMs, async (connection) => {
         const before = await read(connection, READING_SQL);
         if (before?.role === EndpointRole.Replica) {
+            // Before the promotion, because a reload takes effect with a delay and the new term must accept writes. A
+            // replica refuses writes anyway. A fenced primary stays fenced.
+            await connection.query("ALTER SYSTEM RESET default_transaction_read_only");
+            await connection.query("SELECT pg_reload_conf()");
             const seconds = Math.max(1, Math.ceil(timeoutMs / 1_000));
             await connection.query(`SELECT pg_promote(true, ${seconds})`);
         }
