Let a waiting write notice that a replica follows the new primary

Cause: a write that waits for a replica polls positions every 2 ms, so the slower reading that tells the timeline never became due, and a replica that had begun to follow the new primary was not counted until the deadline. Ruled out: the order to follow (the replica's own status showed the new timeline within 60 ms). Change: replicas on another timeline are polled with the full reading.

--- a/packages/proxy/src/database-context.ts
+++ b/packages/proxy/src/database-context.ts
@@ -303,7 +303,10 @@
                 continue;
             }
             this.#asked.add(id);
-            const started = this.#read(id, replicaPosition, () => undefined, () => {
+            // A replica that has just begun to follow the new primary is read in full, to learn its timeline.
+            const current = this.positions.replica(id)?.timeline === this.#view?.terms.at(-1)?.timeline;
+            const query = current ? replicaPosition : combinedReading;
+            const started = this.#read(id, query, () => undefined, () => {
                 this.#asked.delete(id);
             });
             if (!started) {
--- a/packages/proxy/tests/answer-release.test.ts
+++ b/packages/proxy/tests/answer-release.test.ts
@@ -102,6 +102,22 @@
         await world.advance(1_000);
         expect(caller.take()).toEqual(["E:ML002", "Z:I"]);
     });
+
+    // The waiting write polls positions without the timeline; nothing else would read the replica meanwhile.
+    it("notices that a replica has begun to follow the new primary while it waits", async () => {
+        const world = new World(["a", "b"]);
+        world.databaseSettings = { ...world.databaseSettings, acknowledge: "replica" };
+        const caller = world.caller();
+        world.server("b").timeline = 7;
+        world.server("b").position = 500;
+        await world.advance(200);
+        caller.query("INSERT 1");
+        await world.advance(50);
+        expect(caller.take()).toEqual([]);
+        world.server("b").timeline = 1;
+        await world.advance(20);
+        expect(caller.take()).toEqual(["C:INSERT 0 1", "Z:I"]);
+    });
 });
 
 describe("the session's floor", () => {
--- a/packages/testing/src/quickstart/quickstart.ts
+++ b/packages/testing/src/quickstart/quickstart.ts
@@ -137,7 +137,8 @@
         }
         await new Promise(resolve => setTimeout(resolve, 5));
     }
-    throw new Error("no write was accepted after the primary was killed");
+    const last = findings.results.at(-1);
+    throw new Error(`no write was accepted after the primary was killed; the last one: ${last?.text ?? ""}`);
 }
 
 /** Keeps the last session token that the proxy reported to a client. */
