--- a/packages/proxy/src/execution.ts
+++ b/packages/proxy/src/execution.ts
@@ -1,4 +1,4 @@
-import type { Floor, Position } from "@medlarledge/protocol";
+import type { Position } from "@medlarledge/protocol";
 import { Answer } from "./answer.js";
 import type { AttemptListener } from "./attempt-start.js";
 import { Attempt } from "./attempt.js";
@@ -7,10 +7,11 @@
 import type { ExecutionHost } from "./execution-host.js";
 import type { Failure } from "./failure.js";
 import { failures } from "./failure.js";
-import { abandon, hasOpenTransaction, refusalOfKept } from "./lease.js";
+import { FloorReport } from "./floor-report.js";
+import { abandon, cancelStatement, hasOpenTransaction, refusalOfKept } from "./lease.js";
 import type { Lease } from "./lease.js";
 import { TransactionStatus } from "./message-type.js";
-import { errorResponse, parameterStatus, primaryPosition, readyForQuery, replicaPosition } from "./messages.js";
+import { errorResponse, primaryPosition, readyForQuery, replicaPosition } from "./messages.js";
 import type { Frame, RequestClass, TokenCodec } from "./ports.js";
 import { Outcome } from "./ports.js";
 import type { StatementNames } from "./prepared-statements.js";
@@ -28,7 +29,7 @@
 export class Execution implements AttemptListener, WriteReleaseListener {
     readonly #host: ExecutionHost;
     readonly #database: DatabaseContext;
-    readonly #tokens: TokenCodec;
+    readonly #floorReport: FloorReport;
     readonly #names: StatementNames;
     readonly #answer: Answer;
     readonly #attempt: Attempt;
@@ -38,13 +39,11 @@
     #run: Run | undefined;
     #lease: Lease | undefined;
     #cancelDeadline: (() => void) | undefined;
-    /** The floor that the caller was last told. */
-    #reported: Floor | undefined;
 
     constructor(host: ExecutionHost, database: DatabaseContext, tokens: TokenCodec, names: StatementNames) {
         this.#host = host;
         this.#database = database;
-        this.#tokens = tokens;
+        this.#floorReport = new FloorReport(database.name, host.session, tokens);
         this.#names = names;
         this.#answer = new Answer(host.caller);
         this.#attempt = new Attempt(this.#answer, new RequestWriter(names, host.statements), this);
@@ -135,10 +134,7 @@
         if (this.#stage !== "running" || lease === undefined || !this.#attempt.running) {
             return false;
         }
-        const { endpoint, processId, secretKey } = lease.connection.wire;
-        // The request may arrive late: nobody else may use the connection after it.
-        lease.connection.unfit = true;
-        this.#database.environment.connector.cancel(endpoint, processId, secretKey).catch(() => undefined);
+        cancelStatement(lease, this.#database.environment.connector);
         return true;
     }
 
@@ -284,15 +280,6 @@
         }
     }
 
-    /** Tells the caller its floor when it changed since it was last told. */
-    #reportFloor(): void {
-        const floor = this.#host.session.floor();
-        if (floor !== undefined && floor !== this.#reported) {
-            this.#reported = floor;
-            this.#answer.push(parameterStatus("medlarledge.session", this.#tokens.encode(this.#database.name, floor)));
-        }
-    }
-
     #expire(): void {
         this.#cancelDeadline = undefined;
         if (this.#stage === "choosing") {
@@ -351,7 +338,7 @@
 
     #finish(): void {
         this.#answer.unhold();
-        this.#reportFloor();
+        this.#floorReport.push(this.#answer);
         this.#answer.push(this.#attempt.ready ?? readyForQuery(TransactionStatus.Idle));
         this.#end(Outcome.Done, undefined);
     }
@@ -366,7 +353,7 @@
             lease.pool.discard(lease.connection, true);
         }
         this.#answer.drop();
-        this.#reportFloor();
+        this.#floorReport.push(this.#answer);
         this.#answer.push(errorResponse(failure.code, failure.text));
         if (this.#run?.request.complete === true) {
             this.#answer.push(readyForQuery(status));
--- a/packages/proxy/src/lease.ts
+++ b/packages/proxy/src/lease.ts
@@ -4,6 +4,7 @@
 import { TransactionStatus } from "./message-type.js";
 import type { PoolConnection } from "./pool-connection.js";
 import type { Pool } from "./pool.js";
+import type { EndpointConnector } from "./ports.js";
 import type { RequestPlan } from "./request-plan.js";
 
 /** A connection that a request or a caller uses, and where it goes back to. */
@@ -56,3 +57,11 @@
         pool.discard(connection, true, ABANDONED_WRITE_MS);
     }
 }
+
+/** Asks the endpoint to stop the statement that runs on the connection. */
+export function cancelStatement(lease: Lease, connector: EndpointConnector): void {
+    const { endpoint, processId, secretKey } = lease.connection.wire;
+    // The request may arrive late: nobody else may use the connection after it.
+    lease.connection.unfit = true;
+    connector.cancel(endpoint, processId, secretKey).catch(() => undefined);
+}
--- a/packages/proxy/tests/transaction.test.ts
+++ b/packages/proxy/tests/transaction.test.ts
@@ -70,6 +70,32 @@
     });
 });
 
+describe("a read whose connection is lost", () => {
+    it("is not repeated outside of its transaction", async () => {
+        const { world, caller } = await open();
+        caller.query("SELECT 1");
+        await world.settle();
+        world.busy()[0]!.cut();
+        await world.advance(50);
+        expect(caller.take()).toEqual(["E:40001", "Z:E"]);
+        expect(world.server().executed).not.toContain("SELECT 1");
+    });
+
+    it("is not repeated when part of its request was sent before its end arrived", async () => {
+        const world = new World();
+        world.requestClass = { ...world.requestClass, repeatable: true };
+        const caller = world.caller();
+        await world.run();
+        caller.write(extended.parse("", "SELECT 1"), extended.flush());
+        await world.settle();
+        world.busy()[0]!.cut();
+        await world.advance(50);
+        caller.write(extended.bind(""), extended.execute(), extended.sync());
+        await world.advance(50);
+        expect(caller.take()).toEqual(["E:ML002", "Z:I"]);
+    });
+});
+
 describe("COMMIT AND CHAIN", () => {
     it("is acknowledged after the position was read over another connection", async () => {
         const { world, caller } = await open();
