--- a/packages/proxy/src/database-context.ts
+++ b/packages/proxy/src/database-context.ts
@@ -159,8 +159,10 @@
         if (known !== undefined && known === this.#view?.terms.at(-1)?.timeline) {
             this.replicas.observe(position, term);
         }
-        for (const request of [...this.waitingForPosition]) {
-            request.positionChanged();
+        if (this.waitingForPosition.size > 0) {
+            for (const request of [...this.waitingForPosition]) {
+                request.positionChanged();
+            }
         }
     }
 
--- a/packages/proxy/src/endpoint-choice.ts
+++ b/packages/proxy/src/endpoint-choice.ts
@@ -251,7 +251,7 @@
         switch (decision.kind) {
             case "wait":
                 this.#database.waitingForPosition.add(this);
-                this.#wait(Math.max(1, decision.untilMs - now));
+                this.#wait(this.#waitMs(decision.untilMs - now));
                 return;
             case "refuse":
                 this.#routeRefused(decision.reason);
@@ -262,6 +262,15 @@
         }
     }
 
+    /** Endpoints that failed may be back before the router's time; they are tried again after a short pause. */
+    #waitMs(routerMs: number): number {
+        if (this.#tried.length === 0) {
+            return Math.max(1, routerMs);
+        }
+        this.#tried = [];
+        return Math.max(1, Math.min(RETRY_MS, routerMs));
+    }
+
     #routeRefused(reason: string): void {
         if (reason === "deadline") {
             this.#refuse("the deadline passed");
--- a/packages/proxy/src/prepared-statements.ts
+++ b/packages/proxy/src/prepared-statements.ts
@@ -2,6 +2,7 @@
 import type { Classification, Classifier } from "./ports.js";
 
 const MAX_SHARED_NAMES = 10_000;
+const MAX_SHARED_BYTES = 32 << 20;
 const MAX_PER_CONNECTION = 200;
 /** Names of callers with this prefix are not passed on, so that no caller reaches a shared statement by its name. */
 export const SHARED_PREFIX = "medlarledge_";
@@ -20,6 +21,7 @@
     readonly #classifier: Classifier;
     readonly #known = new Map<string, Statement>();
     #last = 0;
+    #bytes = 0;
 
     constructor(classifier: Classifier) {
         this.#classifier = classifier;
@@ -40,15 +42,22 @@
             text,
             classification: this.#classifier.classify(text),
         };
-        if (this.#known.size >= MAX_SHARED_NAMES) {
-            const oldest = this.#known.keys().next();
-            if (oldest.done !== true) {
-                this.#known.delete(oldest.value);
-            }
-        }
         this.#known.set(key, statement);
+        this.#bytes += key.length;
+        this.#evict();
         return statement;
     }
+
+    /** Forgets the oldest names; who still holds such a statement keeps its name. */
+    #evict(): void {
+        for (const key of this.#known.keys()) {
+            if (this.#known.size <= MAX_SHARED_NAMES && this.#bytes <= MAX_SHARED_BYTES) {
+                return;
+            }
+            this.#known.delete(key);
+            this.#bytes -= key.length;
+        }
+    }
 }
 
 /** The prepared statements of one caller, by the caller's own names; the unnamed statement has the empty name. */
--- a/packages/proxy/tests/drain-cancel.test.ts
+++ b/packages/proxy/tests/drain-cancel.test.ts
@@ -62,6 +62,17 @@
         expect(session.open).toBe(false);
     });
 
+    it("that stops the position query instead of the write does not leave the outcome open", async () => {
+        const world = new World();
+        const caller = world.caller();
+        await world.run();
+        caller.query("INSERT 1");
+        world.server().lateCancel = true;
+        await world.run();
+        expect(caller.take()).toEqual(["C:INSERT 0 1", "Z:I"]);
+        expect(caller.token).toBe("1:110");
+    });
+
     it("does not reach a connection that meanwhile serves somebody else", async () => {
         const world = new World();
         world.limit = 1;
--- a/packages/proxy/tests/fake-server.ts
+++ b/packages/proxy/tests/fake-server.ts
@@ -199,6 +199,10 @@
             return [rowDescription("x"), readingRow(this.server), commandComplete("SELECT 1")];
         }
         if (sql.includes("pg_current_wal_insert_lsn")) {
+            if (this.server.lateCancel) {
+                this.server.lateCancel = false;
+                return this.#fail("57014");
+            }
             return this.server.replica ? this.#fail("55000") : row(formatPosition(this.server.position));
         }
         if (sql.includes("pg_last_wal_replay_lsn")) {
@@ -267,6 +271,8 @@
     timeline = 1;
     transactions = 0;
     reachable = true;
+    /** A cancel request that arrives late stops the next position query. */
+    lateCancel = false;
     opened = 0;
     mostSessions = 0;
 
--- a/packages/proxy/tests/write-loss.test.ts
+++ b/packages/proxy/tests/write-loss.test.ts
@@ -122,6 +122,17 @@
         expect(world.records[0]).toMatchObject({ replica: false, retries: 1, outcome: "done" });
     });
 
+    it("runs when the only endpoint is back before its deadline", async () => {
+        const world = new World();
+        world.server().reachable = false;
+        const caller = world.caller();
+        caller.query("SELECT 1");
+        await world.advance(300);
+        world.server().reachable = true;
+        await world.advance(600);
+        expect(caller.take()).toEqual(["T", "D:SELECT 1", "C:SELECT 1", "Z:I"]);
+    });
+
     it("is not repeated once rows were sent", async () => {
         const { world, caller } = await started("SELECT 1");
         const [session] = world.busy();
