Tell the slot holder how many statements run

Cause: the number of running statements was guessed from the grant, so after a grant had expired a host reported that it held nothing while its statements still ran, and the slots could be granted twice. Change: the pool reports wanted and running; both go into the request for slots.

--- a/packages/daemon/src/host-process.ts
+++ b/packages/daemon/src/host-process.ts
@@ -159,8 +159,7 @@
             metrics: this.#metrics,
             observed: (endpoint, outcome) => this.#entry.observed(endpoint, outcome),
             stalled: endpoint => void this.#entry.probe(endpoint),
-            slotsWanted: (endpoint, wanted) =>
-                this.#slots.wanted(endpoint, wanted, Math.min(wanted, this.#slots.slots(endpoint))),
+            slotsWanted: (endpoint, wanted, running) => this.#slots.wanted(endpoint, wanted, running),
             served: (database, count) => this.#reporter.add(database, count),
             forwardCancel: (processId, secretKey) => this.#forwardCancel(processId, secretKey),
         });
--- a/packages/daemon/src/serving-host.ts
+++ b/packages/daemon/src/serving-host.ts
@@ -28,7 +28,7 @@
     readonly observed: (endpoint: Endpoint, outcome: "ok" | "closed" | "timeout") => void;
     /** The pool alone cannot tell whether the endpoint is silent. */
     readonly stalled: (endpoint: Endpoint) => void;
-    readonly slotsWanted: (endpoint: Endpoint, wanted: number) => void;
+    readonly slotsWanted: (endpoint: Endpoint, wanted: number, running: number) => void;
     readonly served: (database: string, count: Partial<ServiceCount>) => void;
     /** Passes a cancel request on that is not for a caller of this host. */
     readonly forwardCancel: (processId: number, secretKey: number) => void;
@@ -139,7 +139,7 @@
                 observed(endpoint, "timeout");
             },
             stalled: endpoint => stalled(endpoint),
-            slotsWanted: (endpoint, wanted) => slotsWanted(endpoint, wanted),
+            slotsWanted,
             served: record => this.#served(record),
         };
     }
--- a/packages/proxy/src/database-context.ts
+++ b/packages/proxy/src/database-context.ts
@@ -249,8 +249,8 @@
                 this.health.answered(endpoint.id, latencyMs, clock());
                 events.answered(endpoint, latencyMs);
             },
-            onSlotsWanted: wanted => {
-                events.slotsWanted(endpoint, wanted);
+            onSlotsWanted: (wanted, running) => {
+                events.slotsWanted(endpoint, wanted, running);
             },
         });
     }
--- a/packages/proxy/src/pool-queue.ts
+++ b/packages/proxy/src/pool-queue.ts
@@ -8,7 +8,8 @@
     readonly admission: Admission;
     readonly clock: () => number;
     readonly schedule: (delayMs: number, callback: () => void) => () => void;
-    readonly wanted: (slots: number) => void;
+    /** Requests that run or wait, and those that run, after either number changed. */
+    readonly wanted: (wanted: number, running: number) => void;
     /** An admitted request now waits for a connection. */
     readonly admitted: () => void;
 }
@@ -21,6 +22,7 @@
     readonly #ids = new Map<PoolWaiter, number>();
     #lastId = 0;
     #lastWanted = 0;
+    #lastRunning = 0;
     #cancelTick: (() => void) | undefined;
 
     constructor(options: PoolQueueOptions) {
@@ -108,16 +110,21 @@
                 waiter.refused(effect.reason === "deadline" ? "deadline" : "queueFull");
             }
         }
-        const wanted = this.#options.admission.wanted;
-        if (wanted !== this.#lastWanted) {
-            this.#lastWanted = wanted;
-            this.#options.wanted(wanted);
-        }
+        this.#reportWanted();
         if (admitted) {
             this.#options.admitted();
         }
     }
 
+    #reportWanted(): void {
+        const { wanted, running } = this.#options.admission;
+        if (wanted !== this.#lastWanted || running !== this.#lastRunning) {
+            this.#lastWanted = wanted;
+            this.#lastRunning = running;
+            this.#options.wanted(wanted, running);
+        }
+    }
+
     #scheduleTick(): void {
         if (this.#cancelTick !== undefined || this.#options.admission.waiting === 0) {
             return;
--- a/packages/proxy/src/pool.ts
+++ b/packages/proxy/src/pool.ts
@@ -36,7 +36,7 @@
     readonly limit: () => number;
     readonly onClosed: (reason: string) => void;
     readonly onAnswered: (latencyMs: number) => void;
-    readonly onSlotsWanted: (wanted: number) => void;
+    readonly onSlotsWanted: (wanted: number, running: number) => void;
 }
 
 const WARM_CONNECTIONS = 2;
--- a/packages/proxy/src/ports.ts
+++ b/packages/proxy/src/ports.ts
@@ -289,8 +289,8 @@
     silent(endpoint: Endpoint, forMs: number): void;
     /** All connections are busy and none has answered for `forMs`: the endpoint is silent, or its statements are long. */
     stalled(endpoint: Endpoint, forMs: number): void;
-    /** Slots that this host has work for, after it changed. */
-    slotsWanted(endpoint: Endpoint, wanted: number): void;
+    /** Statements that run or wait here and those that run, after either number changed. */
+    slotsWanted(endpoint: Endpoint, wanted: number, running: number): void;
     served(record: ServiceRecord): void;
 }
 
