Replace a primary that leaves by a replica that has caught up

Cause: a leaving endpoint gets no new work, but a leaving primary stayed primary until it had left, so its database accepted no writes meanwhile. Change: 500 ms after a primary announced that it leaves, its term is revoked, and a replica at or beyond its position is promoted; while none is, the database waits and the status names the replicas.

--- a/packages/control/src/candidate.ts
+++ b/packages/control/src/candidate.ts
@@ -42,6 +42,10 @@
         reading.role === EndpointRole.Replica || (begun?.start === undefined && begun?.primary === endpoint.id)
     );
     const missing = durability === "replica" ? unanswered(question, replicas) : [];
+    const behind = behindLeaving(question, present, former, candidates);
+    if (behind !== undefined) {
+        return { kind: "wait", missing: behind };
+    }
     const best = missing.length > 0 ? undefined : bestOf(candidates, durability, question.failed);
     if (best !== undefined) {
         return { kind: "chosen", endpoint: best.endpoint.id };
@@ -50,6 +54,27 @@
         ?? { kind: "wait", missing: missing.length > 0 ? missing : present.map(({ id }) => id) };
 }
 
+/**
+ * A primary that leaves in order still answers, so nothing it holds needs to be lost: names the replicas to wait for
+ * while none of them has reached its position.
+ */
+function behindLeaving(
+    question: CandidateQuestion,
+    present: readonly RegisteredEndpoint[],
+    former: string,
+    candidates: readonly Candidate[],
+): readonly string[] | undefined {
+    const leaving = present.find(({ id, state }) => id === former && state === EndpointState.Leaving);
+    const reading = leaving === undefined ? undefined : candidateOf(question, leaving)[0]?.reading;
+    if (reading?.role !== EndpointRole.Primary) {
+        return undefined;
+    }
+    const active = candidates.filter(({ endpoint }) => endpoint.state === EndpointState.Active);
+    return active.some((candidate) => candidate.reading.position >= reading.position)
+        ? undefined
+        : active.map(({ endpoint }) => endpoint.id);
+}
+
 /** Before the first term has started nothing tells which data is the right one, so only a sole primary will do. */
 function solePrimary(question: CandidateQuestion): CandidateAnswer {
     const { view } = question;
--- a/packages/control/src/failover.ts
+++ b/packages/control/src/failover.ts
@@ -1,4 +1,4 @@
-import { type DatabaseView, type EndpointReading, EndpointRole, type Term } from "@medlarledge/protocol";
+import { type DatabaseView, type EndpointReading, EndpointRole, EndpointState, type Term } from "@medlarledge/protocol";
 import { chooseCandidate } from "./candidate.js";
 import { EndpointReadings } from "./endpoint-readings.js";
 import { FailoverStep } from "./failover-step.js";
@@ -147,8 +147,11 @@
         });
     }
 
+    /** A failed primary is not waited for; one that leaves in order tells how far the replicas must be. */
     #allAnswered(context: LeaderContext): boolean {
-        return this.#present(context).every(({ id }) => id === this.#former || this.#readings.isSettled(id));
+        return this.#present(context).every(({ id, state }) =>
+            (id === this.#former && state !== EndpointState.Leaving) || this.#readings.isSettled(id)
+        );
     }
 
     #choose(context: LeaderContext): void {
--- a/packages/control/src/leader.ts
+++ b/packages/control/src/leader.ts
@@ -251,8 +251,8 @@
                 this.#startFailover(later, view.database, "first primary of the database", first);
             }
         });
-        this.#membership.tick(context, (database) => {
-            this.#startFailover(context, database, "the primary has left");
+        this.#membership.tick(context, (database, reason) => {
+            this.#startFailover(context, database, reason);
         });
     }
 
--- a/packages/control/src/membership.ts
+++ b/packages/control/src/membership.ts
@@ -1,4 +1,11 @@
-import { type EndpointObservation, EndpointState, type Host, Suspicion } from "@medlarledge/protocol";
+import {
+    type DatabaseView,
+    type EndpointObservation,
+    EndpointState,
+    type Host,
+    type RegisteredEndpoint,
+    Suspicion,
+} from "@medlarledge/protocol";
 import type { ControlCommand } from "./command.js";
 import { commandKey } from "./command.js";
 import type { LeaderContext } from "./leader-context.js";
@@ -7,6 +14,9 @@
 /** A leaving replica counts as left after this time even if no host saw it close its connections. */
 export const LEAVE_LIMIT_MS = 60_000;
 
+/** Time for running work on a leaving primary before its place is given to a replica; new work gets none. */
+export const PRIMARY_LEAVE_MS = 500;
+
 /** A host's share of the connections is returned after this silence; it closes its own after 1 h 50 min. */
 export const HOST_SILENCE_MS = 2 * 60 * 60 * 1_000;
 
@@ -43,7 +53,8 @@
         }
     }
 
-    tick(context: LeaderContext, primaryLeft: (database: string) => void): void {
+    /** `replacePrimary` is called for databases whose primary has left, or leaves while another endpoint stays. */
+    tick(context: LeaderContext, replacePrimary: (database: string, reason: string) => void): void {
         if (context.now - this.#scannedAt < SCAN_MS) {
             return;
         }
@@ -52,12 +63,15 @@
         for (const view of context.state.databases()) {
             const primary = startedTerm(view)?.primary;
             for (const endpoint of view.endpoints) {
-                if (endpoint.id === primary && endpoint.state === EndpointState.Left) {
-                    primaryLeft(view.database);
-                }
-                else if (endpoint.id !== primary) {
+                if (endpoint.id !== primary) {
                     this.#scanLeaving(context, endpoint);
                 }
+                else if (endpoint.state === EndpointState.Left) {
+                    replacePrimary(view.database, "the primary has left");
+                }
+                else if (this.#mustReplace(context, view, endpoint)) {
+                    replacePrimary(view.database, "the primary leaves");
+                }
             }
         }
     }
@@ -73,19 +87,29 @@
         context.hosts.forget((host) => this.isRegistered(context, host), context.now);
     }
 
-    #scanLeaving(
-        context: LeaderContext,
-        endpoint: { database: string; id: string; sequence: number; state: string; },
-    ): void {
-        const { database, id, sequence } = endpoint;
-        const key = JSON.stringify([database, id, sequence]);
-        if (endpoint.state !== EndpointState.Leaving) {
-            return;
+    #mustReplace(context: LeaderContext, view: DatabaseView, primary: RegisteredEndpoint): boolean {
+        const hasOther = view.endpoints.some(({ id, state }) => id !== primary.id && state === EndpointState.Active);
+        if (primary.state !== EndpointState.Leaving || !hasOther) {
+            return false;
         }
+        return context.now - this.#leavingFor(context, primary) >= PRIMARY_LEAVE_MS;
+    }
+
+    /** Since when this leader has seen the endpoint leave. */
+    #leavingFor(context: LeaderContext, endpoint: RegisteredEndpoint): number {
+        const key = leaveKey(endpoint);
         const since = this.#leavingSince.get(key) ?? context.now;
         this.#leavingSince.set(key, since);
-        if (context.now - since >= LEAVE_LIMIT_MS) {
-            this.#leavingSince.delete(key);
+        return since;
+    }
+
+    #scanLeaving(context: LeaderContext, endpoint: RegisteredEndpoint): void {
+        if (endpoint.state !== EndpointState.Leaving) {
+            return;
+        }
+        if (context.now - this.#leavingFor(context, endpoint) >= LEAVE_LIMIT_MS) {
+            this.#leavingSince.delete(leaveKey(endpoint));
+            const { database, id, sequence } = endpoint;
             this.#propose(context, { kind: "endpointLeft", database, id, sequence });
         }
     }
@@ -99,3 +123,7 @@
         context.propose(command, () => this.#proposed.delete(key));
     }
 }
+
+function leaveKey({ database, id, sequence }: RegisteredEndpoint): string {
+    return JSON.stringify([database, id, sequence]);
+}
--- a/packages/control/tests/failover.test.ts
+++ b/packages/control/tests/failover.test.ts
@@ -111,6 +111,23 @@
     });
 });
 
+describe("a primary that leaves", () => {
+    // A leaving endpoint gets no new work, so without a replacement the database would accept no writes; and a
+    // replica that has not caught up would lose acknowledged writes although nothing has failed.
+    test("is replaced by a replica, which first has to reach its position", () => {
+        const simulation = started();
+        advanceTo(simulation, "orders", "a", 150);
+        advanceTo(simulation, "orders", "b", 120);
+        simulation.request("leave", { database: "orders", id: "a", systemIdentifier: "a", sequence: 2 });
+        simulation.run(1_800);
+        expect(current(simulation).term).toBe(1);
+        expect(simulation.status().databases[0]?.failover?.waitsForEndpoints).toContain("b");
+        advanceTo(simulation, "orders", "b", 150);
+        simulation.run(500);
+        expect(current(simulation)).toMatchObject({ term: 2, primary: "b" });
+    });
+});
+
 describe("a lost message", () => {
     // Guards against a step that waits for ever for an answer that never comes.
     test.each(["revoke", "revoked", "confirmEndpoint", "endpointObservation", "viewUpdate"] as const)(
