Plan the queue by deadlines and worth

Cause: the best worth per time first starts requests with late deadlines while others run out. Change: before each start the waiting requests that can all make their deadlines are chosen, least worth per time gives way, and the earliest deadline of those runs.

--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -1,3 +1,4 @@
+import { plan, type Plannable } from "./admission-plan.js";
 import { ConcurrencyLimit } from "./concurrency-limit.js";
 import { ServiceTimes } from "./service-times.js";
 
@@ -111,11 +112,8 @@
 
     #dispatch(now: number): readonly AdmissionEffect[] {
         const effects: AdmissionEffect[] = this.#expire(now);
-        while (this.#running.size < this.#limit.value) {
-            const next = this.#waiting.reduce<Waiting | undefined>((best, item) => this.#better(best, item), undefined);
-            if (next === undefined) {
-                break;
-            }
+        while (this.#running.size < this.#limit.value && this.#waiting.length > 0) {
+            const next = this.#next(now);
             this.withdraw(next.id);
             this.#running.set(next.id, { costKey: next.costKey, startedAt: now });
             effects.push({ kind: "run", id: next.id });
@@ -123,6 +121,19 @@
         return effects;
     }
 
+    /** The first of the planned requests; when one slot's worth of work waits, there is nothing to plan. */
+    #next(now: number): Waiting {
+        const [first] = this.#waiting;
+        const planned = this.#waiting.length > 1
+            ? plan(this.#waiting.map(item => this.#plannable(item)), this.#limit.value, now)[0]
+            : undefined;
+        return (planned?.item ?? first) as Waiting;
+    }
+
+    #plannable(item: Waiting): Plannable<Waiting> {
+        return { item, worth: item.worth, deadlineAt: item.deadlineAt, costMs: this.#times.expected(item.costKey) };
+    }
+
     #expire(now: number): AdmissionEffect[] {
         const late = this.#waiting.filter(item => now + this.#times.expected(item.costKey) > item.deadlineAt);
         if (late.length > 0) {
