--- a/packages/routing/src/endpoint-health.ts
+++ b/packages/routing/src/endpoint-health.ts
@@ -94,7 +94,10 @@
         }
         record.failures = 0;
         if (record.probeAt !== undefined) {
-            this.#trialAnswered(endpoint, record, latencyMs, now);
+            // Statements sent before the endpoint was set aside are no trials and must not lengthen its pause.
+            if (record.trialSince !== undefined) {
+                this.#trialAnswered(endpoint, record, latencyMs, now);
+            }
             return;
         }
         record.answers++;
@@ -111,10 +114,10 @@
             return;
         }
         record.failures++;
-        if (record.probeAt !== undefined) {
-            this.#setAside(endpoint, record, now);
-        }
-        else if (record.failures >= this.#options.failures) {
+        const evidence = record.probeAt === undefined
+            ? record.failures >= this.#options.failures
+            : record.trialSince !== undefined;
+        if (evidence) {
             this.#setAside(endpoint, record, now);
         }
     }
