--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -1,3 +1,4 @@
+import { plan, type Plannable } from "./admission-plan.js";
 import { ConcurrencyLimit } from "./concurrency-limit.js";
 import { ServiceTimes } from "./service-times.js";
 
@@ -72,7 +73,7 @@
     }
 
     offer(request: AdmissionRequest, now: number): readonly AdmissionEffect[] {
-        if (now + this.#times.expected(request.costKey) > request.deadlineAt) {
+        if (now + this.#times.high(request.costKey) > request.deadlineAt) {
             return [{ kind: "refuse", id: request.id, reason: "deadline" }];
         }
         this.#waiting.push({ ...request, arrivedAt: now });
@@ -101,7 +102,7 @@
     wakeAt(): number | undefined {
         return this.#waiting.length === 0
             ? undefined
-            : Math.min(...this.#waiting.map(item => item.deadlineAt - this.#times.expected(item.costKey)));
+            : Math.min(...this.#waiting.map(item => item.deadlineAt - this.#times.high(item.costKey)));
     }
 
     /** Refuses what can no longer make its deadline. */
@@ -111,11 +112,8 @@
 
     #dispatch(now: number): readonly AdmissionEffect[] {
         const effects: AdmissionEffect[] = this.#expire(now);
-        while (this.#running.size < this.#limit.value) {
-            const next = this.#waiting.reduce<Waiting | undefined>((best, item) => this.#better(best, item), undefined);
-            if (next === undefined) {
-                break;
-            }
+        while (this.#running.size < this.#limit.value && this.#waiting.length > 0) {
+            const next = this.#next(now);
             this.withdraw(next.id);
             this.#running.set(next.id, { costKey: next.costKey, startedAt: now });
             effects.push({ kind: "run", id: next.id });
@@ -123,8 +121,21 @@
         return effects;
     }
 
+    /** The first of the planned requests; when one slot's worth of work waits, there is nothing to plan. */
+    #next(now: number): Waiting {
+        const [first] = this.#waiting;
+        const planned = this.#waiting.length > 1
+            ? plan(this.#waiting.map(item => this.#plannable(item)), this.#limit.value, now)[0]
+            : undefined;
+        return (planned?.item ?? first) as Waiting;
+    }
+
+    #plannable(item: Waiting): Plannable<Waiting> {
+        return { item, worth: item.worth, deadlineAt: item.deadlineAt, costMs: this.#times.expected(item.costKey) };
+    }
+
     #expire(now: number): AdmissionEffect[] {
-        const late = this.#waiting.filter(item => now + this.#times.expected(item.costKey) > item.deadlineAt);
+        const late = this.#waiting.filter(item => now + this.#times.high(item.costKey) > item.deadlineAt);
         if (late.length > 0) {
             this.#waiting = this.#waiting.filter(item => !late.includes(item));
         }
