Take the types of routing and session from their packages

Cause: the proxy was written beside them and stated their types a second time. Change: its ports import and re-export them; only the interfaces that the tests' fakes stand in for remain.

--- a/packages/proxy/src/ports.ts
+++ b/packages/proxy/src/ports.ts
@@ -1,8 +1,34 @@
-import type { DatabaseView, Endpoint, EndpointRole, Floor, Position } from "@medlarledge/protocol";
-import type { RegisteredEndpoint, Term, TermRecord } from "@medlarledge/protocol";
-
-// The shapes of design.md sections 3.3 to 3.5 that this package needs. The classes of session, routing and
-// postgres fit them structurally.
+import type { DatabaseView, Endpoint, Floor, Position, Term, TermRecord } from "@medlarledge/protocol";
+import type {
+    AdmissionEffect,
+    AdmissionRequest,
+    Candidate,
+    Classification,
+    HealthState,
+    OwnSetting,
+    ReplicaPosition,
+    RequestClass,
+    RouteDecision,
+    RouteRequest as RealRouteRequest,
+} from "@medlarledge/routing";
+import type { FloorCheck } from "@medlarledge/session";
+
+export { StatementKind } from "@medlarledge/routing";
+export type {
+    AdmissionEffect,
+    AdmissionRequest,
+    Candidate,
+    Classification,
+    FloorCheck,
+    HealthState,
+    OwnSetting,
+    ReplicaPosition,
+    RequestClass,
+    RouteDecision,
+};
+
+// Only what this package needs of the parts around it: the real classes fit these interfaces, and so do the small
+// fakes of the tests.
 
 /** One whole protocol message with its header. */
 export interface Frame {
@@ -65,11 +91,6 @@
     ): { ok: true; floor: Floor; } | { ok: false; error: { readonly kind: string; }; };
 }
 
-export type FloorCheck =
-    | { kind: "holds"; position: Position; }
-    | { kind: "lost"; term: Term; position: Position; survivedUpTo: Position; }
-    | { kind: "unknownTerm"; term: Term; };
-
 export type CheckFloor = (terms: readonly TermRecord[], floor: Floor) => FloorCheck;
 
 export interface SessionState {
@@ -79,78 +100,16 @@
     takeLoss(check: FloorCheck): boolean;
 }
 
-export const StatementKind = {
-    Read: "read",
-    Write: "write",
-    Begin: "begin",
-    Commit: "commit",
-    Rollback: "rollback",
-    SessionState: "sessionState",
-    Pinned: "pinned",
-    Refused: "refused",
-    Own: "own",
-} as const;
-export type StatementKind = (typeof StatementKind)[keyof typeof StatementKind];
-
-export interface Classification {
-    readonly kind: StatementKind;
-    readonly statements: number;
-    readonly pins: boolean;
-    /** DISCARD ALL: nothing of the caller is left on the connection. */
-    readonly resets: boolean;
-    /** Reads what the same session left before; refused outside a transaction. */
-    readonly transactionOnly: boolean;
-    readonly refusal: string | undefined;
-    readonly comment: Readonly<Record<string, string>>;
-    readonly set: OwnSetting | undefined;
-}
-
-/** The `medlarledge.` setting that an own statement names. */
-export interface OwnSetting {
-    readonly action: "set" | "reset" | "show";
-    readonly name: string;
-    readonly value: string;
-}
-
 export interface Classifier {
     classify(sql: string): Classification;
 }
 
-export interface RequestClass {
-    readonly name: string;
-    readonly worth: number;
-    readonly ageMs: number | undefined;
-    readonly deadlineMs: number;
-    readonly repeatable: boolean;
-}
-
-export type HealthState = "ok" | "setAside" | "probing";
-
-export interface Candidate {
-    readonly endpoint: RegisteredEndpoint;
-    readonly role: EndpointRole;
-    readonly sameDataCentre: boolean;
-    readonly timeline: number | undefined;
-    readonly knownPosition: Position | undefined;
-    readonly knownAt: number | undefined;
-    readonly inFlight: number;
-    readonly health: HealthState;
-    readonly lagMs: number | undefined;
-}
-
 /** Positions of the primary over time, recorded under a valid lease only. */
 export interface PrimaryPositions {
     record(term: Term, position: Position, at: number, seenAt: number): void;
     latest(): Position | undefined;
 }
 
-export interface ReplicaPosition {
-    readonly timeline: number;
-    readonly position: Position;
-    readonly at: number;
-    readonly lagMs: number | undefined;
-}
-
 export interface ReplicaPositions {
     of(endpoint: string): ReplicaPosition | undefined;
     report(
@@ -164,47 +123,15 @@
     forget(endpoint: string): void;
 }
 
-/** What the router needs to know of one request. */
-export interface RouteRequest {
-    readonly write: boolean;
-    readonly floor: Position | undefined;
-    readonly ageMs: number | undefined;
-    readonly terms: readonly TermRecord[];
+/** A request as the router sees it. */
+export type RouteRequest = Omit<RealRouteRequest, "primaryPositions"> & {
     readonly primaryPositions: PrimaryPositions;
-    readonly arrivedAt: number;
-    readonly deadlineAt: number;
-    readonly waitMs: number;
-    readonly replicaReads: boolean;
-    readonly leaseValid: boolean;
-    /** Endpoints on which this request failed already. */
-    readonly tried: readonly string[];
-}
-
-export type RouteDecision =
-    | {
-        readonly kind: "send";
-        readonly endpoint: string;
-        readonly proof: "none" | "known" | "self";
-        readonly floor: Position | undefined;
-    }
-    | { readonly kind: "wait"; readonly untilMs: number; }
-    | { readonly kind: "refuse"; readonly reason: string; };
+};
 
 export interface Router {
     choose(request: RouteRequest, candidates: readonly Candidate[], now: number): RouteDecision;
 }
 
-export interface AdmissionRequest {
-    readonly id: number;
-    readonly worth: number;
-    readonly deadlineAt: number;
-    readonly costKey: string;
-}
-
-export type AdmissionEffect =
-    | { readonly kind: "run"; readonly id: number; }
-    | { readonly kind: "refuse"; readonly id: number; readonly reason: "deadline" | "queueFull" | "evicted"; };
-
 /** Queue and slots of one endpoint. */
 export interface Admission {
     readonly waiting: number;
--- a/packages/proxy/tests/world.ts
+++ b/packages/proxy/tests/world.ts
@@ -42,6 +42,7 @@
         statements: 1,
         pins: first === "LISTEN",
         resets: first === "DISCARD",
+        readOnly: false,
         transactionOnly: false,
         refusal: first === "PREPARE" ? "PREPARE" : undefined,
         comment: {},
