Split the host process and deliver the last service counts before it ends

Change: orders, local status, folder proposals and the host's description in files of their own; a stopping host waits up to 500 ms for the acknowledgements.

--- a/packages/daemon/src/host-process.ts
+++ b/packages/daemon/src/host-process.ts
@@ -1,35 +1,33 @@
-import {
-    type Credentials,
-    fenceEndpoint,
-    followPrimary,
-    PostgresConnector,
-    promoteEndpoint,
-    readEndpoint,
-} from "@medlarledge/postgres";
+import { type Credentials, PostgresConnector, readEndpoint } from "@medlarledge/postgres";
 import type { Endpoint, Host, Message } from "@medlarledge/protocol";
-import { formatFinding, type HostSettings } from "@medlarledge/settings";
+import type { HostSettings } from "@medlarledge/settings";
 import { type Log, Metrics } from "@medlarledge/telemetry";
-import { randomBytes } from "node:crypto";
 import { mkdir } from "node:fs/promises";
 import { type Clock, SYSTEM_CLOCK } from "./clock.js";
 import { ConfigurationHolder } from "./configuration-holder.js";
 import { ControlHost } from "./control-host.js";
-import type { ControlReport, EndpointOrders } from "./control-task.js";
+import type { ControlReport } from "./control-task.js";
 import { HostDatabases } from "./database-source.js";
+import { PostgresOrders } from "./endpoint-orders.js";
 import { EntryTask } from "./entry-task.js";
-import { type FolderEvent, FolderWatch } from "./folder-watch.js";
+import { FolderProposals } from "./folder-proposals.js";
+import { FolderWatch } from "./folder-watch.js";
 import { hostNumber, hostNumberOf } from "./host-number.js";
 import { buildRoutes } from "./http-routes.js";
 import { HttpServer } from "./http-server.js";
+import { type LocalFacts, localStatus, readinessOf } from "./local-status.js";
 import { MessageRouter } from "./message-router.js";
 import { type MeshEvent, PeerMesh } from "./peer-mesh.js";
+import { describeHost } from "./self-host.js";
 import { ServiceReporter } from "./service-reporter.js";
 import { ServingHost } from "./serving-host.js";
 import { SlotTask } from "./slot-task.js";
 
 const HOUSEKEEPING_MS = 1_000;
 const DEFAULT_DRAIN_MS = 30_000;
-const APPLY_TIMEOUT_MS = 5_000;
+
+/** How long a stopping host waits until the control hosts have its last service counts. */
+const COUNTS_TIMEOUT_MS = 500;
 
 export type StartFailure =
     | { readonly kind: "dataFolder"; readonly reason: string; }
@@ -54,7 +52,7 @@
     readonly #control: ControlHost | undefined;
     readonly #router: MessageRouter;
     readonly #http: HttpServer;
-    readonly #folder: FolderWatch | undefined;
+    readonly #folder: FolderProposals | undefined;
     readonly #failed: (reason: string) => void;
     #serving: ServingHost | undefined;
     #housekeeping: NodeJS.Timeout | undefined;
@@ -90,9 +88,7 @@
             send: (to, message) => this.#send(to, message),
         });
         this.#http = this.#buildHttp();
-        this.#folder = settings.watchFolder === undefined
-            ? undefined
-            : new FolderWatch(settings.watchFolder, settings.operator);
+        this.#folder = this.#buildFolder();
     }
 
     /** Starts everything. On a failure nothing is left listening. */
@@ -115,6 +111,7 @@
         const drainMs = this.#configuration.inForce?.configuration.limits.drainMs ?? DEFAULT_DRAIN_MS;
         const cut = await this.#serving?.drain(drainMs) ?? 0;
         this.#reporter.flush(this.#clock.wallClock());
+        await this.#reporter.settled(COUNTS_TIMEOUT_MS);
         await this.#close();
         this.#log.event("hostStopped", { cut });
         return { cut };
@@ -168,7 +165,6 @@
             return { kind: "callers", reason };
         }
         this.#serving.prepare();
-        void this.#folder?.events.observe(event => void this.#folderEvent(event));
         this.#folder?.start();
         this.#housekeeping = setInterval(() => this.#housekeep(), HOUSEKEEPING_MS);
         return undefined;
@@ -215,22 +211,12 @@
         if (dataFolder === undefined || !listed.includes(this.#self.id)) {
             return undefined;
         }
-        const orders: EndpointOrders = {
-            read: (endpoint, timeoutMs) => readEndpoint(this.#connector, endpoint, timeoutMs),
-            promote: (endpoint, timeoutMs) => promoteEndpoint(this.#connector, endpoint, timeoutMs),
-            fence: async (endpoint, timeoutMs) => {
-                await fenceEndpoint(this.#connector, endpoint, timeoutMs);
-            },
-            follow: async (endpoint, primary, timeoutMs) => {
-                await followPrimary(this.#connector, endpoint, primary, this.#credentials(), timeoutMs);
-            },
-        };
         return new ControlHost({
             self: this.#self,
             settings: this.#settings,
             dataFolder,
             configuration: this.#configuration,
-            orders,
+            orders: new PostgresOrders(this.#connector, this.#credentials()),
             clock: this.#clock,
             log: this.#log,
             send: (to, message) => this.#send(to, message),
@@ -238,6 +224,15 @@
         });
     }
 
+    #buildFolder(): FolderProposals | undefined {
+        const { watchFolder, operator } = this.#settings;
+        if (watchFolder === undefined) {
+            return undefined;
+        }
+        const watch = new FolderWatch(watchFolder, operator);
+        return new FolderProposals(watch, this.#entry, this.#configuration, this.#log);
+    }
+
     #buildHttp(): HttpServer {
         const { httpAddress, announceKey, operatorToken } = this.#settings;
         return new HttpServer({
@@ -247,8 +242,8 @@
             refused: reason => this.#log.event("announcementRefused", { reason }),
             routes: buildRoutes({
                 entry: this.#entry,
-                readiness: () => this.#readiness(),
-                localStatus: () => this.#localStatus(),
+                readiness: () => readinessOf(this.#facts()),
+                localStatus: () => localStatus(this.#facts()),
                 burn: () => this.#control?.burn(),
                 announced: body => this.#log.event("endpointAnnounced", { endpoint: (body as Endpoint).id }),
                 configurationAnswered: (change, answer) =>
@@ -318,20 +313,6 @@
         this.#serving?.prepare();
     }
 
-    async #folderEvent(event: FolderEvent): Promise<void> {
-        if (event.kind === "invalid") {
-            this.#log.event("folderInvalid", { findings: event.findings.map(formatFinding) });
-            return;
-        }
-        const { change } = event;
-        if (change.digest === this.#configuration.inForce?.change.digest) {
-            return;
-        }
-        const answer = await this.#entry.request("apply", change, APPLY_TIMEOUT_MS);
-        const result = answer.kind === "answered" ? answer.body : answer.reason;
-        this.#log.event("configurationAnswered", { number: change.number, answer: result });
-    }
-
     #forwardCancel(processId: number, secretKey: number): void {
         const number = hostNumberOf(processId);
         for (const host of this.#entry.view.hosts) {
@@ -356,32 +337,15 @@
         this.#metrics.gauge("process.memory", process.memoryUsage.rss());
     }
 
-    #readiness(): { ready: boolean; reason: string; } {
-        if (this.#draining) {
-            return { ready: false, reason: "draining" };
-        }
-        if (this.#configuration.inForce === undefined) {
-            return { ready: false, reason: "no configuration yet" };
-        }
-        if (!this.#entry.view.complete) {
-            return { ready: false, reason: "no view of the databases yet" };
-        }
-        return { ready: true, reason: this.#entry.hasLease() ? "serving" : "serving reads of stated age only" };
-    }
-
-    #localStatus(): unknown {
-        const inForce = this.#configuration.inForce;
+    #facts(): LocalFacts {
         return {
-            ...this.#self,
-            readiness: this.#readiness(),
+            self: this.#self,
+            draining: this.#draining,
             hasLease: this.#entry.hasLease(),
-            configuration: inForce === undefined
-                ? undefined
-                : { number: inForce.change.number, operator: inForce.change.operator, since: inForce.since },
+            viewComplete: this.#entry.view.complete,
+            inForce: this.#configuration.inForce,
             proxy: this.#serving?.status(),
             traffic: this.#mesh.traffic(),
-            memoryBytes: process.memoryUsage.rss(),
-            cpuMicroseconds: process.cpuUsage(),
         };
     }
 
@@ -398,15 +362,3 @@
         await this.#metrics.close();
     }
 }
-
-function describeHost(settings: HostSettings): Host {
-    return {
-        id: settings.id,
-        incarnation: randomBytes(8).toString("hex"),
-        dataCentre: settings.dataCentre,
-        peerAddress: settings.peerAddress,
-        httpAddress: settings.httpAddress,
-        callerAddress: settings.callerAddress,
-        control: settings.control.some(member => member.id === settings.id),
-    };
-}
--- a/packages/daemon/src/service-reporter.ts
+++ b/packages/daemon/src/service-reporter.ts
@@ -15,6 +15,7 @@
     readonly #current = new Map<string, ServiceCount>();
     #sequence = 0;
     #sentAt = 0;
+    #onAcknowledged: (() => void) | undefined;
 
     constructor(listed: readonly string[], send: (to: string, message: ControlMessage) => boolean) {
         this.#listed = listed;
@@ -31,9 +32,26 @@
         const waiting = this.#unacknowledged.get(from);
         if (waiting !== undefined) {
             this.#unacknowledged.set(from, waiting.filter(batch => batch.sequence > sequence));
+            this.#onAcknowledged?.();
         }
     }
 
+    /** Resolves when all control hosts have acknowledged everything, or after the timeout. */
+    settled(timeoutMs: number): Promise<void> {
+        if (this.#isSettled()) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            const timer = setTimeout(resolve, timeoutMs);
+            this.#onAcknowledged = () => {
+                if (this.#isSettled()) {
+                    clearTimeout(timer);
+                    resolve();
+                }
+            };
+        });
+    }
+
     tick(now: number, wallClock: number): void {
         if (now - this.#sentAt >= BATCH_MS) {
             this.#sentAt = now;
@@ -57,4 +75,8 @@
             this.#unacknowledged.get(id)?.forEach(batch => this.#send(id, batch));
         }
     }
+
+    #isSettled(): boolean {
+        return [...this.#unacknowledged.values()].every(waiting => waiting.length === 0);
+    }
 }
