--- a/packages/testing/src/cluster/local-cluster.ts
+++ b/packages/testing/src/cluster/local-cluster.ts
@@ -33,14 +33,14 @@
     readonly hosts: readonly LocalHost[];
     readonly folder: string;
     readonly #options: ClusterOptions;
-    readonly #announceKey: string;
+    readonly announceKey: string;
     readonly #endpoints: LocalEndpoint[] = [];
 
     private constructor(options: ClusterOptions, folder: string, hosts: readonly LocalHost[], announceKey: string) {
         this.#options = options;
         this.folder = folder;
         this.hosts = hosts;
-        this.#announceKey = announceKey;
+        this.announceKey = announceKey;
     }
 
     /** Starts the processes; `ready` tells when they serve. */
@@ -164,7 +164,7 @@
             ...(primary === undefined ? {} : { follow: { host: "127.0.0.1", port: primary.replicationPort } }),
             announce: {
                 addresses: this.hosts.map(host => `http://${host.settings.httpAddress}`),
-                key: this.#announceKey,
+                key: this.announceKey,
             },
         }, join(this.folder, `${id}.log`));
         await endpoint.ready();
