Print the path of a problem's page as it is

The status command put docs/operators/ before and .md after a page that is already a full path, so that it printed docs/operators/docs/operators/NAME.md.md. It prints the page unchanged now.

--- a/packages/cli/src/status-text.ts
+++ b/packages/cli/src/status-text.ts
@@ -58,7 +58,7 @@
     if (status.problems.length === 0) {
         return "No problems.";
     }
-    const lines = status.problems.map(problem => `- ${problem.text}\n  see docs/operators/${problem.page}.md`);
+    const lines = status.problems.map(problem => `- ${problem.text}\n  see ${problem.page}`);
     return `Problems\n${lines.join("\n")}`;
 }
 
