--- a/packages/settings/src/host-settings.ts
+++ b/packages/settings/src/host-settings.ts
@@ -7,49 +7,75 @@
 const HEX_KEY = z.string().regex(/^[0-9a-f]{64}$/, "must be 32 bytes in lower-case hexadecimal");
 
 const tls = z.strictObject({
-    certificate: z.string(),
-    key: z.string(),
-    authority: z.string(),
+    certificate: z.string().describe("File of the certificate; its common name is the id of the host."),
+    key: z.string().describe("File of the private key."),
+    authority: z.string().describe("File of the certificates of the authorities that are trusted."),
 });
 
 const timing = z.strictObject({
-    leaseMs: z.number().int().min(50).max(60_000).default(400),
-    renewMs: z.number().int().min(10).max(20_000).default(100),
-    driftMarginMs: z.number().int().min(1).max(5_000).default(20),
-    heartbeatMs: z.number().int().min(5).max(5_000).default(50),
-    electionMs: z.number().int().min(50).max(30_000).default(300),
-    probeMs: z.number().int().min(10).max(10_000).default(100),
-    probeTimeoutMs: z.number().int().min(10).max(30_000).default(250),
+    leaseMs: z.number().int().min(50).max(60_000).default(400).describe(
+        "Length of a lease, in ms. The same on all hosts.",
+    ),
+    renewMs: z.number().int().min(10).max(20_000).default(100).describe(
+        "Interval of renewals, in ms; at most half of leaseMs.",
+    ),
+    driftMarginMs: z.number().int().min(1).max(5_000).default(20).describe(
+        "Margin for clocks that run differently during a lease, in ms. The same on all hosts.",
+    ),
+    heartbeatMs: z.number().int().min(5).max(5_000).default(50).describe(
+        "Interval of the leader's heartbeats to the control hosts, in ms.",
+    ),
+    electionMs: z.number().int().min(50).max(30_000).default(300).describe(
+        "Silence after which a control host may stand for election, in ms; it waits once to twice this time. The same on all control hosts.",
+    ),
+    probeMs: z.number().int().min(10).max(10_000).default(100).describe("Interval of probes, in ms; not used yet."),
+    probeTimeoutMs: z.number().int().min(10).max(30_000).default(250).describe(
+        "Time for the answer of a probe, in ms; not used yet.",
+    ),
 });
 
 /** Schema of one process's settings file. Unknown keys are refused. */
 export const hostSettingsSchema = z.strictObject({
-    id: z.string().regex(/^[A-Za-z0-9][A-Za-z0-9.-]{0,62}$/, "must be a name of letters, digits, . -"),
-    dataCentre: z.string().min(1),
-    callerAddress: ADDRESS,
-    peerAddress: ADDRESS,
-    httpAddress: ADDRESS,
-    /** The control group: the same list on every host. */
-    control: z.array(z.strictObject({ id: z.string().min(1), address: ADDRESS })).min(1).max(9),
-    /** Needed by control hosts; files that must survive live here. */
-    dataFolder: z.string().min(1).optional(),
-    /** A folder that this host watches and proposes when it changes. */
-    watchFolder: z.string().min(1).optional(),
-    operator: z.string().min(1).default("folder"),
-    endpointUser: z.string().min(1),
-    endpointPassword: z.string().default(""),
-    /** Newest first: the first key signs, all verify. */
-    sessionKeys: z.array(HEX_KEY).min(1),
-    announceKey: HEX_KEY,
-    /** Asked of operators' HTTP calls; needed when the HTTP address is not loopback. */
-    operatorToken: z.string().min(16).optional(),
-    tls: tls.optional(),
-    /** Certificate shown to callers; without it callers connect in plain text. */
-    callerTls: z.strictObject({ certificate: z.string(), key: z.string() }).optional(),
-    plaintextPeers: z.boolean().default(false),
-    statsdAddress: ADDRESS.optional(),
-    logLevel: z.enum(["debug", "info", "warn", "error"]).default("info"),
-    timing: timing.prefault({}),
+    id: z.string().regex(/^[A-Za-z0-9][A-Za-z0-9.-]{0,62}$/, "must be a name of letters, digits, . -").describe(
+        "Name of the host; the common name of its certificate.",
+    ),
+    dataCentre: z.string().min(1).describe("Data centre of the host."),
+    callerAddress: ADDRESS.describe("Where callers connect."),
+    peerAddress: ADDRESS.describe("Where other processes connect; on loopback only without tls."),
+    httpAddress: ADDRESS.describe(
+        "Where the platform, endpoints and operators call; beyond loopback operatorToken is needed.",
+    ),
+    control: z.array(z.strictObject({
+        id: z.string().min(1).describe("Id of a control host."),
+        address: ADDRESS.describe("Its peerAddress."),
+    })).min(1).max(9).describe("The control group: the same list on every host."),
+    dataFolder: z.string().min(1).optional().describe(
+        "Folder of the files that must survive; needed by control hosts.",
+    ),
+    watchFolder: z.string().min(1).optional().describe(
+        "Configuration folder that this host watches and proposes when it changes.",
+    ),
+    operator: z.string().min(1).default("folder").describe(
+        "Name kept in the history for changes of the watched folder.",
+    ),
+    endpointUser: z.string().min(1).describe("User that connects to the endpoints."),
+    endpointPassword: z.string().default("").describe("Its password."),
+    sessionKeys: z.array(HEX_KEY).min(1).describe(
+        "Keys of session tokens, the same on all hosts; the first key signs, all verify.",
+    ),
+    announceKey: HEX_KEY.describe("Key that signs announcements of endpoints; the same on all hosts."),
+    operatorToken: z.string().min(16).optional().describe("Token of operators' HTTP calls; needed beyond loopback."),
+    tls: tls.optional().describe("Identity among the processes; its files are read again every 5 s."),
+    callerTls: z.strictObject({
+        certificate: z.string().describe("File of the certificate; read when the process starts."),
+        key: z.string().describe("File of the private key; read when the process starts."),
+    }).optional().describe("Certificate shown to callers; without it callers connect in plain text."),
+    plaintextPeers: z.boolean().default(false).describe("Allows plain text between processes on loopback addresses."),
+    statsdAddress: ADDRESS.optional().describe("Where metrics are sent; without it none are."),
+    logLevel: z.enum(["debug", "info", "warn", "error"]).default("info").describe(
+        "Least level of the log lines written.",
+    ),
+    timing: timing.prefault({}).describe("Times of the leases, the control group and probes."),
 });
 
 export type HostSettings = z.infer<typeof hostSettingsSchema>;
