--- a/packages/testing/src/quickstart/quickstart.ts
+++ b/packages/testing/src/quickstart/quickstart.ts
@@ -1,5 +1,6 @@
 import type { ConfigurationFile } from "@medlarledge/protocol";
-import { dirname } from "node:path";
+import { mkdir, writeFile } from "node:fs/promises";
+import { dirname, join } from "node:path";
 import type { Client } from "pg";
 import { LocalCluster } from "../cluster/local-cluster.js";
 import { connect, isVisible, write, type WriteResult } from "./workload.js";
@@ -192,8 +193,19 @@
     return held;
 }
 
+/** Writes the configuration in force to a folder, as a start for changes of it. */
+async function writeFolder(parent: string): Promise<string> {
+    const folder = join(parent, "configuration");
+    await mkdir(folder);
+    await Promise.all(FOLDER.map(({ name, text }) => writeFile(join(folder, name), `${text}\n`)));
+    return folder;
+}
+
 async function waitForInterrupt(cluster: LocalCluster, print: Print): Promise<void> {
     print("");
+    print(`settings and logs of the hosts: ${cluster.folder}`);
+    print(`configuration in force: ${await writeFolder(cluster.folder)}`);
+    print(`HTTP address of a host: ${cluster.anyHost().settings.httpAddress}`);
     print("press ctrl-C to end all processes; the connection URL is");
     print(cluster.anyHost().url(DATABASE));
     await new Promise<void>(resolve => {
