Measure failovers under load

Cause: the targets of the design for failover had no measurement. Change: npm run bench prints one JSON line a measure; a TCP relay delays traffic between hosts and to endpoints.

--- a/packages/testing/src/cluster/child.ts
+++ b/packages/testing/src/cluster/child.ts
@@ -15,7 +15,9 @@
         this.#process.stderr?.pipe(log);
         this.#firstLine = this.#readFirstLine();
         this.#exited = new Promise(resolve => this.#process.once("exit", code => resolve(code ?? 1)));
-        process.once("exit", () => this.#process.kill("SIGKILL"));
+        const killAtExit = (): boolean => this.#process.kill("SIGKILL");
+        process.once("exit", killAtExit);
+        this.#process.once("exit", () => process.off("exit", killAtExit));
     }
 
     get pid(): number | undefined {
--- a/packages/testing/src/cluster/local-cluster.ts
+++ b/packages/testing/src/cluster/local-cluster.ts
@@ -4,9 +4,11 @@
 import { mkdtemp, rm } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import type { AnnouncementSettings } from "../stand-in/announcer.js";
 import { freePorts } from "./free-ports.js";
 import { LocalEndpoint } from "./local-endpoint.js";
 import { LocalHost } from "./local-host.js";
+import { Relay } from "./relay.js";
 
 const PORTS_PER_HOST = 3;
 const READY_TIMEOUT_MS = 20_000;
@@ -23,6 +25,8 @@
     readonly connections: number;
     readonly lagMs?: number;
     readonly statementMs?: number;
+    /** One-way delay between hosts, and between hosts and endpoints, by relays. */
+    readonly delayMs?: number;
     readonly timing?: Partial<HostSettings["timing"]>;
     readonly logLevel?: HostSettings["logLevel"];
     readonly keepFolder?: boolean;
@@ -35,8 +39,16 @@
     readonly #options: ClusterOptions;
     readonly #announceKey: string;
     readonly #endpoints: LocalEndpoint[] = [];
+    readonly #relays: Relay[];
 
-    private constructor(options: ClusterOptions, folder: string, hosts: readonly LocalHost[], announceKey: string) {
+    private constructor(
+        options: ClusterOptions,
+        folder: string,
+        hosts: readonly LocalHost[],
+        announceKey: string,
+        relays: Relay[],
+    ) {
+        this.#relays = relays;
         this.#options = options;
         this.folder = folder;
         this.hosts = hosts;
@@ -50,9 +62,17 @@
         const announceKey = randomBytes(32).toString("hex");
         const sessionKeys = [randomBytes(32).toString("hex")];
         const address = (host: number, port: number): string => `127.0.0.1:${ports[host * PORTS_PER_HOST + port] ?? 0}`;
-        const control = options.hosts.flatMap((host, index) =>
-            host.control ? [{ id: host.id, address: address(index, 1) }] : []
-        );
+        const { delayMs } = options;
+        const relays: Relay[] = [];
+        const control: { id: string; address: string; }[] = [];
+        for (const [index, host] of options.hosts.entries()) {
+            if (host.control) {
+                const relay = delayMs === undefined ? undefined : await relayTo(address(index, 1), delayMs);
+                relays.push(...(relay === undefined ? [] : [relay]));
+                const reached = relay === undefined ? address(index, 1) : `127.0.0.1:${relay.port}`;
+                control.push({ id: host.id, address: reached });
+            }
+        }
         const hosts = options.hosts.map((host, index) =>
             new LocalHost(`${options.programs}/medlarledge.cjs`, {
                 id: host.id,
@@ -70,7 +90,7 @@
                 ...(options.timing === undefined ? {} : { timing: options.timing as HostSettings["timing"] }),
             }, folder)
         );
-        const cluster = new LocalCluster(options, folder, hosts, announceKey);
+        const cluster = new LocalCluster(options, folder, hosts, announceKey, relays);
         await Promise.all(hosts.map(host => host.start()));
         for (const database of options.databases) {
             await cluster.#startEndpoints(database);
@@ -133,11 +153,19 @@
     async stop(): Promise<void> {
         await Promise.all(this.hosts.filter(host => host.running).map(host => host.stop()));
         await Promise.all(this.#endpoints.filter(endpoint => endpoint.running).map(endpoint => endpoint.kill()));
+        this.#relays.forEach(relay => relay.close());
         if (this.#options.keepFolder !== true) {
             await rm(this.folder, { recursive: true, force: true });
         }
     }
 
+    #announcement(): AnnouncementSettings {
+        return {
+            addresses: this.hosts.map(host => `http://${host.settings.httpAddress}`),
+            key: this.#announceKey,
+        };
+    }
+
     async #startEndpoints(database: string): Promise<void> {
         let primary: LocalEndpoint | undefined;
         for (const [index, place] of this.#options.endpointPlaces.entries()) {
@@ -152,7 +180,8 @@
         dataCentre: string,
         primary: LocalEndpoint | undefined,
     ): Promise<LocalEndpoint> {
-        const { programs, slots, connections, lagMs, statementMs } = this.#options;
+        const { programs, slots, connections, lagMs, statementMs, delayMs } = this.#options;
+        const relay = delayMs === undefined ? undefined : await relayTo("127.0.0.1:0", delayMs);
         const endpoint = new LocalEndpoint(`${programs}/stand-in.cjs`, {
             id,
             database,
@@ -162,13 +191,20 @@
             lagMs: lagMs ?? 0,
             statementMs: statementMs ?? 0,
             ...(primary === undefined ? {} : { follow: { host: "127.0.0.1", port: primary.replicationPort } }),
-            announce: {
-                addresses: this.hosts.map(host => `http://${host.settings.httpAddress}`),
-                key: this.#announceKey,
-            },
+            announce: { ...this.#announcement(), ...(relay === undefined ? {} : { port: relay.port }) },
         }, join(this.folder, `${id}.log`));
         await endpoint.ready();
+        if (relay !== undefined) {
+            relay.setTarget(endpoint.port);
+            this.#relays.push(relay);
+        }
         this.#endpoints.push(endpoint);
         return endpoint;
     }
 }
+
+async function relayTo(address: string, delayMs: number): Promise<Relay> {
+    const relay = new Relay(Number(address.split(":")[1]), () => delayMs);
+    await relay.listen();
+    return relay;
+}
--- a/packages/testing/src/stand-in/announcer.ts
+++ b/packages/testing/src/stand-in/announcer.ts
@@ -7,6 +7,8 @@
     /** Key of the signature, in hexadecimal. */
     readonly key: string;
     readonly intervalMs?: number;
+    /** Announced in place of the port that it listens on, when callers reach it through a relay. */
+    readonly port?: number;
 }
 
 export const SIGNATURE_HEADER = "x-medlarledge-signature";
@@ -29,7 +31,7 @@
     /** The sequence starts at the wall clock, so that it rises across restarts. */
     constructor(settings: AnnouncementSettings, endpoint: Omit<Endpoint, "sequence">) {
         this.#settings = settings;
-        this.#endpoint = endpoint;
+        this.#endpoint = { ...endpoint, port: settings.port ?? endpoint.port };
         this.#sequence = Date.now();
     }
 
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -8,6 +8,7 @@
     medlarledge: "packages/cli/src/main.ts",
     "stand-in": "packages/testing/src/stand-in-main.ts",
     quickstart: "packages/testing/src/quickstart/main.ts",
+    bench: "packages/testing/src/bench/main.ts",
 };
 
 checkVersion();
