--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -9,6 +9,7 @@
     "stand-in": "packages/testing/src/stand-in-main.ts",
     quickstart: "packages/testing/src/quickstart/main.ts",
     capacity: "packages/testing/src/capacity/main.ts",
+    bench: "packages/testing/src/bench/main.ts",
 };
 
 checkVersion();
