Let a new slot manager start as soon as all hosts have reported

Cause: the routing part allows it, the daemon did not pass the hosts. Change: hosts introduce themselves to new managers; a manager is given the hosts when each of them is live and none was replaced by another process.

--- a/packages/daemon/src/message-router.ts
+++ b/packages/daemon/src/message-router.ts
@@ -4,7 +4,8 @@
 import type { EntryMessage, EntryTask } from "./entry-task.js";
 import { MEMBER_PHASE_REQUEST } from "./membership-start.js";
 import type { ServiceReporter } from "./service-reporter.js";
-import { slotSender, type SlotTask } from "./slot-task.js";
+import { slotSender } from "./slot-peers.js";
+import type { SlotTask } from "./slot-task.js";
 
 /** The tasks of a process that receive messages; the control part only on control hosts. */
 export interface MessageTargets {
--- a/packages/daemon/src/slot-task.ts
+++ b/packages/daemon/src/slot-task.ts
@@ -1,8 +1,18 @@
-import type { ControlMessage, Endpoint, Host, SlotGrant, SlotRecall, SlotRequest } from "@medlarledge/protocol";
+import {
+    type ControlMessage,
+    type Endpoint,
+    EndpointState,
+    type Host,
+    type RegisteredEndpoint,
+    type SlotGrant,
+    type SlotRecall,
+    type SlotRequest,
+} from "@medlarledge/protocol";
 import { endpointKey, SlotHolder, SlotKeeper, type SlotKeeperEffect } from "@medlarledge/routing";
 import { periodic } from "most";
 import type { Clock } from "./clock.js";
 import { SlotManagers } from "./slot-managers.js";
+import { SlotPeers, slotSender } from "./slot-peers.js";
 import type { ViewTable } from "./view-table.js";
 
 const TICK_MS = 10;
@@ -10,6 +20,10 @@
 /** How long one tick authorises the keeper; several ticks, so that a busy event loop does not end the authority. */
 const AUTHORITY_MS = 200;
 
+/** After a change of the hosts, each endpoint's manager is told what this host holds; repeated against loss. */
+const INTRODUCTION_MS = 1_000;
+const INTRODUCTION_STEP_MS = 50;
+
 /**
  * A host that has been silent for 2 h is removed and another one manages its endpoints. A host that is cut off stops
  * 10 minutes before that, so that two never manage the same endpoint.
@@ -41,6 +55,11 @@
     readonly #holders = new Map<string, SlotHolder>();
     readonly #keepers = new Map<string, SlotKeeper>();
     readonly #demands = new Map<string, Demand>();
+    readonly #peers = new SlotPeers();
+    #hosts: readonly Host[] = [];
+    #viewVersion = 0;
+    #introduceUntil = 0;
+    #introducedAt = 0;
     #stopped = false;
 
     constructor(options: SlotTaskOptions) {
@@ -94,21 +113,44 @@
     }
 
     #tick(): void {
-        this.#appointKeepers();
         const now = this.#options.clock.now();
+        this.#followHosts(now);
+        this.#appointKeepers(now);
         this.#keepers.forEach(keeper => this.#execute(keeper.handle({ kind: "tick" }, now)));
         this.#demands.forEach(demand => this.#update(demand));
     }
 
     /** Follows the view: who manages which endpoint, and with how many slots. */
-    #appointKeepers(): void {
-        const { clock, lastLeaseAt } = this.#options;
-        const now = clock.now();
-        if (now - lastLeaseAt() > CUT_OFF_LIMIT_MS) {
+    #appointKeepers(now: number): void {
+        if (now - this.#options.lastLeaseAt() > CUT_OFF_LIMIT_MS) {
             return;
         }
+        const peers = this.#peers.complete();
         for (const endpoint of this.#managers.own()) {
-            this.#keeper(endpoint).handle({ kind: "authorised", until: now + AUTHORITY_MS }, now);
+            this.#keeper(endpoint).handle({ kind: "authorised", until: now + AUTHORITY_MS, peers }, now);
+        }
+    }
+
+    /** Notices changed hosts and endpoints, and tells new managers what this host holds, be it nothing. */
+    #followHosts(now: number): void {
+        const { view } = this.#options;
+        if (view.liveHosts !== this.#hosts || view.version !== this.#viewVersion) {
+            this.#peers.changed(this.#hosts, view.liveHosts, view.hosts.length);
+            this.#hosts = view.liveHosts;
+            this.#viewVersion = view.version;
+            this.#introduceUntil = now + INTRODUCTION_MS;
+        }
+        if (now < this.#introduceUntil && now - this.#introducedAt >= INTRODUCTION_STEP_MS) {
+            this.#introducedAt = now;
+            for (const { endpoints } of view.databases()) {
+                endpoints.forEach(endpoint => this.#introduce(endpoint));
+            }
+        }
+    }
+
+    #introduce(endpoint: RegisteredEndpoint): void {
+        if (endpoint.state !== EndpointState.Left && !this.#demands.has(endpointKey(endpoint))) {
+            this.#update({ endpoint, wanted: 0, running: 0 });
         }
     }
 
@@ -157,11 +199,6 @@
     }
 }
 
-/** Identity under which a keeper knows a host: a restarted process counts as another one. */
-export function slotSender(host: Host): string {
-    return `${host.id} ${host.incarnation}`;
-}
-
 function hostOfSender(sender: string): string {
     return sender.slice(0, sender.indexOf(" "));
 }
