--- a/packages/cli/src/host-client.ts
+++ b/packages/cli/src/host-client.ts
@@ -42,10 +42,19 @@
 
 /** Reports why a call gave no usable answer. */
 export function reportFailure(access: HostAccess, answer: HostAnswer, output: Output): void {
-    const text = answer.kind === "unreachable" ? answer.reason : `status ${answer.status}: ${answer.text.trim()}`;
+    const text = answer.kind === "unreachable" ? answer.reason : errorText(answer);
     output.error(`medlarledge: host ${access.address}: ${text}`);
 }
 
+/** The sentence in an error's body; without one, the status and the text as they came. */
+function errorText(answer: Extract<HostAnswer, { kind: "answered"; }>): string {
+    const body = answer.body as
+        | { readonly error?: unknown; readonly cluster?: { readonly error?: unknown; }; }
+        | undefined;
+    const error = body?.error ?? body?.cluster?.error;
+    return typeof error === "string" ? error : `status ${answer.status}: ${answer.text.trim()}`;
+}
+
 function parse(text: string): unknown {
     try {
         return JSON.parse(text);
--- a/packages/daemon/src/agreement-task.ts
+++ b/packages/daemon/src/agreement-task.ts
@@ -45,6 +45,7 @@
     readonly #reports = new Channel<AgreementReport>();
     readonly #writes: WriteEffect[] = [];
     #writing = false;
+    #hasWritten = false;
     #stopped = false;
 
     readonly #executors: Executors = {
@@ -71,6 +72,11 @@
         return this.#agreement.members;
     }
 
+    /** True once this member has saved a vote or an entry: the group exists. */
+    get hasWritten(): boolean {
+        return this.#hasWritten;
+    }
+
     /** Starts deciding; the stream of reports must be observed before. */
     start(): void {
         const ticks = periodic(TICK_MS).map((): AgreementEvent => ({ kind: "tick" }));
@@ -122,6 +128,7 @@
     }
 
     #write(effect: WriteEffect): void {
+        this.#hasWritten = true;
         this.#writes.push(effect);
         if (!this.#writing) {
             void this.#writeAll();
--- a/packages/daemon/src/configuration-holder.ts
+++ b/packages/daemon/src/configuration-holder.ts
@@ -2,6 +2,7 @@
 import { ClassMatcher, type Configuration, type Finding, mergeFolder } from "@medlarledge/settings";
 import { open, readFile, rename } from "node:fs/promises";
 import { join } from "node:path";
+import { z } from "zod";
 
 const FILE_NAME = "configuration.json";
 
@@ -38,15 +39,20 @@
         return this.#inForce?.change.number ?? 0;
     }
 
-    /** Takes the configuration that was last in force before a restart. */
-    async restore(wallClock: number): Promise<void> {
+    /** Takes the configuration that was last in force before a restart. Returns a reason when the file is damaged. */
+    async restore(wallClock: number): Promise<string | undefined> {
         if (this.#folder === undefined) {
-            return;
+            return undefined;
         }
         const text = await readFile(join(this.#folder, FILE_NAME), "utf8").catch(() => undefined);
-        if (text !== undefined) {
-            this.apply(JSON.parse(text) as ConfigurationChange, wallClock);
+        if (text === undefined) {
+            return undefined;
         }
+        const change = parseChange(text);
+        if (change === undefined || this.apply(change, wallClock).kind === "invalid") {
+            return `${FILE_NAME} in the data folder is damaged`;
+        }
+        return undefined;
     }
 
     /** Puts a change in force at once and saves it in the background. */
@@ -76,6 +82,22 @@
     }
 }
 
+const changeSchema = z.object({
+    number: z.number().int().min(1),
+    digest: z.string(),
+    operator: z.string(),
+    files: z.array(z.object({ name: z.string(), text: z.string() })),
+});
+
+function parseChange(text: string): ConfigurationChange | undefined {
+    try {
+        return changeSchema.parse(JSON.parse(text));
+    }
+    catch {
+        return undefined;
+    }
+}
+
 /** Replaces a file in one step, so that a crash leaves the former or the new one. */
 export async function replaceFile(folder: string, name: string, text: string): Promise<void> {
     const temporary = join(folder, `${name}.new`);
--- a/packages/daemon/src/control-host.ts
+++ b/packages/daemon/src/control-host.ts
@@ -9,7 +9,7 @@
 import type { Clock } from "./clock.js";
 import type { ConfigurationHolder } from "./configuration-holder.js";
 import { type ControlReport, ControlTask, type EndpointOrders } from "./control-task.js";
-import { initializeStore, type MemberPhase, MembershipStart, phaseOf } from "./membership-start.js";
+import { initializeStore, MemberPhase, MembershipStart, phaseOf } from "./membership-start.js";
 import { ServiceStore } from "./service-store.js";
 
 /** Log entries between two snapshots. */
@@ -68,7 +68,7 @@
 
     /** What this host answers to other control hosts that start; undefined before the store is open. */
     get phase(): MemberPhase | undefined {
-        return this.#phase;
+        return this.#agreement?.hasWritten === true ? MemberPhase.Established : this.#phase;
     }
 
     /** Member id of this host. */
--- a/packages/daemon/src/database-source.ts
+++ b/packages/daemon/src/database-source.ts
@@ -4,7 +4,7 @@
 import { type DatabaseSettings, DEFAULT_CLASS, type ResolvedClass } from "@medlarledge/settings";
 import type { ConfigurationHolder } from "./configuration-holder.js";
 import type { EntryTask } from "./entry-task.js";
-import type { SlotTask } from "./slot-task.js";
+import { CUT_OFF_LIMIT_MS, type SlotTask } from "./slot-task.js";
 
 /** What the proxy knows of the databases, answered from the view, the configuration and the lease. */
 export class HostDatabases implements DatabaseSource {
@@ -48,7 +48,11 @@
         return this.#entry.mayAcknowledge(database, term);
     }
 
+    /** A host that was cut off for longer holds none, since its share is about to be given to others. */
     connectionShare(endpoint: Endpoint): number {
+        if (this.#entry.cutOffForMs() > CUT_OFF_LIMIT_MS) {
+            return 0;
+        }
         return connectionShare(endpoint, this.#entry.view.hosts, this.#self.id);
     }
 
--- a/packages/daemon/src/entry-task.ts
+++ b/packages/daemon/src/entry-task.ts
@@ -64,10 +64,15 @@
     #draining = false;
     #stopped = false;
     #hadLease = false;
+    /** Sequence of the first renewal that said that this host leaves. */
+    #firstLeaving: number | undefined;
+    #leavingAnswered = false;
+    #onLeavingAnswered: (() => void) | undefined;
     #lastLeaseAt = Number.NEGATIVE_INFINITY;
 
     readonly #handlers: MessageHandlers = {
         leaseGranted: (message, from) => {
+            this.#answered(message.sequence);
             this.#leaders.confirmed(from);
             this.#lease.granted(message, this.#options.clock.now());
             this.#checkLease();
@@ -117,6 +122,21 @@
         this.#draining = true;
     }
 
+    /** Resolves when the leader has answered a renewal that says that this host leaves, or after the timeout. */
+    announceLeaving(timeoutMs: number): Promise<void> {
+        this.#draining = true;
+        if (this.#leavingAnswered) {
+            return Promise.resolve();
+        }
+        return new Promise(resolve => {
+            const timer = setTimeout(resolve, timeoutMs);
+            this.#onLeavingAnswered = () => {
+                clearTimeout(timer);
+                resolve();
+            };
+        });
+    }
+
     received(from: string, message: EntryMessage): void {
         this.#events.push({ kind: "message", from, message });
     }
@@ -147,6 +167,11 @@
         return this.#lastLeaseAt;
     }
 
+    /** Time since this host last held a valid lease; a host that never held one is not cut off, it has not begun. */
+    cutOffForMs(): number {
+        return Number.isFinite(this.#lastLeaseAt) ? this.#options.clock.now() - this.#lastLeaseAt : 0;
+    }
+
     /** Takes what the pools or a probe learned of an endpoint, and reports what control must know. */
     observed(endpoint: Endpoint, outcome: "ok" | "closed" | "timeout"): void {
         const key = `${endpoint.database}/${endpoint.id}`;
@@ -182,6 +207,9 @@
         if (renewal === undefined) {
             return;
         }
+        if (this.#draining) {
+            this.#firstLeaving ??= renewal.sequence;
+        }
         this.#options.send(this.#leaders.target(), {
             kind: "renewLease",
             sequence: renewal.sequence,
@@ -193,6 +221,13 @@
         this.#leaders.sent();
     }
 
+    #answered(sequence: number): void {
+        if (this.#firstLeaving !== undefined && sequence >= this.#firstLeaving) {
+            this.#leavingAnswered = true;
+            this.#onLeavingAnswered?.();
+        }
+    }
+
     #checkLease(): void {
         const hasLease = this.hasLease();
         if (hasLease) {
--- a/packages/daemon/src/folder-proposals.ts
+++ b/packages/daemon/src/folder-proposals.ts
@@ -1,3 +1,4 @@
+import { ChangeOutcome, type ChangeResult, type ConfigurationChange } from "@medlarledge/protocol";
 import { formatFinding } from "@medlarledge/settings";
 import type { Log } from "@medlarledge/telemetry";
 import type { ConfigurationHolder } from "./configuration-holder.js";
@@ -6,12 +7,18 @@
 
 const APPLY_TIMEOUT_MS = 5_000;
 
+/** Pause before a change that no leader answered is proposed again. */
+const RETRY_MS = 1_000;
+
 /** Proposes each valid state of the watched folder that is not in force already. */
 export class FolderProposals {
     readonly #watch: FolderWatch;
     readonly #entry: EntryTask;
     readonly #configuration: ConfigurationHolder;
     readonly #log: Log;
+    /** Digest of the last valid state; an older one is not proposed again. */
+    #latest = "";
+    #closed = false;
 
     constructor(watch: FolderWatch, entry: EntryTask, configuration: ConfigurationHolder, log: Log) {
         this.#watch = watch;
@@ -26,6 +33,7 @@
     }
 
     close(): Promise<void> {
+        this.#closed = true;
         return this.#watch.close();
     }
 
@@ -34,12 +42,22 @@
             this.#log.event("folderInvalid", { findings: event.findings.map(formatFinding) });
             return;
         }
-        const { change } = event;
-        if (change.digest === this.#configuration.inForce?.change.digest) {
-            return;
+        this.#latest = event.change.digest;
+        await this.#apply(event.change);
+    }
+
+    async #apply(change: ConfigurationChange): Promise<void> {
+        while (!this.#closed && change.digest === this.#latest) {
+            if (change.digest === this.#configuration.inForce?.change.digest) {
+                return;
+            }
+            const answer = await this.#entry.request("apply", change, APPLY_TIMEOUT_MS);
+            const result = answer.kind === "answered" ? answer.body as Partial<ChangeResult> : undefined;
+            this.#log.event("configurationAnswered", { number: change.number, answer: result ?? answer });
+            if (result?.outcome !== undefined && result.outcome !== ChangeOutcome.Unavailable) {
+                return;
+            }
+            await new Promise(resolve => setTimeout(resolve, RETRY_MS));
         }
-        const answer = await this.#entry.request("apply", change, APPLY_TIMEOUT_MS);
-        const result = answer.kind === "answered" ? answer.body : answer.reason;
-        this.#log.event("configurationAnswered", { number: change.number, answer: result });
     }
 }
--- a/packages/daemon/src/host-process.ts
+++ b/packages/daemon/src/host-process.ts
@@ -21,7 +21,7 @@
 import { describeHost } from "./self-host.js";
 import { ServiceReporter } from "./service-reporter.js";
 import { ServingHost } from "./serving-host.js";
-import { SlotTask } from "./slot-task.js";
+import { CUT_OFF_LIMIT_MS, SlotTask } from "./slot-task.js";
 
 const HOUSEKEEPING_MS = 1_000;
 const DEFAULT_DRAIN_MS = 30_000;
@@ -29,6 +29,9 @@
 /** How long a stopping host waits until the control hosts have its last service counts. */
 const COUNTS_TIMEOUT_MS = 500;
 
+/** How long a stopping host waits until the leader has answered that it leaves. */
+const LEAVE_TIMEOUT_MS = 500;
+
 export type StartFailure =
     | { readonly kind: "dataFolder"; readonly reason: string; }
     | { readonly kind: "peers"; readonly reason: string; }
@@ -111,7 +114,7 @@
         const drainMs = this.#configuration.inForce?.configuration.limits.drainMs ?? DEFAULT_DRAIN_MS;
         const cut = await this.#serving?.drain(drainMs) ?? 0;
         this.#reporter.flush(this.#clock.wallClock());
-        await this.#reporter.settled(COUNTS_TIMEOUT_MS);
+        await Promise.all([this.#reporter.settled(COUNTS_TIMEOUT_MS), this.#entry.announceLeaving(LEAVE_TIMEOUT_MS)]);
         await this.#close();
         this.#log.event("hostStopped", { cut });
         return { cut };
@@ -121,8 +124,7 @@
         if (this.#settings.dataFolder !== undefined) {
             await mkdir(this.#settings.dataFolder, { recursive: true });
         }
-        await this.#configuration.restore(this.#clock.wallClock());
-        const opened = await this.#control?.open();
+        const opened = await this.#configuration.restore(this.#clock.wallClock()) ?? await this.#control?.open();
         if (opened !== undefined) {
             this.#log.event("storeFailed", { reason: opened });
             return { kind: "dataFolder", reason: opened };
@@ -298,7 +300,11 @@
             case "failoverDone": {
                 const databases = this.#configuration.inForce?.configuration.databases;
                 const targetMs = databases?.[report.database]?.objectives.failoverGapMs ?? Infinity;
-                this.#control?.services.failover(report.database, report.tookMs, targetMs, this.#clock.wallClock());
+                this.#reporter.add(report.database, {
+                    failovers: 1,
+                    slowFailovers: report.tookMs > targetMs ? 1 : 0,
+                    longestFailoverMs: report.tookMs,
+                });
                 break;
             }
             case "failed":
@@ -328,6 +334,9 @@
         const wallClock = this.#clock.wallClock();
         this.#reporter.tick(now, wallClock);
         void this.#control?.services.tick(now, wallClock);
+        if (this.#entry.cutOffForMs() > CUT_OFF_LIMIT_MS) {
+            this.#databases.changed();
+        }
         if (this.#control?.mustJoin === true) {
             void this.#entry.request("joinGroup", this.#control.memberId, HOUSEKEEPING_MS);
         }
--- a/packages/daemon/src/service-store.ts
+++ b/packages/daemon/src/service-store.ts
@@ -1,5 +1,5 @@
 import type { Host, ServiceCounts } from "@medlarledge/protocol";
-import { EMPTY_COUNT, type SavedHistory, type ServiceCount, ServiceHistory } from "@medlarledge/telemetry";
+import { type SavedHistory, ServiceHistory } from "@medlarledge/telemetry";
 import { readFile } from "node:fs/promises";
 import { join } from "node:path";
 import { z } from "zod";
@@ -78,18 +78,6 @@
         return true;
     }
 
-    /** Counts a failover that this host led. */
-    failover(database: string, tookMs: number, targetMs: number, wallClock: number): void {
-        const count: ServiceCount = {
-            ...EMPTY_COUNT,
-            failovers: 1,
-            slowFailovers: tookMs > targetMs ? 1 : 0,
-            longestFailoverMs: tookMs,
-        };
-        this.#history.add(database, wallClock, count);
-        this.#dirty = true;
-    }
-
     async tick(now: number, wallClock: number): Promise<void> {
         if (this.#dirty && now - this.#savedAt >= SAVE_MS) {
             this.#savedAt = now;
--- a/packages/daemon/src/serving-host.ts
+++ b/packages/daemon/src/serving-host.ts
@@ -1,4 +1,4 @@
-import { CallerListener, type EndpointConnector } from "@medlarledge/postgres";
+import { type CallerConnection, CallerListener, type EndpointConnector, messages } from "@medlarledge/postgres";
 import type { Endpoint, Host } from "@medlarledge/protocol";
 import { type DatabaseSource, Proxy, type ProxyEvents, type ProxyStatus, type ServiceRecord } from "@medlarledge/proxy";
 import { Classifier } from "@medlarledge/routing";
@@ -8,11 +8,13 @@
 import { randomInt } from "node:crypto";
 import { readFile } from "node:fs/promises";
 import { parseAddress } from "./address.js";
-import { mayLogIn } from "./caller-access.js";
+import { mayLogIn, mayUse } from "./caller-access.js";
 import type { Clock } from "./clock.js";
 import { callerProcessId } from "./host-number.js";
 import { proxyParts } from "./proxy-parts.js";
 
+/** SQLSTATE of a user without the right to a database. */
+const INSUFFICIENT_PRIVILEGE = "42501";
 const DEFAULT_CALLERS = 4_000;
 const DEFAULT_MESSAGE_BYTES = 64 * 1024 * 1024;
 
@@ -43,7 +45,6 @@
 
     private constructor(options: ServingHostOptions, classifier: Classifier, tls: CallerTls | undefined) {
         this.#options = options;
-        const limits = options.configuration()?.limits;
         this.#proxy = new Proxy({
             source: options.source,
             connector: options.connector,
@@ -58,12 +59,17 @@
             parts: proxyParts(() => options.configuration()?.limits, randomInt(2 ** 31)),
         });
         this.#listener = new CallerListener({
-            onCaller: caller => this.#proxy.accept(caller),
+            onCaller: caller => this.#accept(caller),
             cancel: (processId, secretKey) => this.#cancel(processId, secretKey),
             authenticate: (user, password) => mayLogIn(options.configuration(), user, password),
             ...(tls === undefined ? {} : { tls }),
-            maxCallers: limits?.callersPerHost ?? DEFAULT_CALLERS,
-            maxMessageBytes: limits?.messageBytes ?? DEFAULT_MESSAGE_BYTES,
+            // Read at each connection, so that a changed limit holds from the next caller on.
+            get maxCallers() {
+                return options.configuration()?.limits.callersPerHost ?? DEFAULT_CALLERS;
+            },
+            get maxMessageBytes() {
+                return options.configuration()?.limits.messageBytes ?? DEFAULT_MESSAGE_BYTES;
+            },
             backendKey: () => this.#nextKey(),
             onProtocolFault: fault => options.log.event("callerRejected", { ...fault }),
         });
@@ -112,6 +118,16 @@
         await this.#listener.close();
     }
 
+    #accept(caller: CallerConnection): void {
+        if (mayUse(this.#options.configuration(), caller.user, caller.database)) {
+            this.#proxy.accept(caller);
+            return;
+        }
+        const text = `user "${caller.user}" may not use database "${caller.database}"`;
+        caller.send(messages.errorResponse(INSUFFICIENT_PRIVILEGE, text, "FATAL"));
+        caller.close();
+    }
+
     #cancel(processId: number, secretKey: number): void {
         if (!this.#proxy.cancel(processId, secretKey)) {
             this.#options.forwardCancel(processId, secretKey);
--- a/packages/daemon/src/slot-task.ts
+++ b/packages/daemon/src/slot-task.ts
@@ -12,7 +12,7 @@
 import { periodic } from "most";
 import type { Clock } from "./clock.js";
 import { SlotManagers } from "./slot-managers.js";
-import { SlotPeers, slotSender } from "./slot-peers.js";
+import { SlotPeers } from "./slot-peers.js";
 import type { ViewTable } from "./view-table.js";
 
 const TICK_MS = 10;
