Encode a configuration once for all hosts

Cause: the leader made one message object for each host, and every link encoded the whole folder again, 550 times 196 KB for one change. Change: all hosts are sent the same object, and a link that sends the object that was encoded last uses the same bytes. Result: 1 encoding instead of 550; the event 'the configuration changes' at 550 hosts still sends 108 MB. Conclusion: the processor time of a change no longer grows with hosts times size; the bytes do.

--- a/packages/control/src/distribution.ts
+++ b/packages/control/src/distribution.ts
@@ -1,4 +1,4 @@
-import type { Host } from "@medlarledge/protocol";
+import type { ConfigurationUpdate, Host } from "@medlarledge/protocol";
 import type { HostRecord } from "./host-table.js";
 import type { LeaderContext } from "./leader-context.js";
 
@@ -10,6 +10,7 @@
     /** Version of the newest view sent to all hosts. */
     #sentVersion = 0;
     readonly #configurationSentAt = new Map<string, number>();
+    #configuration: ConfigurationUpdate | undefined;
 
     clear(): void {
         this.#sentVersion = 0;
@@ -67,7 +68,11 @@
             return;
         }
         this.#configurationSentAt.set(host.id, context.now);
-        context.emit({ kind: "send", to: host.id, message: { kind: "configurationUpdate", change } });
+        // One message for all hosts, so that the sender can encode it once.
+        if (this.#configuration?.change !== change) {
+            this.#configuration = { kind: "configurationUpdate", change };
+        }
+        context.emit({ kind: "send", to: host.id, message: this.#configuration });
     }
 }
 
--- a/packages/daemon/src/peer-link.ts
+++ b/packages/daemon/src/peer-link.ts
@@ -1,12 +1,6 @@
-import {
-    decodeMessage,
-    encodeMessage,
-    type Hello,
-    type Host,
-    type Message,
-    PROTOCOL_VERSION,
-} from "@medlarledge/protocol";
+import { decodeMessage, type Hello, type Host, type Message, PROTOCOL_VERSION } from "@medlarledge/protocol";
 import type { RawData, WebSocket } from "ws";
+import { encodeShared } from "./shared-encoding.js";
 
 /** A link without traffic for this long is closed; the peer sends a ping every `PING_MS`. */
 export const LINK_SILENCE_MS = 1_500;
@@ -85,7 +79,7 @@
             this.#fail({ kind: "slow", bufferedBytes: this.#socket.bufferedAmount });
             return;
         }
-        const bytes = encodeMessage(message);
+        const bytes = encodeShared(message);
         this.bytesSent += bytes.byteLength;
         this.messagesSent += 1;
         this.#socket.send(bytes);
--- a/packages/testing/src/capacity/entry-cost.ts
+++ b/packages/testing/src/capacity/entry-cost.ts
@@ -2,9 +2,11 @@
 import { SlotTask, ViewTable } from "@medlarledge/daemon";
 import { encodeMessage } from "@medlarledge/protocol";
 import { ClassMatcher, mergeFolder } from "@medlarledge/settings";
+import { EMPTY_COUNT, type ServiceCount } from "@medlarledge/telemetry";
 import { cpuSeconds, leastCpu, pause, type Print, printFit, round, usedBytes } from "./measure.js";
 import {
     DATABASE_COUNTS,
+    databaseName,
     HOST_COUNTS,
     sampleCommands,
     sampleFolder,
@@ -14,6 +16,18 @@
 } from "./sample-data.js";
 
 const SLOT_RUN_MS = 1_000;
+const SLOT_WARM_UP_MS = 300;
+
+/** What an entry host with 3,100 statements a second over 640 databases counts for one of them in 10 s. */
+const SERVED: ServiceCount = {
+    ...EMPTY_COUNT,
+    requests: 48,
+    worth: 48,
+    worthInTime: 48,
+    reads: 32,
+    replicaReads: 30,
+    freshReads: 32,
+};
 
 /** The view of an entry host: bytes of a whole one, memory. */
 export function viewCost(print: Print): void {
@@ -29,6 +43,19 @@
     printFit(print, "view and state, 550 hosts", "databases", "heap bytes", heap);
 }
 
+/** The counts that an entry host sends to each control host every 10 s when it served every database. */
+export function serviceCost(print: Print): void {
+    const points = DATABASE_COUNTS.map(databases => {
+        const counts = Object.fromEntries(
+            Array.from({ length: databases }, (_, index) => [databaseName(index), SERVED]),
+        );
+        const bytes =
+            encodeMessage({ kind: "serviceCounts", sequence: 8_640, at: 1_780_000_000_000, counts }).byteLength;
+        return { x: databases, y: bytes };
+    });
+    printFit(print, "service counts", "databases", "bytes a batch", points);
+}
+
 function sampleState(hosts: number, databases: number): ControlState {
     const state = new ControlState();
     for (const command of sampleCommands(hosts, databases)) {
@@ -89,6 +116,7 @@
 /** Processor time a wall-clock second; a tick that takes longer than its interval shows as a value near 1. */
 async function cpuOf(start: () => void): Promise<number> {
     start();
+    await pause(SLOT_WARM_UP_MS);
     const cpuBefore = cpuSeconds();
     const startedAt = performance.now();
     await pause(SLOT_RUN_MS);
--- a/packages/testing/src/capacity/host-cost.ts
+++ b/packages/testing/src/capacity/host-cost.ts
@@ -14,9 +14,14 @@
     readonly cpu: number;
     /** Resident bytes. */
     readonly resident: number;
+    readonly leaderCpu: number;
+    readonly leaderResident: number;
 }
 
-/** A real host process that is alone in its group, idle, with databases in its configuration. */
+/**
+ * Two real host processes, idle, with databases in their configuration: one leads, the other one only serves callers.
+ * The endpoints do not exist and allow no connections to entry hosts, as at the target size, where the share is zero.
+ */
 export async function hostCost(print: Print, programs: string): Promise<void> {
     for (const announced of [false, true]) {
         const points: HostPoint[] = [];
@@ -30,13 +35,18 @@
             printFit(print, name, "databases", y, points.map(item => ({ x: item.databases, y: value(item) })));
         fit("CPU seconds a second", item => item.cpu);
         fit("resident bytes", item => item.resident);
+        fit("CPU seconds a second of the leader", item => item.leaderCpu);
+        fit("resident bytes of the leader", item => item.leaderResident);
     }
 }
 
 async function measureHost(programs: string, databases: number, announced: boolean) {
     const cluster = await LocalCluster.start({
         programs,
-        hosts: [{ id: "mechelen-1", dataCentre: "mechelen", control: true }],
+        hosts: [
+            { id: "mechelen-1", dataCentre: "mechelen", control: true },
+            { id: "antwerp-1", dataCentre: "antwerp", control: false },
+        ],
         databases: [],
         endpointPlaces: [],
         slots: 2,
@@ -50,17 +60,27 @@
             const { outcome } = await cluster.anyHost().apply(change);
             return outcome === "accepted" || outcome === "alreadyAccepted";
         });
-        await cluster.until("the host serves", () => cluster.anyHost().ready());
+        const [leader, entry] = cluster.hosts;
+        if (leader === undefined || entry === undefined) {
+            throw new Error("two hosts are needed");
+        }
+        await cluster.until("the hosts serve", async () => await leader.ready() && await entry.ready());
         if (announced) {
             await announceAll(cluster, databases);
         }
         await pause(WARM_UP_MS);
+        const before = await Promise.all([entry.report(), leader.report()]);
         const startedAt = performance.now();
-        const before = await cluster.anyHost().report();
         await pause(MEASURED_MS);
-        const after = await cluster.anyHost().report();
+        const after = await Promise.all([entry.report(), leader.report()]);
         const seconds = (performance.now() - startedAt) / 1_000;
-        return { cpu: round((cpuOf(after) - cpuOf(before)) / seconds), resident: after.host.memoryBytes };
+        const cpu = (index: 0 | 1): number => round((cpuOf(after[index]) - cpuOf(before[index])) / seconds);
+        return {
+            cpu: cpu(0),
+            resident: after[0].host.memoryBytes,
+            leaderCpu: cpu(1),
+            leaderResident: after[1].host.memoryBytes,
+        };
     }
     finally {
         await cluster.stop();
@@ -76,7 +96,12 @@
         const calls = Array.from({ length: ENDPOINTS_PER_DATABASE }, (_, index) => {
             // Endpoints at one address with different identities would replace each other.
             const port = 1 + database * ENDPOINTS_PER_DATABASE + index;
-            return announce(cluster, { ...sampleEndpoint(database, index, true), host: "127.0.0.9", port });
+            return announce(cluster, {
+                ...sampleEndpoint(database, index, true),
+                host: "127.0.0.9",
+                port,
+                connections: 2,
+            });
         });
         await Promise.all(calls);
     }
--- a/packages/testing/src/capacity/main.ts
+++ b/packages/testing/src/capacity/main.ts
@@ -1,6 +1,6 @@
 import { dirname } from "node:path";
 import { agreementCost } from "./agreement-cost.js";
-import { configurationCost, slotCost, viewCost } from "./entry-cost.js";
+import { configurationCost, serviceCost, slotCost, viewCost } from "./entry-cost.js";
 import { hostCost } from "./host-cost.js";
 import { eventCost, leaderCost } from "./leader-cost.js";
 import type { Print } from "./measure.js";
@@ -15,6 +15,7 @@
     message: messageCost,
     connections: connectionMemory,
     view: viewCost,
+    service: serviceCost,
     configuration: configurationCost,
     agreement: agreementCost,
     leader: leaderCost,
