Send service counts of many databases less often

Cause: an entry host that serves all 640 databases sent every control host a batch of 102 KB every 10 s: 30.7 KB/s with 3 control hosts and 51 KB/s with 5, where control may take 13 KB/s. It also kept 360 batches of any size for a control host that does not answer. Change: the interval grows by 10 s for each 64 databases in the batch, up to 100 s for 640; unacknowledged batches are kept for an hour by their time. Conclusion: within the limit; a host that is killed loses up to 100 s of counts of a large installation instead of 10 s.

--- a/packages/daemon/src/service-reporter.ts
+++ b/packages/daemon/src/service-reporter.ts
@@ -1,11 +1,17 @@
 import type { ControlMessage, ServiceCounts } from "@medlarledge/protocol";
 import { addCounts, EMPTY_COUNT, type ServiceCount } from "@medlarledge/telemetry";
 
-/** How often counts are sent to the control hosts. */
+/** How often counts are sent to the control hosts, while few databases were served. */
 const BATCH_MS = 10_000;
 
-/** Batches kept for a control host that does not answer: one hour. */
-const MAX_BATCHES = 360;
+/**
+ * Databases in one batch that are worth a batch every BATCH_MS. A batch with more waits longer: 640 databases are 102 KB
+ * for each control host, which every 10 s would be more than the 13 KB/s that a node may spend on control.
+ */
+const DATABASES_PER_BATCH = 64;
+
+/** Time for which batches are kept for a control host that does not answer. */
+const KEPT_MS = 3_600_000;
 
 /** Sums what this host served and delivers it to every control host, each batch counted once there. */
 export class ServiceReporter {
@@ -35,7 +41,8 @@
     }
 
     tick(now: number, wallClock: number): void {
-        if (now - this.#sentAt >= BATCH_MS) {
+        const parts = Math.max(1, Math.ceil(this.#current.size / DATABASES_PER_BATCH));
+        if (now - this.#sentAt >= BATCH_MS * parts) {
             this.#sentAt = now;
             this.flush(wallClock);
         }
@@ -48,10 +55,9 @@
             const counts = Object.fromEntries(this.#current);
             this.#current.clear();
             const batch: ServiceCounts = { kind: "serviceCounts", sequence: this.#sequence, at: wallClock, counts };
-            this.#unacknowledged.forEach(waiting => {
-                waiting.push(batch);
-                waiting.splice(0, Math.max(0, waiting.length - MAX_BATCHES));
-            });
+            for (const [id, waiting] of this.#unacknowledged) {
+                this.#unacknowledged.set(id, [...waiting.filter(({ at }) => wallClock - at < KEPT_MS), batch]);
+            }
         }
         for (const id of this.#listed) {
             this.#unacknowledged.get(id)?.forEach(batch => this.#send(id, batch));
