Compare the latency of fast answers with no peers

Each answer copied, filtered and sorted the records of all endpoints, although an endpoint is slow only when it takes more than latencyDifferenceMs longer than the median, which is never below 0. The check now ends before the copy. Ruled out: keeping the median up to date, which costs on every answer too. The decisions are the same.

--- a/packages/routing/src/endpoint-health.ts
+++ b/packages/routing/src/endpoint-health.ts
@@ -146,6 +146,10 @@
     }
 
     #isSlow(endpoint: string, latencyMs: number): boolean {
+        // No median is below 0: a fast answer needs no comparison.
+        if (latencyMs <= this.#options.latencyDifferenceMs) {
+            return false;
+        }
         const peers = [...this.#records]
             .filter(([id, other]) => id !== endpoint && other.answers > 0 && other.probeAt === undefined)
             .map(([, other]) => other.latencyMs)
