Admit a request at once when nothing waits and a slot is free

Every request was copied into the queue, planned, filtered out again and checked for eviction, and every end of a request filtered an empty queue twice. The result is the same without the queue when nothing waits.

--- a/packages/routing/src/admission.ts
+++ b/packages/routing/src/admission.ts
@@ -76,6 +76,9 @@
         if (now + this.#times.high(request.costKey) > request.deadlineAt) {
             return [{ kind: "refuse", id: request.id, reason: "deadline" }];
         }
+        if (this.#waiting.length === 0 && this.#running.size < this.#limit.value) {
+            return [this.#run(request, now)];
+        }
         this.#waiting.push({ ...request, arrivedAt: now });
         return [...this.#dispatch(now), ...this.#evict(request.id)];
     }
@@ -95,7 +98,9 @@
 
     /** The caller went away before its request ran. */
     withdraw(id: number): void {
-        this.#waiting = this.#waiting.filter(request => request.id !== id);
+        if (this.#waiting.length > 0) {
+            this.#waiting = this.#waiting.filter(request => request.id !== id);
+        }
     }
 
     /** The next time at which a waiting request can no longer make its deadline: `tick` is due just after it. */
@@ -111,16 +116,23 @@
     }
 
     #dispatch(now: number): readonly AdmissionEffect[] {
+        if (this.#waiting.length === 0) {
+            return [];
+        }
         const effects: AdmissionEffect[] = this.#expire(now);
         while (this.#running.size < this.#limit.value && this.#waiting.length > 0) {
             const next = this.#next(now);
             this.withdraw(next.id);
-            this.#running.set(next.id, { costKey: next.costKey, startedAt: now });
-            effects.push({ kind: "run", id: next.id });
+            effects.push(this.#run(next, now));
         }
         return effects;
     }
 
+    #run({ id, costKey }: AdmissionRequest, now: number): AdmissionEffect {
+        this.#running.set(id, { costKey, startedAt: now });
+        return { kind: "run", id };
+    }
+
     /** The first of the planned requests; when one slot's worth of work waits, there is nothing to plan. */
     #next(now: number): Waiting {
         const [first] = this.#waiting;
