Find the slot manager without sorting the hosts

The slot manager is looked up whenever the number of running statements changes, twice per statement. Only the first host is wanted, so no list is built and sorted, and a single host needs no weight. The caller should keep the manager per version of the view.

--- a/packages/routing/src/rendezvous.ts
+++ b/packages/routing/src/rendezvous.ts
@@ -17,7 +17,24 @@
 /** The host that manages an endpoint's slots: one of its data centre, or of any when none is there. */
 export function slotManager(endpoint: Endpoint, hosts: readonly Host[]): Host | undefined {
     const near = hosts.filter(host => host.dataCentre === endpoint.dataCentre);
-    return rendezvous(endpointKey(endpoint), near.length > 0 ? near : hosts)[0];
+    return first(endpointKey(endpoint), near.length > 0 ? near : hosts);
+}
+
+/** The first of `rendezvous`, without sorting: this is asked for every statement. */
+function first(key: string, hosts: readonly Host[]): Host | undefined {
+    if (hosts.length < 2) {
+        return hosts[0];
+    }
+    let best: Host | undefined;
+    let bestWeight = -1;
+    for (const host of hosts) {
+        const weight = hashText(`${key}\n${host.id}`);
+        if (weight > bestWeight || (weight === bestWeight && best !== undefined && host.id < best.id)) {
+            best = host;
+            bestWeight = weight;
+        }
+    }
+    return best;
 }
 
 /** Identifies an endpoint across databases. */
