Measure throughput and added latency

Cause: the targets for throughput and added latency had no measurement. Change: a load of prepared messages in a process of its own drives a host, a bare relay and the endpoints.

--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -9,6 +9,7 @@
     "stand-in": "packages/testing/src/stand-in-main.ts",
     quickstart: "packages/testing/src/quickstart/main.ts",
     bench: "packages/testing/src/bench/main.ts",
+    "bench-load": "packages/testing/src/bench/load-main.ts",
 };
 
 checkVersion();
