--- a/packages/testing/src/bench/failover.ts
+++ b/packages/testing/src/bench/failover.ts
@@ -1,7 +1,7 @@
 import { build } from "hdr-histogram-js";
 import type { LocalCluster } from "../cluster/local-cluster.js";
 import type { LocalEndpoint } from "../cluster/local-endpoint.js";
-import { atMost, type BenchContext, type Measure, pause, type Result } from "./measure.js";
+import { atLeast, atMost, type BenchContext, type Measure, pause, type Result } from "./measure.js";
 import { startUserCluster } from "./user-cluster.js";
 import { Writer } from "./writer.js";
 
@@ -46,7 +46,10 @@
             latencies: { replica: [], primary: [] },
         };
         for (const delayMs of ONE_WAY_DELAYS_MS) {
-            await measureUser(context, delayMs, totals);
+            // The figures of the failovers so far are reported; the missing ones make the number too small.
+            await measureUser(context, delayMs, totals).catch((error: unknown) => {
+                context.log(error instanceof Error ? error.message : String(error));
+            });
         }
         return resultsOf(totals);
     },
@@ -66,13 +69,19 @@
     await pause(1_000);
     writers.forEach((writer, index) => totals.latencies[acknowledge(ALL[index] ?? "")].push(writer.medianLatencyMs()));
     const count = context.quick ? QUICK_FAILOVERS_PER_USER : FAILOVERS_PER_USER;
-    for (let round = 0; round < count; round++) {
-        const index = round % ALL.length;
-        const writer = writers[index];
-        if (writer !== undefined) {
-            await failOver(context, cluster, ALL[index] ?? "", round, writer, totals);
+    try {
+        for (let round = 0; round < count; round++) {
+            const index = round % ALL.length;
+            const writer = writers[index];
+            if (writer !== undefined) {
+                await failOver(context, cluster, ALL[index] ?? "", round, writer, totals);
+            }
         }
     }
+    catch (error) {
+        await describe(context, cluster);
+        throw error;
+    }
     await Promise.all(writers.map(writer => writer.stop()));
     for (const [index, name] of ALL.entries()) {
         await compareOutcomes(context, cluster, name, writers[index], totals);
@@ -80,12 +89,6 @@
     await cluster.stop();
 }
 
-async function primaryOf(cluster: LocalCluster, database: string): Promise<LocalEndpoint | undefined> {
-    const { cluster: report } = await cluster.anyHost().report();
-    const id = report.databases.find(candidate => candidate.database === database)?.primary;
-    return cluster.endpoints(database).find(endpoint => endpoint.id === id && endpoint.running);
-}
-
 /** The endpoint that is killed must have its two replicas back, as a database has them between failures. */
 async function failOver(
     context: BenchContext,
@@ -97,7 +100,7 @@
 ): Promise<void> {
     let primary: LocalEndpoint | undefined;
     await cluster.until(`${database} has a primary with two replicas`, async () => {
-        primary = await primaryOf(cluster, database);
+        primary = await cluster.primaryOf(database);
         return primary !== undefined && (await primary.status()).followers === 2;
     });
     const killedAt = performance.now();
@@ -112,8 +115,8 @@
     totals.gaps.recordValue(Math.round(gapMs));
     totals.failovers += 1;
     context.log(`failover ${round} of ${database}: ${gapMs.toFixed(0)} ms`);
-    await cluster.until(`${database} has a new primary`, async () => await primaryOf(cluster, database) !== undefined);
-    const next = await primaryOf(cluster, database);
+    await cluster.until(`${database} has a new primary`, async () => await cluster.primaryOf(database) !== undefined);
+    const next = await cluster.primaryOf(database);
     // The new replica takes the name of the killed one, so that nobody waits for the killed one to answer.
     if (next !== undefined && primary !== undefined) {
         await cluster.addEndpoint(database, primary.id, next);
@@ -131,7 +134,7 @@
     writer: Writer | undefined,
     totals: Totals,
 ): Promise<void> {
-    const primary = await primaryOf(cluster, database);
+    const primary = await cluster.primaryOf(database);
     const present = new Set((await primary?.rows("bench") ?? []).map(row => row.key));
     const lost = writer?.acknowledged.filter(key => !present.has(key)) ?? [];
     const ranAnyway = writer?.notRun.filter(key => present.has(key)) ?? [];
@@ -143,6 +146,16 @@
     );
 }
 
+/** What a run that goes wrong looks like from outside. */
+async function describe(context: BenchContext, cluster: LocalCluster): Promise<void> {
+    const { cluster: report } = await cluster.anyHost().report();
+    context.log(JSON.stringify(report));
+    for (const endpoint of ALL.flatMap(name => cluster.endpoints(name)).filter(each => each.running)) {
+        const status = await endpoint.status().catch(() => undefined);
+        context.log(JSON.stringify({ database: endpoint.database, ...status }));
+    }
+}
+
 function resultsOf(totals: Totals): readonly Result[] {
     const mean = (values: readonly number[]): number => values.reduce((sum, value) => sum + value, 0) / values.length;
     const primaryMs = mean(totals.latencies.primary);
@@ -159,6 +172,11 @@
             unit: "ratio of medians",
             baseline: primaryMs,
         },
-        { measure: "failovers", value: totals.failovers, unit: "failovers" },
+        {
+            measure: "failovers",
+            value: totals.failovers,
+            unit: "failovers",
+            bound: atLeast(ONE_WAY_DELAYS_MS.length * FAILOVERS_PER_USER),
+        },
     ];
 }
--- a/packages/testing/src/bench/main.ts
+++ b/packages/testing/src/bench/main.ts
@@ -4,6 +4,7 @@
 import { MEASURES } from "./measures.js";
 
 const TOTAL_LIMIT_MS = 600_000;
+const LONG_LIMIT_MS = 1_800_000;
 
 /** Clusters of the running measure; they end with it, also when its time is up. */
 const clusters: LocalCluster[] = [];
@@ -11,8 +12,13 @@
 const context: BenchContext = {
     programs: dirname(process.argv[1] ?? "dist"),
     quick: process.argv.includes("--quick"),
+    long: process.argv.includes("--long"),
     startCluster: async options => {
-        const cluster = await LocalCluster.start({ ...options, programs: context.programs });
+        const cluster = await LocalCluster.start({
+            ...options,
+            programs: context.programs,
+            keepFolder: process.env["MEDLARLEDGE_KEEP"] !== undefined,
+        });
         clusters.push(cluster);
         return cluster;
     },
@@ -67,7 +73,7 @@
 
 async function main(): Promise<boolean> {
     const measures = selected();
-    const endsAt = performance.now() + TOTAL_LIMIT_MS;
+    const endsAt = performance.now() + (context.long ? LONG_LIMIT_MS : TOTAL_LIMIT_MS);
     let held = measures.length > 0;
     for (const measure of measures) {
         const remainingMs = Math.max(0, endsAt - performance.now());
--- a/packages/testing/src/bench/measure.ts
+++ b/packages/testing/src/bench/measure.ts
@@ -17,6 +17,8 @@
     readonly programs: string;
     /** Fewer repetitions, for trying a measure out. */
     readonly quick: boolean;
+    /** More repetitions than fit into the benchmark's time, for measures that state it. */
+    readonly long: boolean;
     /** Starts a cluster that ends with the measure. */
     startCluster(options: Omit<ClusterOptions, "programs">): Promise<LocalCluster>;
     log(line: string): void;
--- a/packages/testing/src/bench/measures.ts
+++ b/packages/testing/src/bench/measures.ts
@@ -1,5 +1,17 @@
+import { configuration } from "./configuration.js";
+import { drain } from "./drain.js";
 import { failover } from "./failover.js";
+import { falsePromotions } from "./false-promotions.js";
 import type { Measure } from "./measure.js";
+import { oldPrimary } from "./old-primary.js";
+import { throughput } from "./throughput.js";
 
 /** All measures, the most important first. */
-export const MEASURES: readonly Measure[] = [failover];
+export const MEASURES: readonly Measure[] = [
+    failover,
+    oldPrimary,
+    configuration,
+    throughput,
+    drain,
+    falsePromotions,
+];
--- a/packages/testing/src/bench/writer.ts
+++ b/packages/testing/src/bench/writer.ts
@@ -12,19 +12,22 @@
     readonly acknowledged: string[] = [];
     readonly notRun: string[] = [];
     readonly unknown: string[] = [];
-    readonly #acknowledgedAt: { readonly sentAt: number; readonly at: number; }[] = [];
+    readonly #acknowledgedAt: { readonly key: string; readonly sentAt: number; readonly at: number; }[] = [];
     readonly #latencies = build();
     readonly #url: string;
+    readonly #name: string;
     #client: Client | undefined;
     #stopped = false;
     #running: Promise<void> = Promise.resolve();
 
-    private constructor(url: string) {
+    private constructor(url: string, name: string) {
         this.#url = url;
+        this.#name = name;
     }
 
-    static async start(url: string): Promise<Writer> {
-        const writer = new Writer(url);
+    /** Different names let several callers write to one database. */
+    static async start(url: string, name = "key"): Promise<Writer> {
+        const writer = new Writer(url, name);
         writer.#client = await connect(url);
         await writer.#client.query("CREATE TABLE IF NOT EXISTS bench (key text primary key, value text)");
         writer.#running = writer.#run();
@@ -41,6 +44,10 @@
         return this.#acknowledgedAt.find(entry => entry.sentAt > time)?.at ?? NaN;
     }
 
+    acknowledgedSince(time: number): readonly string[] {
+        return this.#acknowledgedAt.filter(entry => entry.at > time).map(entry => entry.key);
+    }
+
     medianLatencyMs(): number {
         return this.#latencies.getValueAtPercentile(50) / MICROSECONDS;
     }
@@ -57,7 +64,7 @@
 
     async #run(): Promise<void> {
         for (let index = 0; !this.#stopped; index++) {
-            const acknowledged = await this.#write(`key-${index}`);
+            const acknowledged = await this.#write(`${this.#name}-${index}`);
             if (!acknowledged) {
                 await pause(RETRY_MS);
             }
@@ -71,7 +78,7 @@
             await this.#client.query("INSERT INTO bench VALUES ($1, $2)", [key, key]);
             const at = performance.now();
             this.acknowledged.push(key);
-            this.#acknowledgedAt.push({ sentAt, at });
+            this.#acknowledgedAt.push({ key, sentAt, at });
             this.#latencies.recordValue(Math.round((at - sentAt) * MICROSECONDS));
             return true;
         }
--- a/packages/testing/src/cluster/local-cluster.ts
+++ b/packages/testing/src/cluster/local-cluster.ts
@@ -103,6 +103,20 @@
         return this.#endpoints.filter(endpoint => endpoint.database === database);
     }
 
+    /** The running endpoint that the hosts take as primary. */
+    async primaryOf(database: string): Promise<LocalEndpoint | undefined> {
+        const { cluster } = await this.anyHost().report();
+        const id = cluster.databases.find(candidate => candidate.database === database)?.primary;
+        return this.endpoints(database).find(endpoint => endpoint.id === id && endpoint.running);
+    }
+
+    /** Sets the one-way delay of all relays, in ms, asked for each chunk. */
+    setDelay(nextDelayMs: () => number): void {
+        for (const relay of this.#relays) {
+            relay.nextDelayMs = nextDelayMs;
+        }
+    }
+
     /** Proposes a configuration through the first host that runs. */
     async apply(number: number, files: readonly ConfigurationFile[]): Promise<string> {
         const host = this.hosts.find(candidate => candidate.running);
