--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -10,6 +10,7 @@
     quickstart: "packages/testing/src/quickstart/main.ts",
     capacity: "packages/testing/src/capacity/main.ts",
     bench: "packages/testing/src/bench/main.ts",
+    "bench-load": "packages/testing/src/bench/load-main.ts",
 };
 
 checkVersion();
