--- a/packages/testing/src/faults/history.ts
+++ b/packages/testing/src/faults/history.ts
@@ -1,5 +1,5 @@
 /** Result of a request as its caller saw it. */
-export type RequestOutcome = "done" | "notRun" | "unknown";
+export type RequestOutcome = "done" | "notRun" | "rolledBack" | "unknown";
 
 /** One recorded event. `at` is in simulated milliseconds; rows are identified by the write that inserted them. */
 export type HistoryEvent =
--- /dev/null
+++ b/packages/testing/src/faults/matrix.ts
@@ -0,0 +1,39 @@
+import { uniformInt } from "pure-rand/distribution/uniformInt";
+import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { Cell } from "./cell.js";
+import { type Fault, FAULTS } from "./fault-table.js";
+import { type Step, STEPS } from "./steps.js";
+
+/** Time between two faults that strike together. */
+const TOGETHER_MS = 50;
+
+/** Time from the end of a fault to its second occurrence. */
+const AGAIN_MS = 300;
+
+/** Every fault at every step. */
+export function singleCells(): readonly Cell[] {
+    return FAULTS.flatMap(fault => STEPS.map(step => cellOf(step, [fault], [0])));
+}
+
+/** A sample of the pairs of faults, together and the same one twice, chosen by the seed. */
+export function pairCells(count: number, seed: number): readonly Cell[] {
+    const random = xoroshiro128plus(seed);
+    const cells = new Map<string, Cell>();
+    const possible = FAULTS.length * FAULTS.length * STEPS.length;
+    while (cells.size < Math.min(count, possible)) {
+        const step = STEPS[uniformInt(random, 0, STEPS.length - 1)];
+        const first = FAULTS[uniformInt(random, 0, FAULTS.length - 1)];
+        const second = FAULTS[uniformInt(random, 0, FAULTS.length - 1)];
+        if (step !== undefined && first !== undefined && second !== undefined) {
+            const gap = first === second ? first.durationMs + AGAIN_MS : TOGETHER_MS;
+            const cell = cellOf(step, [first, second], [0, gap]);
+            cells.set(cell.name, cell);
+        }
+    }
+    return [...cells.values()];
+}
+
+function cellOf(step: Step, faults: readonly Fault[], offsetsMs: readonly number[]): Cell {
+    const name = `${faults.map(fault => fault.name).join(" + ")} @ ${step.name}`;
+    return { name, step, faults, offsetsMs };
+}
--- a/packages/testing/src/faults/request-checks.ts
+++ b/packages/testing/src/faults/request-checks.ts
@@ -66,12 +66,18 @@
         );
 }
 
-/** Invariant 5: a write reported as not run was run by no endpoint. */
+/** Invariant 5: no endpoint ran a write reported as not run, nor committed one reported as rolled back. */
 export function checkRefusals(history: readonly HistoryEvent[]): readonly string[] {
     const executed = new Set(eventsOf(history, "executed").map(({ row }) => row));
-    return eventsOf(history, "writeAnswered")
-        .filter(({ row, outcome }) => outcome === "notRun" && executed.has(row))
-        .map(({ row, at }) => `${row} was reported as not run at ${at} but ran`);
+    const committed = new Set(eventsOf(history, "committed").flatMap(({ rows }) => rows));
+    return eventsOf(history, "writeAnswered").flatMap(({ row, outcome, at }) => {
+        if (outcome === "notRun" && executed.has(row)) {
+            return [`${row} was reported as not run at ${at} but ran`];
+        }
+        return outcome === "rolledBack" && committed.has(row)
+            ? [`${row} was reported as rolled back at ${at} but was committed`]
+            : [];
+    });
 }
 
 /** Invariant 6: no endpoint runs a write that another one, or it itself, ran already. */
--- a/packages/testing/tests/faults/invariant-checker.test.ts
+++ b/packages/testing/tests/faults/invariant-checker.test.ts
@@ -1,8 +1,8 @@
 import { describe, expect, it } from "vitest";
-import type { HistoryEvent } from "../../src/faults/history.js";
+import type { HistoryEvent, RequestOutcome } from "../../src/faults/history.js";
 import { Invariant, InvariantChecker } from "../../src/faults/invariant-checker.js";
 
-const write = (row: string, at: number, outcome: "done" | "notRun" | "unknown" = "done", term = 1): HistoryEvent => ({
+const write = (row: string, at: number, outcome: RequestOutcome = "done", term = 1): HistoryEvent => ({
     kind: "writeAnswered",
     at,
     session: "s",
@@ -61,6 +61,7 @@
     [Invariant.Answers, "the answer of another request", [answer("y")]],
     [Invariant.Answers, "an incomplete answer", [answer("x", false)]],
     [Invariant.Refusals, "a refused write ran", [executed("1", 1), write("1", 2, "notRun")]],
+    [Invariant.Refusals, "a rolled back write is committed", [sent("1"), committed("1"), write("1", 2, "rolledBack")]],
     [Invariant.Repeats, "a write ran twice", [executed("1", 1), executed("1", 2, "b")]],
     [Invariant.Leaving, "late work", [leaves, workAt(2_001)]],
     [Invariant.Drain, "a cut request", [drain, cut, drained(0)]],
@@ -79,6 +80,7 @@
     [Invariant.Transactions, "one transaction", [sent("1", "2"), committed("1", "2")]],
     [Invariant.Answers, "the own answer", [answer("x")]],
     [Invariant.Refusals, "an unknown outcome that ran", [executed("1", 1), write("1", 2, "unknown")]],
+    [Invariant.Refusals, "a rolled back write ran", [executed("1", 1), write("1", 2, "rolledBack")]],
     [Invariant.Repeats, "two writes", [executed("1", 1), executed("2", 2)]],
     [Invariant.Leaving, "work within the bound", [leaves, workAt(2_000)]],
     [Invariant.Drain, "a request cut after the drain", [drain, drained(0), cut]],
