Let the fault matrix notice faults without a target, a cut off host with callers, and a missing lease

Cause: a fault that found nothing to strike counted as held; no caller was sure to be at the host that the cut off primary still reaches, so a system without leases held the cell.

--- a/packages/testing/src/faults/cell.ts
+++ b/packages/testing/src/faults/cell.ts
@@ -1,8 +1,8 @@
 import type { Fault } from "./fault-table.js";
-import { InvariantChecker } from "./invariant-checker.js";
+import { InvariantChecker, LIMITS } from "./invariant-checker.js";
 import type { Step } from "./steps.js";
 import { Workload } from "./workload.js";
-import { World } from "./world.js";
+import { REPLICATED, World } from "./world.js";
 
 /** A fault, or a pair of faults, that strikes when a step is reached. */
 export interface Cell {
@@ -26,12 +26,12 @@
 const AFTER_MS = 1_000;
 
 /** Runs one cell: workload, scenario, fault at the step, healing, and the check of everything recorded. */
-export async function runCell(cell: Cell, seed: number): Promise<CellResult> {
+export async function runCell(cell: Cell, seed: number, conditions = REPLICATED): Promise<CellResult> {
     const reason = impossible(cell);
     if (reason !== undefined) {
         return { kind: "impossible", reason };
     }
-    const world = await World.start(seed);
+    const world = await World.start(seed, conditions);
     const workload = new Workload(world);
     await world.run(WARM_UP_MS);
     const struckAt = await strike(world, cell);
@@ -83,6 +83,10 @@
 function strikeOne(world: World, fault: Fault): void {
     world.trace(`strikes: ${fault.name}`);
     const healOne = fault.strike(world);
+    if (healOne === undefined) {
+        world.missed.push(fault.name);
+        return;
+    }
     world.time.at(fault.durationMs, () => {
         world.trace(`heals: ${fault.name}`);
         healOne();
@@ -135,10 +139,11 @@
     const rows = world.primary?.rows ?? [];
     const hosts = world.hosts.filter(host => host.alive).map(({ id }) => id);
     world.record({ kind: "end", at: world.time.now, rows, hosts });
-    const broken = new InvariantChecker().check(world.history).map(({ invariant, detail }) =>
-        `${invariant}: ${detail}`
-    );
+    const broken = new InvariantChecker({ ...LIMITS, durable: world.conditions.acknowledge === "replica" }).check(
+        world.history,
+    ).map(({ invariant, detail }) => `${invariant}: ${detail}`);
+    const missed = world.missed.map(name => `harness: ${name} found nothing to strike`);
     return acceptsWrites(world, healedAt)
-        ? broken
-        : [...broken, `liveness: no write accepted within ${LIVENESS_MS} ms after healing`];
+        ? [...missed, ...broken]
+        : [...missed, ...broken, `liveness: no write accepted within ${LIVENESS_MS} ms after healing`];
 }
--- a/packages/testing/src/faults/fault-table.ts
+++ b/packages/testing/src/faults/fault-table.ts
@@ -2,11 +2,11 @@
 import type { SimulatedHost } from "./simulated-host.js";
 import { change, CONTROL_HOSTS, DATABASE, type World } from "./world.js";
 
-/** One kind of fault. `strike` starts it and returns what heals it. */
+/** One kind of fault. `strike` starts it and returns what heals it; undefined when it found nothing to strike. */
 export interface Fault {
     readonly name: string;
     readonly durationMs: number;
-    readonly strike: (world: World) => () => void;
+    readonly strike: (world: World) => (() => void) | undefined;
     /** The fault needs a primary that runs. */
     readonly needsPrimary: boolean;
 }
@@ -41,14 +41,14 @@
 function withPrimary(strike: (endpoint: SimulatedEndpoint, world: World) => () => void): Fault["strike"] {
     return world => {
         const endpoint = primary(world);
-        return endpoint === undefined ? nothing : strike(endpoint, world);
+        return endpoint && strike(endpoint, world);
     };
 }
 
 function withControl(leads: boolean, strike: (host: SimulatedHost, world: World) => () => void): Fault["strike"] {
     return world => {
         const host = control(world, leads);
-        return host === undefined ? nothing : strike(host, world);
+        return host && strike(host, world);
     };
 }
 
@@ -79,14 +79,13 @@
     fault("primary cut off", 3_000, withPrimary(({ id }, world) => separate(world, [id, "h3"])), true),
     fault("replica far behind", 2_500, world => {
         const endpoint = replica(world);
-        const former = endpoint?.lagMs ?? 0;
-        if (endpoint !== undefined) {
-            endpoint.lagMs = FAR_BEHIND_MS;
+        if (endpoint === undefined) {
+            return undefined;
         }
+        const former = endpoint.lagMs;
+        endpoint.lagMs = FAR_BEHIND_MS;
         return () => {
-            if (endpoint !== undefined) {
-                endpoint.lagMs = former;
-            }
+            endpoint.lagMs = former;
         };
     }),
     fault("entry host killed", 1_000, world => {
@@ -129,7 +128,7 @@
         const { id, systemIdentifier } = { id: "b", systemIdentifier: "b" };
         const endpoint = world.endpoint(id)?.description;
         for (let count = 1; count <= MANY_CHANGES; count++) {
-            world.tell("announce", {
+            void world.tell("announce", {
                 ...endpoint,
                 database: DATABASE,
                 systemIdentifier,
@@ -170,10 +169,8 @@
     fault("disk full", 1_500, failDisk("write", "ENOSPC")),
     fault("endpoint leaving", 2_500, world => {
         const endpoint = replica(world);
-        if (endpoint !== undefined) {
-            world.leave(endpoint);
-        }
-        return nothing;
+        void (endpoint && world.leave(endpoint));
+        return endpoint && nothing;
     }),
     fault(
         "endpoint dying",
--- a/packages/testing/src/faults/main.ts
+++ b/packages/testing/src/faults/main.ts
@@ -8,6 +8,7 @@
         only: { type: "string" },
         pairs: { type: "string", default: "0" },
         shard: { type: "string", default: "0/1" },
+        acknowledge: { type: "string", default: "replica" },
         trace: { type: "boolean", default: false },
     },
 });
@@ -15,10 +16,11 @@
 const seed = Number(values.seed);
 const [shard = 0, shards = 1] = values.shard.split("/").map(Number);
 const all = [...singleCells(), ...pairCells(Number(values.pairs), seed)];
+const conditions = { acknowledge: values.acknowledge === "primary" ? "primary" : "replica" } as const;
 const { only } = values;
 const cells = only === undefined ? all : all.filter(({ name }) => name === only);
 for (const cell of cells.filter((_, index) => index % shards === shard)) {
-    const result = await runCell(cell, seed);
+    const result = await runCell(cell, seed, conditions);
     // One line of JSON for each cell: the script that started this process collects them.
     console.log(JSON.stringify({ name: cell.name, ...result, ...(values.trace ? {} : { traces: undefined }) }));
 }
--- a/packages/testing/src/faults/request-checks.ts
+++ b/packages/testing/src/faults/request-checks.ts
@@ -1,13 +1,20 @@
 import { type EventOf, eventsOf, type HistoryEvent } from "./history.js";
 
-/** Invariant 1: a read returns every row of the session's floor, or every row older than its stated age. */
-export function checkSessions(history: readonly HistoryEvent[]): readonly string[] {
+/**
+ * Invariant 1: a read returns every row of the session's floor, or every row older than its stated age. Without
+ * `durable`, a row that a failover lost is older than no age: the new primary never had it.
+ */
+export function checkSessions(history: readonly HistoryEvent[], durable: boolean): readonly string[] {
+    const end = durable ? undefined : eventsOf(history, "end").at(-1);
+    const kept = end && new Set(end.rows);
     const found: string[] = [];
     const acknowledged: EventOf<"writeAnswered">[] = [];
     const seen = new Map<string, { readonly at: number; readonly rows: readonly string[]; }[]>();
     for (const event of history) {
         if (event.kind === "writeAnswered" && event.outcome === "done") {
-            acknowledged.push(event);
+            if (kept?.has(event.row) !== false) {
+                acknowledged.push(event);
+            }
             append(seen, event.session, { at: event.at, rows: [event.row] });
         }
         else if (event.kind === "lossTold") {
--- a/packages/testing/src/faults/simulated-control.ts
+++ b/packages/testing/src/faults/simulated-control.ts
@@ -338,7 +338,7 @@
                 const merged = mergeFolder(files);
                 return merged.ok ? [] : merged.findings.map(formatFinding);
             },
-            durability: () => "replica",
+            durability: () => this.world.conditions.acknowledge,
         };
     }
 }
--- a/packages/testing/src/faults/simulated-entry.ts
+++ b/packages/testing/src/faults/simulated-entry.ts
@@ -39,11 +39,17 @@
             settings: () =>
                 this.#configuration === undefined
                     ? undefined
-                    : { acknowledge: "replica", roaming: "token", replicaReads: true, replicaWaitMs: 5 },
+                    : {
+                        acknowledge: this.world.conditions.acknowledge,
+                        roaming: "token",
+                        replicaReads: true,
+                        replicaWaitMs: 5,
+                    },
             classFor: (database, user, application, comment) =>
                 this.#configuration?.classes.classFor(database, user, application, comment) ?? DEFAULT_CLASS,
             mayAcknowledge: (database, term) =>
-                this.#lease.mayAcknowledge(database, term, this.host.now(), this.host.wallClock()),
+                this.world.conditions.withoutLease === true
+                || this.#lease.mayAcknowledge(database, term, this.host.now(), this.host.wallClock()),
             connectionShare: endpoint => connectionShare(endpoint, this.view.hosts, this.host.id),
             slots: () => SLOTS,
             sameDataCentre: endpoint => endpoint.dataCentre === this.host.dataCentre,
--- a/packages/testing/src/faults/workload.ts
+++ b/packages/testing/src/faults/workload.ts
@@ -5,6 +5,7 @@
 const CALLERS = 6;
 const AGE_MS = 2_000;
 const PAUSE_MS = 60;
+const HOME_SHARE = 0.7;
 
 /** Callers that write, read and run transactions, and that roam between hosts with their session token. */
 export class Workload {
@@ -50,7 +51,11 @@
         }
         former?.cut();
         const hosts = this.#world.hosts.filter(host => host.alive && !host.paused && !host.entry.draining);
-        const host = hosts[Math.floor(this.#world.time.random() * hosts.length)];
+        // Every host has a caller that prefers it, so that a host that is cut off keeps being written to.
+        const home = this.#world.time.random() < HOME_SHARE
+            ? hosts.find(({ id }) => id === `h${Number(session.slice(1)) % this.#world.hosts.length}`)
+            : undefined;
+        const host = home ?? hosts[Math.floor(this.#world.time.random() * hosts.length)];
         return host === undefined ? undefined : this.#connect(session, host, token);
     }
 
--- a/packages/testing/tests/faults/matrix.test.ts
+++ b/packages/testing/tests/faults/matrix.test.ts
@@ -33,6 +33,13 @@
         expect(names(3)).not.toEqual(names(4));
     });
 
+    // A matrix that cannot fail proves nothing: without leases an old primary's answers reach callers.
+    it("finds a system that acknowledges without a lease", async () => {
+        const cell = cells.find(({ name }) => name === "primary cut off @ request: write run");
+        const result = cell && await runCell(cell, SEED, { acknowledge: "primary", withoutLease: true });
+        expect(result?.kind === "violated" && result.details.some(detail => detail.startsWith("2 "))).toBe(true);
+    });
+
     it.each(CELLS)("holds: %s", async name => {
         const cell = cells.find(known => known.name === name);
         expect(cell && await runCell(cell, SEED)).toEqual({ kind: "held" });
--- a/scripts/faults.mjs
+++ b/scripts/faults.mjs
@@ -1,4 +1,4 @@
-// Runs the fault matrix: npm run faults -- [--seed N] [--only CELL] [--pairs N] [--write] [--trace]
+// Runs the fault matrix: npm run faults -- [--seed N] [--only CELL] [--pairs N] [--acknowledge primary|replica] [--write] [--trace]
 import { build } from "esbuild";
 import { spawn } from "node:child_process";
 import { writeFileSync } from "node:fs";
@@ -11,11 +11,13 @@
     seed: { type: "string", default: "1" },
     only: { type: "string" },
     pairs: { type: "string", default: "0" },
+    acknowledge: { type: "string", default: "replica" },
     write: { type: "boolean", default: false },
     trace: { type: "boolean", default: false },
 };
 
 const values = readOptions();
+const mode = values.acknowledge === "replica" ? "" : ` --acknowledge ${values.acknowledge}`;
 const startedAt = Date.now();
 await bundle();
 const results = (await Promise.all(Array.from({ length: WORKERS }, (_, index) => shard(index)))).flat();
@@ -39,7 +41,9 @@
         return values;
     }
     catch {
-        console.error("usage: npm run faults -- [--seed N] [--only CELL] [--pairs N] [--write] [--trace]");
+        console.error(
+            "usage: npm run faults -- [--seed N] [--only CELL] [--pairs N] [--acknowledge primary|replica] [--write] [--trace]",
+        );
         process.exit(2);
     }
 }
@@ -71,6 +75,7 @@
 /** Runs every WORKERS-th cell in a process of its own; a process that fails counts as one violated cell. */
 function shard(index) {
     const args = [BUNDLE, "--seed", values.seed, "--pairs", values.pairs, "--shard", `${index}/${WORKERS}`];
+    args.push("--acknowledge", values.acknowledge);
     args.push(...(values.only === undefined ? [] : ["--only", values.only]), ...(values.trace ? ["--trace"] : []));
     const child = spawn(process.execPath, args, { stdio: ["ignore", "pipe", "inherit"] });
     const found = [];
@@ -91,7 +96,7 @@
 function report({ kind, name, details, traces }) {
     if (kind === "violated") {
         const lines = [...details.slice(0, 5), ...(traces ?? [])].map(line => `    ${line}`);
-        console.log([`violated: npm run faults -- --only "${name}" --seed ${values.seed}`, ...lines].join("\n"));
+        console.log([`violated: npm run faults -- --only "${name}" --seed ${values.seed}${mode}`, ...lines].join("\n"));
     }
 }
 
@@ -107,7 +112,7 @@
     return [
         "# Fault matrix",
         "",
-        `Made by \`npm run faults -- --write --seed ${values.seed} --pairs ${values.pairs}\`. Each cell strikes the`
+        `Made by \`npm run faults -- --write --seed ${values.seed} --pairs ${values.pairs}${mode}\`. Each cell strikes the`
         + " fault when the step is reached, heals it, and checks the nine invariants of design.md, section 1.2, and that"
         + " writes are accepted again within 8 s of simulated time.",
         "",
