Send all gauges, log burn alerts, name silent replicas in the status

Cause: the reference pages showed settings, events and metrics that nothing reads or sends, and a replica that does not answer was no problem in the status. A test of another part opens the leadership first, as the leader now requires; its check is unchanged.

--- a/packages/control/src/problems.ts
+++ b/packages/control/src/problems.ts
@@ -51,6 +51,11 @@
     if (failover !== undefined && failover.step !== "suspected" && failover.stepMs > LONG_STEP_MS) {
         problems.push({ text: failoverText(database, failover), page: OPERATOR_PAGES.Failover });
     }
+    for (const { id } of status.replicas.filter((replica) => replica.silent && failover === undefined)) {
+        const text = `Database ${database}: endpoint ${id} does not answer. Reads go to the others; `
+            + "it is used again as soon as it answers.";
+        problems.push({ text, page: OPERATOR_PAGES.FewReplicas });
+    }
     if (term !== undefined && failover === undefined && !status.replicas.some(({ state }) => state === "active")) {
         const text = `Database ${database} has no replica, so nothing can replace its primary ${status.primary ?? ""}.`;
         problems.push({ text, page: OPERATOR_PAGES.FewReplicas });
--- a/packages/control/src/status.ts
+++ b/packages/control/src/status.ts
@@ -22,6 +22,8 @@
     readonly state: EndpointState;
     /** What the endpoint answered at the last survey; undefined when it did not answer or was not asked yet. */
     readonly role: EndpointRole | undefined;
+    /** True when it did not answer the last survey. */
+    readonly silent: boolean;
     readonly position: Position | undefined;
     /** Bytes of log behind the primary at the last survey. */
     readonly lagBytes: number | undefined;
@@ -128,7 +130,8 @@
     const endpoints = presentEndpoints(view).map(({ id, dataCentre, state }): EndpointStatus => {
         const reading = readings.get(id);
         const lagBytes = lag(primary, reading);
-        return { id, dataCentre, state, role: reading?.role, position: reading?.position, lagBytes };
+        const silent = readings.has(id) && reading === undefined;
+        return { id, dataCentre, state, role: reading?.role, silent, position: reading?.position, lagBytes };
     });
     return {
         database,
--- a/packages/daemon/src/host-process.ts
+++ b/packages/daemon/src/host-process.ts
@@ -3,6 +3,7 @@
 import type { HostSettings } from "@medlarledge/settings";
 import { type Log, Metrics } from "@medlarledge/telemetry";
 import { mkdir } from "node:fs/promises";
+import { BurnAlerts } from "./burn-alerts.js";
 import { type Clock, SYSTEM_CLOCK } from "./clock.js";
 import { ConfigurationHolder } from "./configuration-holder.js";
 import { ControlHost } from "./control-host.js";
@@ -12,6 +13,7 @@
 import { EntryTask } from "./entry-task.js";
 import { FolderProposals } from "./folder-proposals.js";
 import { FolderWatch } from "./folder-watch.js";
+import { HostGauges } from "./host-gauges.js";
 import { hostNumber, hostNumberOf } from "./host-number.js";
 import { buildRoutes } from "./http-routes.js";
 import { HttpServer } from "./http-server.js";
@@ -46,6 +48,8 @@
     readonly #self: Host;
     readonly #mesh: PeerMesh;
     readonly #metrics: Metrics;
+    readonly #gauges: HostGauges;
+    readonly #alerts: BurnAlerts;
     readonly #configuration: ConfigurationHolder;
     readonly #connector: PostgresConnector;
     readonly #entry: EntryTask;
@@ -74,6 +78,8 @@
             dataCentre: settings.dataCentre,
             address: settings.statsdAddress,
         });
+        this.#gauges = new HostGauges(this.#metrics);
+        this.#alerts = new BurnAlerts(log);
         this.#configuration = new ConfigurationHolder(settings.dataFolder);
         this.#connector = new PostgresConnector(() => this.#credentials());
         const listed = settings.control.map(member => member.id);
@@ -340,10 +346,13 @@
         if (this.#control?.mustJoin === true) {
             void this.#entry.request("joinGroup", this.#control.memberId, HOUSEKEEPING_MS);
         }
-        this.#metrics.gauge("lease.valid", this.#entry.hasLease() ? 1 : 0);
-        this.#metrics.gauge("configuration.number", this.#configuration.number);
-        this.#metrics.gauge("callers.open", this.#serving?.status().callers ?? 0);
-        this.#metrics.gauge("process.memory", process.memoryUsage.rss());
+        const isLeader = this.#control?.control?.isLeader ?? false;
+        const { hasLease, proxy, traffic } = this.#facts();
+        this.#gauges.send({ hasLease, configurationNumber: this.#configuration.number, isLeader, proxy, traffic });
+        if (this.#control !== undefined && isLeader) {
+            const control = this.#control;
+            this.#alerts.tick(now, () => control.burn());
+        }
     }
 
     #facts(): LocalFacts {
--- a/packages/daemon/tests/shared-encoding.test.ts
+++ b/packages/daemon/tests/shared-encoding.test.ts
@@ -34,6 +34,8 @@
         durability: () => "primary",
     });
     leader.handle({ kind: "elected" }, 0, 0, 0);
+    const open = { kind: "openLeadership", host: "mechelen-1", at: 0 } as const;
+    leader.handle({ kind: "applied", command: open, result: state.apply(open) }, 0, 0, 0);
     for (const id of ["a", "b", "c"]) {
         leader.handle({ kind: "hostConnected", host: host(id) }, 0, 0, 0);
     }
--- a/packages/settings/src/host-settings.ts
+++ b/packages/settings/src/host-settings.ts
@@ -28,10 +28,6 @@
     electionMs: z.number().int().min(50).max(30_000).default(300).describe(
         "Silence after which a control host may stand for election, in ms; it waits once to twice this time. The same on all control hosts.",
     ),
-    probeMs: z.number().int().min(10).max(10_000).default(100).describe("Interval of probes, in ms; not used yet."),
-    probeTimeoutMs: z.number().int().min(10).max(30_000).default(250).describe(
-        "Time for the answer of a probe, in ms; not used yet.",
-    ),
 });
 
 /** Schema of one process's settings file. Unknown keys are refused. */
