Measure leaving endpoints, memory and start-up; count refusals in drains

Change: three measures more; a connection that ends after a fatal error counts as refused, one that ends without it as cut; a measure that fails prints the status of its cluster.

--- a/packages/testing/src/bench/main.ts
+++ b/packages/testing/src/bench/main.ts
@@ -60,6 +60,10 @@
     }
     catch (error) {
         context.log(`${measure.names[0] ?? ""}: ${error instanceof Error ? error.message : String(error)}`);
+        for (const cluster of clusters) {
+            const report = await cluster.anyHost().report().catch(() => undefined);
+            context.log(JSON.stringify(report?.cluster));
+        }
         measure.names.forEach(name => print({ measure: name, value: NaN, unit: "failed", bound: FAILED }));
         return false;
     }
--- a/packages/testing/src/bench/measures.ts
+++ b/packages/testing/src/bench/measures.ts
@@ -2,8 +2,11 @@
 import { drain } from "./drain.js";
 import { failover } from "./failover.js";
 import { falsePromotions } from "./false-promotions.js";
+import { leaving } from "./leaving.js";
 import type { Measure } from "./measure.js";
+import { memory } from "./memory.js";
 import { oldPrimary } from "./old-primary.js";
+import { startup } from "./startup.js";
 import { throughput } from "./throughput.js";
 
 /** All measures, the most important first. */
@@ -13,5 +16,8 @@
     configuration,
     throughput,
     drain,
+    leaving,
     falsePromotions,
+    memory,
+    startup,
 ];
--- a/packages/testing/src/bench/old-primary.ts
+++ b/packages/testing/src/bench/old-primary.ts
@@ -65,5 +65,10 @@
     const present = new Set((await next?.rows("bench") ?? []).map(row => row.key));
     const wrong = acknowledged.filter(key => !present.has(key));
     context.log(`${old?.id ?? ""} to ${next?.id ?? ""}: ${acknowledged.length} acknowledged, ${wrong.length} missing`);
+    // A former primary does not follow by itself: a new replica takes its name.
+    if (old !== undefined && next !== undefined) {
+        await old.kill();
+        await cluster.addEndpoint(DATABASE, old.id, next);
+    }
     return wrong.length;
 }
--- a/packages/testing/src/bench/raw-caller.ts
+++ b/packages/testing/src/bench/raw-caller.ts
@@ -58,6 +58,11 @@
         });
     }
 
+    /** An error has arrived that no ReadyForQuery followed: a refusal that ends the session. */
+    get refused(): boolean {
+        return this.#failed;
+    }
+
     send(bytes: Buffer): void {
         this.busy = true;
         this.sentAt = performance.now();
