--- a/packages/testing/src/bench/main.ts
+++ b/packages/testing/src/bench/main.ts
@@ -88,6 +88,10 @@
 
 // Each process that a cluster runs is ended at exit, by a listener of its own.
 process.setMaxListeners(200);
+// The listeners at exit end what was started; a signal by itself would not run them.
+for (const signal of ["SIGINT", "SIGTERM"] as const) {
+    process.once(signal, () => process.exit(1));
+}
 main().then(
     held => process.exit(held ? 0 : 1),
     (error: unknown) => {
