Remove a replaced voter before its replacement is promoted

Ruled out: doing both in one step, since members change one voter at a time. Change: the voter of a host that has a learner is removed first; its disk is gone, so the quorum loses nothing.

--- a/packages/control/src/member-plan.ts
+++ b/packages/control/src/member-plan.ts
@@ -16,8 +16,11 @@
 
 /**
  * The next single step towards a group in which each listed control host has exactly one voter: add the learner of a
- * host that asks to join, promote a learner that has caught up, remove what a promoted member replaced, remove hosts
- * that are no longer listed. Returns undefined when nothing is to be done.
+ * host that asks to join, remove the voter that it replaces, promote it when it has caught up, remove hosts that are no
+ * longer listed. Returns undefined when nothing is to be done.
+ *
+ * The replaced voter goes first because its disk is gone: promoting before removing it would make a group of four of
+ * which three are needed, so that a second loss of the same host's disk could end the quorum for good.
  */
 export function nextMembers(
     current: Members,
@@ -35,9 +38,11 @@
 
 function withoutReplaced({ voters, learners }: Members): Members | undefined {
     const replaced = voters.find((id, index) =>
-        voters.some((other, at) => at > index && hostOfMember(other) === hostOfMember(id))
+        [...learners, ...voters.slice(index + 1)].some(other => hostOfMember(other) === hostOfMember(id))
     );
-    return replaced === undefined ? undefined : { voters: voters.filter(id => id !== replaced), learners };
+    return replaced === undefined || voters.length === 1
+        ? undefined
+        : { voters: voters.filter(id => id !== replaced), learners };
 }
 
 function withPromoted({ voters, learners }: Members, caughtUp: readonly string[]): Members | undefined {
--- a/packages/control/tests/member-plan.test.ts
+++ b/packages/control/tests/member-plan.test.ts
@@ -19,20 +19,27 @@
         }
         expect(steps).toEqual([
             { voters: ["a1", "b1", "c1"], learners: ["b1#2"] },
-            { voters: ["a1", "b1", "c1", "b1#2"], learners: [] },
+            { voters: ["a1", "c1"], learners: ["b1#2"] },
             { voters: ["a1", "c1", "b1#2"], learners: [] },
         ]);
     });
 
     it("does not promote a learner that has not caught up", () => {
-        const members: Members = { voters: listed, learners: ["b1#2"] };
+        const members: Members = { voters: ["a1", "c1"], learners: ["b1#2"] };
         expect(nextMembers(members, { joining: ["b1#2"], caughtUp: [], listed })).toBeUndefined();
     });
 
     it("drops the learner of a host that was wiped a second time", () => {
-        const members: Members = { voters: listed, learners: ["b1#2"] };
+        const members: Members = { voters: ["a1", "c1"], learners: ["b1#2"] };
         const next = nextMembers(members, { joining: ["b1#3"], caughtUp: [], listed });
-        expect(next).toEqual({ voters: listed, learners: ["b1#3"] });
+        expect(next).toEqual({ voters: ["a1", "c1"], learners: ["b1#3"] });
+    });
+
+    // A group of four with one voter gone needs all three others; a second loss of the repaired disk would end it.
+    it("never has more voters than control hosts while a voter is replaced", () => {
+        const members: Members = { voters: listed, learners: ["b1#2"] };
+        const next = nextMembers(members, { joining: ["b1#2"], caughtUp: ["b1#2"], listed });
+        expect(next).toEqual({ voters: ["a1", "c1"], learners: ["b1#2"] });
     });
 
     it("ignores a host that is not listed and never removes the last voter", () => {
