--- a/packages/testing/src/faults/main.ts
+++ b/packages/testing/src/faults/main.ts
@@ -1,6 +1,6 @@
 import { parseArgs } from "node:util";
 import { runCell } from "./cell.js";
-import { pairCells, singleCells } from "./matrix.js";
+import { cellNamed, pairCells, singleCells } from "./matrix.js";
 
 const { values } = parseArgs({
     options: {
@@ -18,7 +18,8 @@
 const all = [...singleCells(), ...pairCells(Number(values.pairs), seed)];
 const conditions = { acknowledge: values.acknowledge === "primary" ? "primary" : "replica" } as const;
 const { only } = values;
-const cells = only === undefined ? all : all.filter(({ name }) => name === only);
+const named = only === undefined ? undefined : cellNamed(only);
+const cells = only === undefined ? all : named === undefined ? [] : [named];
 for (const cell of cells.filter((_, index) => index % shards === shard)) {
     const result = await runCell(cell, seed, conditions);
     // One line of JSON for each cell: the script that started this process collects them.
--- a/packages/testing/src/faults/matrix.ts
+++ b/packages/testing/src/faults/matrix.ts
@@ -25,14 +25,30 @@
         const first = FAULTS[uniformInt(random, 0, FAULTS.length - 1)];
         const second = FAULTS[uniformInt(random, 0, FAULTS.length - 1)];
         if (step !== undefined && first !== undefined && second !== undefined) {
-            const gap = first === second ? first.durationMs + AGAIN_MS : TOGETHER_MS;
-            const cell = cellOf(step, [first, second], [0, gap]);
+            const cell = pairOf(step, first, second);
             cells.set(cell.name, cell);
         }
     }
     return [...cells.values()];
 }
 
+/** The cell of a name as it is printed, or undefined when its faults or its step are unknown. */
+export function cellNamed(name: string): Cell | undefined {
+    const [faultNames = "", stepName = ""] = name.split(" @ ");
+    const step = STEPS.find(known => known.name === stepName);
+    const faults = faultNames.split(" + ").map(faultName => FAULTS.find(known => known.name === faultName));
+    const known = faults.filter(fault => fault !== undefined);
+    const [first, second] = known;
+    if (step === undefined || first === undefined || known.length !== faults.length) {
+        return undefined;
+    }
+    return second === undefined ? cellOf(step, [first], [0]) : pairOf(step, first, second);
+}
+
+function pairOf(step: Step, first: Fault, second: Fault): Cell {
+    return cellOf(step, [first, second], [0, first === second ? first.durationMs + AGAIN_MS : TOGETHER_MS]);
+}
+
 function cellOf(step: Step, faults: readonly Fault[], offsetsMs: readonly number[]): Cell {
     const name = `${faults.map(fault => fault.name).join(" + ")} @ ${step.name}`;
     return { name, step, faults, offsetsMs };
--- a/packages/testing/src/faults/steps.ts
+++ b/packages/testing/src/faults/steps.ts
@@ -10,7 +10,7 @@
 }
 
 /** Brings the world to the stages of a group. */
-export type Scenario = (world: World) => void;
+type Scenario = (world: World) => void;
 
 /** Time in which a drain must end. */
 const DRAIN_MS = 10_000;
--- a/packages/testing/tests/faults/matrix.test.ts
+++ b/packages/testing/tests/faults/matrix.test.ts
@@ -1,7 +1,7 @@
 import { describe, expect, it } from "vitest";
 import { runCell } from "../../src/faults/cell.js";
 import { FAULTS } from "../../src/faults/fault-table.js";
-import { pairCells, singleCells } from "../../src/faults/matrix.js";
+import { cellNamed, pairCells, singleCells } from "../../src/faults/matrix.js";
 import { STEPS } from "../../src/faults/steps.js";
 
 const SEED = 1;
@@ -27,7 +27,8 @@
     });
 
     // A failure must be found again by its name and seed.
-    it("draws the same pairs from the same seed", () => {
+    it("draws the same pairs from the same seed, and finds each by its name", () => {
+        expect(pairCells(20, 3).map(({ name }) => cellNamed(name))).toEqual(pairCells(20, 3));
         const names = (seed: number) => pairCells(20, seed).map(({ name }) => name);
         expect(names(3)).toEqual(names(3));
         expect(names(3)).not.toEqual(names(4));
