Split the simulated control host and group pairs on the fault page

Change: the write queue and the options are files of their own; a pair counts in the row of its first fault.

--- a/packages/testing/src/faults/simulated-control.ts
+++ b/packages/testing/src/faults/simulated-control.ts
@@ -3,9 +3,7 @@
     type AgreementEffect,
     type AgreementEvent,
     AgreementStore,
-    mergeBatches,
     type RecoveredState,
-    type StoreError,
 } from "@medlarledge/agreement";
 import {
     ControlLeader,
@@ -20,34 +18,23 @@
     type RequestName,
 } from "@medlarledge/control";
 import type { AgreementMessage, Host, LogEntry } from "@medlarledge/protocol";
-import { formatFinding, mergeFolder } from "@medlarledge/settings";
+import { AGREEMENT, leaderOptions, PROMOTE_MS, READING_MS } from "./simulated-control-options.js";
 import type { SimulatedDisk } from "./simulated-disk.js";
 import type { SimulatedEndpoint } from "./simulated-endpoint.js";
 import type { SimulatedHost } from "./simulated-host.js";
+import { WriteQueue } from "./simulated-write-queue.js";
 import { CONTROL_HOSTS, type World } from "./world.js";
 
-const AGREEMENT = {
-    heartbeatMs: 50,
-    electionMs: 300,
-    snapshotEvery: 64,
-    maxBatchEntries: 256,
-    snapshotChunkBytes: 4096,
-};
 const MEMBERS_MS = 200;
-const READING_MS = 150;
-const PROMOTE_MS = 2_000;
-
-type WriteEffect = Extract<AgreementEffect, { kind: "persist" | "saveSnapshot"; }>;
 
 /** The control part of a simulated host: the agreement with its store, the replicated state and the leader. */
 export class SimulatedControl {
     readonly #joining = new Set<string>();
     readonly #requests = new Map<number, { readonly from: string; readonly id: number; }>();
-    readonly #writes: WriteEffect[] = [];
+    readonly #writes: WriteQueue;
     readonly #connected = new Map<string, Host>();
     #state = new ControlState();
     #leader: ControlLeader;
-    #writing = false;
     #lastRequest = 0;
     #membersAt = 0;
     isLeader = false;
@@ -56,11 +43,18 @@
     private constructor(
         readonly world: World,
         readonly host: SimulatedHost,
-        readonly store: AgreementStore,
+        store: AgreementStore,
         readonly memberId: string,
         readonly agreement: Agreement,
     ) {
-        this.#leader = new ControlLeader(this.#state, this.#leaderOptions());
+        this.#leader = new ControlLeader(this.#state, leaderOptions(host, world));
+        this.#writes = new WriteQueue(
+            world,
+            host,
+            store,
+            () => this.stopped,
+            batch => this.#agree({ kind: "persisted", batch }),
+        );
     }
 
     /** Opens the host's disk; a fresh one joins the group under a new member id, or founds it. */
@@ -154,7 +148,6 @@
             case "persist":
             case "saveSnapshot":
                 this.#writes.push(effect);
-                void this.#write();
                 break;
             case "send":
                 this.host.send(hostOfMember(effect.to), {
@@ -180,40 +173,12 @@
                 break;
             case "restoreSnapshot":
                 this.#state = ControlState.restore(effect.data);
-                this.#leader = new ControlLeader(this.#state, this.#leaderOptions());
+                this.#leader = new ControlLeader(this.#state, leaderOptions(this.host, this.world));
                 this.#connected.forEach(host => this.#lead({ kind: "hostConnected", host }));
                 break;
         }
     }
 
-    async #write(): Promise<void> {
-        if (this.#writing) {
-            return;
-        }
-        this.#writing = true;
-        while (this.#writes.length > 0 && !this.stopped) {
-            const at = this.#writes.findIndex(effect => effect.kind === "saveSnapshot");
-            const effects = this.#writes.splice(0, at === -1 ? this.#writes.length : Math.max(1, at));
-            const batch = effects.at(-1)?.batch ?? 0;
-            this.world.reach("disk:write");
-            await this.world.time.sleep(this.host.disk.syncMs);
-            const error = await this.#persist(effects);
-            if (error !== undefined) {
-                this.host.failed();
-                return;
-            }
-            this.host.enter(() => this.#agree({ kind: "persisted", batch }));
-        }
-        this.#writing = false;
-    }
-
-    #persist(effects: readonly WriteEffect[]): Promise<StoreError | undefined> {
-        const [first] = effects;
-        return first?.kind === "saveSnapshot"
-            ? this.store.saveSnapshot(first.snapshot)
-            : this.store.persist(mergeBatches(effects.filter(effect => effect.kind === "persist")));
-    }
-
     #apply(entry: LogEntry): void {
         if (entry.members !== undefined) {
             const { voters, learners } = entry.members;
@@ -323,22 +288,4 @@
             this.#agree({ kind: "proposeMembers", requestId: -(++this.#lastRequest), members: next });
         }
     }
-
-    #leaderOptions(): ConstructorParameters<typeof ControlLeader>[1] {
-        return {
-            hostId: this.host.id,
-            leaseMs: 400,
-            driftMarginMs: 20,
-            stepDownMs: AGREEMENT.electionMs,
-            confirmMs: 150,
-            promoteTimeoutMs: PROMOTE_MS,
-            readingTimeoutMs: READING_MS,
-            surveyMs: 1_000,
-            validate: files => {
-                const merged = mergeFolder(files);
-                return merged.ok ? [] : merged.findings.map(formatFinding);
-            },
-            durability: () => this.world.conditions.acknowledge,
-        };
-    }
 }
--- a/scripts/faults.mjs
+++ b/scripts/faults.mjs
@@ -100,10 +100,16 @@
     }
 }
 
+/** Pairs share one row with all pairs of their first fault. */
+function rowOf({ name }) {
+    const [first, second] = name.split(" @ ")[0].split(" + ");
+    return second === undefined ? first : `${first} + another or the same again`;
+}
+
 function page() {
-    const names = [...new Set(results.map(({ name }) => name.split(" @ ")[0]))].sort();
+    const names = [...new Set(results.map(rowOf))].sort();
     const rows = names.map(name => {
-        const cells = results.filter(result => result.name.split(" @ ")[0] === name);
+        const cells = results.filter(result => rowOf(result) === name);
         const number = kind => cells.filter(cell => cell.kind === kind).length;
         return `| ${name} | ${cells.length} | ${number("held")} | ${number("violated")} | ${number("impossible")} |`;
     });
