Adapt the fault matrix to the order of membership steps and to suspicion

Cause: after the change of the member plan a replacement never makes four voters, so the step was never reached; and when a primary ends all hosts report it within one tick, so the step in which the leader asks others was never reached either (15 cells). Change: the steps are named after the stages of the new order; suspicion has a scenario of its own in which one host loses sight of the primary. The pools use the same reading of an endpoint as control does.

--- a/packages/proxy/src/messages.ts
+++ b/packages/proxy/src/messages.ts
@@ -1,3 +1,4 @@
+import { READING_SQL } from "@medlarledge/postgres";
 import type { Position } from "@medlarledge/protocol";
 import { parsePosition } from "@medlarledge/protocol";
 
@@ -87,11 +88,7 @@
 export const replicaPosition = query("SELECT pg_last_wal_replay_lsn()");
 
 /** Role, timeline, position and identity in one row; the text is READING_SQL of postgres. */
-export const reading = query(
-    "SELECT pg_is_in_recovery(), (pg_control_checkpoint()).timeline_id, "
-        + "CASE WHEN pg_is_in_recovery() THEN pg_last_wal_replay_lsn() ELSE pg_current_wal_insert_lsn() END, "
-        + "(pg_control_system()).system_identifier",
-);
+export const reading = query(READING_SQL);
 
 /** The text of a column of a DataRow, or undefined when it is NULL or missing. */
 export function columnOf(row: Uint8Array, column: number): string | undefined {
--- a/packages/testing/src/faults/simulated-control.ts
+++ b/packages/testing/src/faults/simulated-control.ts
@@ -25,6 +25,9 @@
 import { WriteQueue } from "./simulated-write-queue.js";
 import { CONTROL_HOSTS, type World } from "./world.js";
 
+/** Control hosts of the simulated group. */
+const GROUP_SIZE = 3;
+
 const MEMBERS_MS = 200;
 
 /** The control part of a simulated host: the agreement with its store, the replicated state and the leader. */
@@ -182,8 +185,10 @@
     #apply(entry: LogEntry): void {
         if (entry.members !== undefined) {
             const { voters, learners } = entry.members;
-            const replaced = voters.some(id => id.includes("#"));
-            this.world.reach(replaced ? `membership:voters${voters.length}` : `membership:learners${learners.length}`);
+            const promoted = voters.some(id => id.includes("#"));
+            const removed = voters.length < GROUP_SIZE;
+            const stage = promoted ? "promoted" : removed ? "removed" : `learners${learners.length}`;
+            this.world.reach(`membership:${stage}`);
         }
         const command = decodeCommand(entry.payload);
         if (command === undefined) {
--- a/packages/testing/src/faults/steps.ts
+++ b/packages/testing/src/faults/steps.ts
@@ -17,8 +17,20 @@
 
 const request: Scenario = () => undefined;
 
+/** Longer than three missed probes. */
+const SUSPICION_MS = 1_000;
+
 const failover: Scenario = world => world.primary?.end();
 
+/** One host loses sight of the primary for a while, so that the leader asks the others. */
+const suspicion: Scenario = world => {
+    const { primary } = world;
+    if (primary !== undefined) {
+        world.network.cut("h1", primary.id);
+        world.time.at(SUSPICION_MS, () => world.network.join("h1", primary.id));
+    }
+};
+
 const configuration: Scenario = world => void world.apply("h3", change(2, "second"));
 
 /** A control host loses its disk and joins again under a new member id. */
@@ -62,9 +74,13 @@
         "commit run": "executed:COMMIT",
         "commit answered": "caller:committed",
     }],
+    // When a primary ends, all hosts report it at the same time and nobody has to be asked.
+    "suspicion": [suspicion, {
+        "one report": "send:endpointObservation",
+        "confirmation": "send:confirmEndpoint",
+    }],
     "failover": [failover, {
         "suspicion": "send:endpointObservation",
-        "confirmation": "send:confirmEndpoint",
         "revocation": "send:revoke",
         "revoked": "send:revoked",
         "replicas read": "read:endpoint",
@@ -85,8 +101,8 @@
         "join asked": "membership:asked",
         "learner proposed": "membership:proposed1",
         "learner added": "membership:learners1",
-        "learner promoted": "membership:voters4",
-        "former member removed": "membership:voters3",
+        "former member removed": "membership:removed",
+        "learner promoted": "membership:promoted",
     }],
     "drain": [drain, {
         "begun": "drain:begun",
