--- a/packages/proxy/src/caller-session.ts
+++ b/packages/proxy/src/caller-session.ts
@@ -150,7 +150,7 @@
             this.#noteFailure(failure, request, lease);
         }
         if (hadSession && this.#kept.lease === undefined) {
-            this.terminate(ErrorCode.ConnectionFailure, "the connection that held this session's state was lost");
+            this.terminate(ErrorCode.ConnectionFailure, "the connection that held the session's state was lost");
             return;
         }
         this.#flow.endpointFull = false;
@@ -323,7 +323,7 @@
     #keptLost(inTransaction: boolean, reason: string): void {
         if (this.#kept.pinned) {
             this.#kept.pinned = false;
-            this.terminate(ErrorCode.ConnectionFailure, "the connection that held this session's state was lost");
+            this.terminate(ErrorCode.ConnectionFailure, "the connection that held the session's state was lost");
         }
         else if (inTransaction) {
             this.#broken.begin(false, `connection lost: ${reason}`);
--- a/packages/proxy/src/failure.ts
+++ b/packages/proxy/src/failure.ts
@@ -40,7 +40,7 @@
     return {
         ...notRun("", plan),
         code: ErrorCode.StateLost,
-        text: "not run: writes that this session had seen were lost in a failover",
+        text: "not run: writes that the session had seen were lost in a failover",
     };
 }
 
--- a/packages/testing/src/reference/sqlstate-page.ts
+++ b/packages/testing/src/reference/sqlstate-page.ts
@@ -5,7 +5,7 @@
 const MEANINGS: Readonly<Record<keyof typeof ErrorCode, string>> = {
     NotRun: "The request was not run; it may be sent again.",
     OutcomeUnknown: "The request may have been run; it is not repeated.",
-    StateLost: "Not run; writes that this session had seen were lost in a failover. Told once for each loss.",
+    StateLost: "Not run; writes that the session had seen were lost in a failover. Told once for each loss.",
     CannotBePooled: "Not run; the statement cannot be pooled.",
     TokenRefused: "The session token is malformed, forged, or of another database.",
     RolledBack: "The transaction was rolled back as a whole; it may be run again.",
