Report an address in use instead of ending with a stack trace

Cause: one start in eight quickstarts at once failed with 'a leader accepts the configuration: not within 20000 ms'; the log showed that one host had ended with an unhandled EADDRINUSE: the port chosen for it had meanwhile become the local port of some connection, and the WebSocket library passed the listener's error on to nobody. Ruled out: the decision how a control group is founded (the other two hosts waited for the third, as they must).

--- a/packages/daemon/src/peer-mesh.ts
+++ b/packages/daemon/src/peer-mesh.ts
@@ -74,6 +74,8 @@
             (error: Error) => this.#options.log.event("peerRefused", { reason: error.message }),
         );
         const webSockets = new WebSocketServer({ server, maxPayload: MAX_MESSAGE_BYTES, perMessageDeflate: false });
+        // The library passes on the listener's errors, which are answered below; unheard they would end the process.
+        webSockets.on("error", () => undefined);
         webSockets.on("connection", (socket, request) => this.#accept(socket, request.socket));
         this.#server = server;
         this.#timers.push(setInterval(() => this.#checkLinks(), PING_MS));
--- a/packages/daemon/tests/peer-mesh.test.ts
+++ b/packages/daemon/tests/peer-mesh.test.ts
@@ -65,6 +65,18 @@
         expect(left.mesh.connected().map(host => host.id)).toEqual(["b1"]);
     });
 
+    it("returns a reason when its address is in use, instead of ending the process", async () => {
+        const first = await start("a1", undefined);
+        const second = new PeerMesh({
+            self: { ...first.host, id: "b1" },
+            identity: undefined,
+            clock: SYSTEM_CLOCK,
+            log: SILENT_LOG,
+        });
+        meshes.push(second);
+        expect(await second.listen()).toMatch(/EADDRINUSE/);
+    });
+
     it("ends with one link when both hosts dial each other at once", async () => {
         const left = await start("a1", undefined);
         const right = await start("b1", undefined);
--- a/packages/testing/src/cluster/local-cluster.ts
+++ b/packages/testing/src/cluster/local-cluster.ts
@@ -40,6 +40,8 @@
     readonly announceKey: string;
     readonly #endpoints: LocalEndpoint[] = [];
     readonly #relays: Relay[];
+    /** A wait failed, and its message names the folder with the logs. */
+    #keepsFolder = false;
 
     private constructor(
         options: ClusterOptions,
@@ -156,6 +158,7 @@
             }
             await new Promise(resolve => setTimeout(resolve, POLL_MS));
         }
+        this.#keepsFolder = true;
         throw new Error(`${what}: not within ${timeoutMs} ms; logs are in ${this.folder}`);
     }
 
@@ -168,7 +171,7 @@
         await Promise.all(this.hosts.filter(host => host.running).map(host => host.stop()));
         await Promise.all(this.#endpoints.filter(endpoint => endpoint.running).map(endpoint => endpoint.kill()));
         this.#relays.forEach(relay => relay.close());
-        if (this.#options.keepFolder !== true) {
+        if (this.#options.keepFolder !== true && !this.#keepsFolder) {
             await rm(this.folder, { recursive: true, force: true });
         }
     }
