Split links and control reports from the host process

Change: sending, dialing and passing on of cancel requests in host-links.ts, reports of the control part in control-reports.ts; only accepted announcements are logged; an unused method is gone.

--- a/packages/daemon/src/entry-task.ts
+++ b/packages/daemon/src/entry-task.ts
@@ -141,11 +141,6 @@
         this.#events.push({ kind: "message", from, message });
     }
 
-    /** The leader is known from elsewhere, on a control host from its own log. */
-    leaderIs(host: string): void {
-        this.#leaders.confirmed(host);
-    }
-
     /** Asks the leader; see LeaderClient. */
     request(name: string, body: unknown, timeoutMs: number): ReturnType<LeaderClient["request"]> {
         const now = this.#options.clock.now();
--- a/packages/daemon/src/host-process.ts
+++ b/packages/daemon/src/host-process.ts
@@ -1,5 +1,5 @@
 import { type Credentials, PostgresConnector, readEndpoint } from "@medlarledge/postgres";
-import type { Endpoint, Host, Message } from "@medlarledge/protocol";
+import type { Host } from "@medlarledge/protocol";
 import type { HostSettings } from "@medlarledge/settings";
 import { type Log, Metrics } from "@medlarledge/telemetry";
 import { mkdir } from "node:fs/promises";
@@ -7,14 +7,14 @@
 import { type Clock, SYSTEM_CLOCK } from "./clock.js";
 import { ConfigurationHolder } from "./configuration-holder.js";
 import { ControlHost } from "./control-host.js";
-import type { ControlReport } from "./control-task.js";
+import { ControlReports } from "./control-reports.js";
 import { HostDatabases } from "./database-source.js";
 import { PostgresOrders } from "./endpoint-orders.js";
 import { EntryTask } from "./entry-task.js";
 import { FolderProposals } from "./folder-proposals.js";
 import { FolderWatch } from "./folder-watch.js";
 import { HostGauges } from "./host-gauges.js";
-import { hostNumber, hostNumberOf } from "./host-number.js";
+import { HostLinks } from "./host-links.js";
 import { buildRoutes } from "./http-routes.js";
 import { HttpServer } from "./http-server.js";
 import { type LocalFacts, localStatus, readinessOf } from "./local-status.js";
@@ -47,6 +47,8 @@
     readonly #clock: Clock;
     readonly #self: Host;
     readonly #mesh: PeerMesh;
+    readonly #links: HostLinks;
+    readonly #reports: ControlReports;
     readonly #metrics: Metrics;
     readonly #gauges: HostGauges;
     readonly #alerts: BurnAlerts;
@@ -73,6 +75,12 @@
         this.#failed = failed;
         this.#self = describeHost(settings);
         this.#mesh = new PeerMesh({ self: this.#self, identity: settings.tls, clock, log });
+        this.#links = new HostLinks({
+            self: this.#self,
+            mesh: this.#mesh,
+            control: settings.control,
+            loopback: message => this.#router.receive(this.#self, message),
+        });
         this.#metrics = new Metrics({
             host: settings.id,
             dataCentre: settings.dataCentre,
@@ -83,7 +91,14 @@
         this.#configuration = new ConfigurationHolder(settings.dataFolder);
         this.#connector = new PostgresConnector(() => this.#credentials());
         const listed = settings.control.map(member => member.id);
-        this.#reporter = new ServiceReporter(listed, (to, message) => this.#send(to, message));
+        this.#reporter = new ServiceReporter(listed, (to, message) => this.#links.send(to, message));
+        this.#reports = new ControlReports({
+            log,
+            configuration: this.#configuration,
+            reporter: this.#reporter,
+            send: (to, message) => this.#links.send(to, message),
+            failed,
+        });
         this.#entry = this.#buildEntry(listed);
         this.#slots = this.#buildSlots();
         this.#databases = new HostDatabases(this.#self, this.#entry, this.#slots, this.#configuration);
@@ -94,7 +109,7 @@
             reporter: this.#reporter,
             control: this.#control,
             cancel: (processId, secretKey) => this.#serving?.cancelLocal(processId, secretKey),
-            send: (to, message) => this.#send(to, message),
+            send: (to, message) => this.#links.send(to, message),
         });
         this.#http = this.#buildHttp();
         this.#folder = this.#buildFolder();
@@ -140,7 +155,7 @@
         if (peers !== undefined) {
             return { kind: "peers", reason: peers };
         }
-        this.#connectToControl();
+        this.#links.connectToControl();
         const http = await this.#http.listen();
         if (http !== undefined) {
             return { kind: "http", reason: http };
@@ -166,7 +181,8 @@
             stalled: endpoint => void this.#entry.probe(endpoint),
             slotsWanted: (endpoint, wanted, running) => this.#slots.wanted(endpoint, wanted, running),
             served: (database, count) => this.#reporter.add(database, count),
-            forwardCancel: (processId, secretKey) => this.#forwardCancel(processId, secretKey),
+            forwardCancel: (processId, secretKey) =>
+                this.#links.forwardCancel(this.#entry.view.hosts, processId, secretKey),
         });
         const reason = await this.#serving.listen();
         if (reason !== undefined) {
@@ -196,7 +212,7 @@
             configuration: this.#configuration,
             clock: this.#clock,
             log: this.#log,
-            send: (to, message) => this.#send(to, message),
+            send: (to, message) => this.#links.send(to, message),
             probe: (endpoint, timeoutMs) => readEndpoint(this.#connector, endpoint, timeoutMs),
             changed: () => this.#changed(),
         });
@@ -208,7 +224,7 @@
             view: this.#entry.view,
             clock: this.#clock,
             lastLeaseAt: () => this.#entry.lastLeaseAt(),
-            send: (to, message) => this.#send(to, message),
+            send: (to, message) => this.#links.send(to, message),
             connect: (id, address) => this.#mesh.keepConnected(id, address),
             changed: () => this.#databases.changed(),
         });
@@ -227,8 +243,8 @@
             orders: new PostgresOrders(this.#connector, this.#credentials()),
             clock: this.#clock,
             log: this.#log,
-            send: (to, message) => this.#send(to, message),
-            report: report => this.#controlReport(report),
+            send: (to, message) => this.#links.send(to, message),
+            report: report => this.#reports.handle(report),
         });
     }
 
@@ -253,7 +269,7 @@
                 readiness: () => readinessOf(this.#facts()),
                 localStatus: () => localStatus(this.#facts()),
                 burn: () => this.#control?.burn(),
-                announced: body => this.#log.event("endpointAnnounced", { endpoint: (body as Endpoint).id }),
+                announced: endpoint => this.#log.event("endpointAnnounced", { endpoint }),
                 configurationAnswered: (change, answer) =>
                     this.#log.event("configurationAnswered", { number: change.number, answer }),
             }),
@@ -264,25 +280,6 @@
         return { user: this.#settings.endpointUser, password: this.#settings.endpointPassword };
     }
 
-    #connectToControl(): void {
-        const isControl = this.#control !== undefined;
-        for (const { id, address } of this.#settings.control) {
-            // Among control hosts the lower id dials, so that there is one connection for each pair.
-            if (id !== this.#self.id && (!isControl || this.#self.id < id)) {
-                this.#mesh.keepConnected(id, address);
-            }
-        }
-    }
-
-    /** Sends to another process, or to this one's own tasks. Returns false when there is no connection. */
-    #send(to: string, message: Message): boolean {
-        if (to !== this.#self.id) {
-            return this.#mesh.send(to, message);
-        }
-        queueMicrotask(() => this.#router.receive(this.#self, message));
-        return true;
-    }
-
     #meshEvent(event: MeshEvent): void {
         if (event.kind === "message") {
             this.#router.receive(event.from, event.message);
@@ -295,46 +292,11 @@
         }
     }
 
-    #controlReport(report: ControlReport): void {
-        switch (report.kind) {
-            case "reply":
-                this.#send(report.to, { kind: "leaderReply", id: report.id, ok: report.ok, body: report.body });
-                break;
-            case "leader":
-                this.#log.event("leaderChanged", { leader: report.memberId, leads: report.isLeader });
-                break;
-            case "failoverDone": {
-                const databases = this.#configuration.inForce?.configuration.databases;
-                const targetMs = databases?.[report.database]?.objectives.failoverGapMs ?? Infinity;
-                this.#reporter.add(report.database, {
-                    failovers: 1,
-                    slowFailovers: report.tookMs > targetMs ? 1 : 0,
-                    longestFailoverMs: report.tookMs,
-                });
-                break;
-            }
-            case "failed":
-                this.#log.event("storeFailed", { reason: report.reason });
-                this.#failed(report.reason);
-                break;
-        }
-    }
-
     #changed(): void {
         this.#databases.changed();
         this.#serving?.prepare();
     }
 
-    #forwardCancel(processId: number, secretKey: number): void {
-        const number = hostNumberOf(processId);
-        for (const host of this.#entry.view.hosts) {
-            if (host.id !== this.#self.id && hostNumber(host.id) === number) {
-                this.#mesh.keepConnected(host.id, host.peerAddress);
-                this.#send(host.id, { kind: "cancelStatement", processId, secretKey });
-            }
-        }
-    }
-
     #housekeep(): void {
         const now = this.#clock.now();
         const wallClock = this.#clock.wallClock();
--- a/packages/daemon/src/http-routes.ts
+++ b/packages/daemon/src/http-routes.ts
@@ -16,7 +16,8 @@
     readonly localStatus: () => unknown;
     /** The burn report of this host's own copy of the counts; undefined on a host without one. */
     readonly burn: () => BurnReport | undefined;
-    readonly announced: (body: unknown) => void;
+    /** A new endpoint, or a new state of one, was accepted. */
+    readonly announced: (endpoint: string) => void;
     readonly configurationAnswered: (change: ConfigurationChange, answer: unknown) => void;
 }
 
@@ -46,8 +47,9 @@
             access: "signed",
             handle: async body => {
                 const answer = await forward("announce", body);
-                if (answer.status === 200) {
-                    source.announced(body);
+                // Endpoints announce themselves every few seconds; only what changed is worth a log line.
+                if ((answer.body as { readonly outcome?: unknown; }).outcome === "accepted") {
+                    source.announced((body as { readonly id: string; }).id);
                 }
                 return answer;
             },
