--- a/packages/testing/src/cluster/local-endpoint.ts
+++ b/packages/testing/src/cluster/local-endpoint.ts
@@ -1,18 +1,24 @@
+import { readFile } from "node:fs/promises";
 import type { StandInOptions, StandInStatus, TableRow } from "../stand-in/stand-in-endpoint.js";
 import { Child } from "./child.js";
 
 const CALL_TIMEOUT_MS = 2_000;
 
+/** End of the log that a failed start reports. */
+const LOG_CHARACTERS = 2_000;
+
 /** A stand-in endpoint that runs as a process of its own. */
 export class LocalEndpoint {
     readonly id: string;
     readonly database: string;
     readonly #child: Child;
+    readonly #logFile: string;
     #status: StandInStatus | undefined;
 
     constructor(program: string, options: StandInOptions, logFile: string) {
         this.id = options.id ?? "";
         this.database = options.database ?? "";
+        this.#logFile = logFile;
         this.#child = new Child(process.execPath, [program, JSON.stringify(options)], logFile);
     }
 
@@ -20,7 +26,8 @@
     async ready(): Promise<void> {
         const line = await this.#child.firstLine();
         if (line === "") {
-            throw new Error(`endpoint ${this.id} did not start`);
+            const log = await readFile(this.#logFile, "utf8").catch(() => "");
+            throw new Error(`endpoint ${this.id} did not start: ${log.slice(-LOG_CHARACTERS)}`);
         }
         this.#status = JSON.parse(line) as StandInStatus;
     }
