End a stopping host's registration in the log

Cause: a host that stopped in order told only the present leader, by a flag in its renewals. Change: after its last request a stopping host asks for its removal, which is committed; it renews no more.

--- a/packages/control/src/requests.ts
+++ b/packages/control/src/requests.ts
@@ -33,6 +33,7 @@
         `must have at most ${MAX_CONFIGURATION_CHARACTERS} characters in total`,
     ),
 });
+const leaveHostBody = z.strictObject({ id: name, incarnation: name });
 const statusBody = z.union([z.undefined(), z.null(), z.strictObject({})]);
 const historyBody = z.union([
     z.undefined(),
@@ -98,6 +99,10 @@
     leave: handler(leaveBody, (context, body, reply) => {
         proposeAndReply(context, { kind: "endpointLeaves", ...body }, reply);
     }),
+    /** A host that has finished its work; in the log, so that a next leader knows that it did not just fall silent. */
+    leaveHost: handler(leaveHostBody, (context, body, reply) => {
+        proposeAndReply(context, { kind: "removeHost", ...body }, reply);
+    }),
     apply: handler(
         applyBody,
         (context, change, reply) => {
--- a/packages/control/tests/silence.test.ts
+++ b/packages/control/tests/silence.test.ts
@@ -22,3 +22,21 @@
     simulation.run(2_000);
     expect(told.get("h1")).toEqual([]);
 });
+
+// Otherwise a stopped host keeps its share of the connections for two hours, and after a change of leader it counts as
+// a host that fell silent, whose slots have to be waited out.
+test("a host that leaves in order is no longer registered, also for the next leader", () => {
+    const simulation = new Simulation({ seed: 7, hosts: 3, databases: ["orders"] });
+    simulation.start();
+    const leaving = simulation.hosts[2]!;
+    leaving.stalledUntil = Number.MAX_SAFE_INTEGER;
+    const { id, incarnation } = leaving.host;
+    const requestId = simulation.request("leaveHost", { id, incarnation });
+    simulation.run(200);
+    expect(simulation.replies.get(requestId)).toMatchObject({ ok: true });
+    simulation.elect(1);
+    simulation.run(2_000);
+    const status = simulation.status();
+    expect(status.hosts.map(host => host.id)).not.toContain(id);
+    expect(status.silentHosts).toEqual([]);
+});
--- a/packages/daemon/src/entry-task.ts
+++ b/packages/daemon/src/entry-task.ts
@@ -64,15 +64,11 @@
     #draining = false;
     #stopped = false;
     #hadLease = false;
-    /** Sequence of the first renewal that said that this host leaves. */
-    #firstLeaving: number | undefined;
-    #leavingAnswered = false;
-    #onLeavingAnswered: (() => void) | undefined;
+    #left = false;
     #lastLeaseAt = Number.NEGATIVE_INFINITY;
 
     readonly #handlers: MessageHandlers = {
         leaseGranted: (message, from) => {
-            this.#answered(message.sequence);
             this.#leaders.confirmed(from);
             this.#lease.granted(message, this.#options.clock.now());
             this.#checkLease();
@@ -122,19 +118,14 @@
         this.#draining = true;
     }
 
-    /** Resolves when the leader has answered a renewal that says that this host leaves, or after the timeout. */
-    announceLeaving(timeoutMs: number): Promise<void> {
-        this.#draining = true;
-        if (this.#leavingAnswered) {
-            return Promise.resolve();
-        }
-        return new Promise(resolve => {
-            const timer = setTimeout(resolve, timeoutMs);
-            this.#onLeavingAnswered = () => {
-                clearTimeout(timer);
-                resolve();
-            };
-        });
+    /**
+     * Ends the registration of this host, and with it the renewals. To be called when no request runs any more; the
+     * answer may be missing, since a host must be able to stop without control.
+     */
+    async leave(timeoutMs: number): Promise<void> {
+        this.#left = true;
+        const { id, incarnation } = this.#options.self;
+        await this.request("leaveHost", { id, incarnation }, timeoutMs);
     }
 
     received(from: string, message: EntryMessage): void {
@@ -198,13 +189,10 @@
         this.#lease.suspended(now, clock.wallClock());
         this.#client.tick(now);
         this.#checkLease();
-        const renewal = this.#lease.renewal(now);
+        const renewal = this.#left ? undefined : this.#lease.renewal(now);
         if (renewal === undefined) {
             return;
         }
-        if (this.#draining) {
-            this.#firstLeaving ??= renewal.sequence;
-        }
         this.#options.send(this.#leaders.target(), {
             kind: "renewLease",
             sequence: renewal.sequence,
@@ -216,13 +204,6 @@
         this.#leaders.sent();
     }
 
-    #answered(sequence: number): void {
-        if (this.#firstLeaving !== undefined && sequence >= this.#firstLeaving) {
-            this.#leavingAnswered = true;
-            this.#onLeavingAnswered?.();
-        }
-    }
-
     #checkLease(): void {
         const hasLease = this.hasLease();
         if (hasLease) {
--- a/packages/daemon/src/host-process.ts
+++ b/packages/daemon/src/host-process.ts
@@ -31,7 +31,7 @@
 /** How long a stopping host waits until the control hosts have its last service counts. */
 const COUNTS_TIMEOUT_MS = 500;
 
-/** How long a stopping host waits until the leader has answered that it leaves. */
+/** How long a stopping host waits until control has ended its registration. */
 const LEAVE_TIMEOUT_MS = 500;
 
 export type StartFailure =
@@ -135,7 +135,7 @@
         const drainMs = this.#configuration.inForce?.configuration.limits.drainMs ?? DEFAULT_DRAIN_MS;
         const cut = await this.#serving?.drain(drainMs) ?? 0;
         this.#reporter.flush(this.#clock.wallClock());
-        await Promise.all([this.#reporter.settled(COUNTS_TIMEOUT_MS), this.#entry.announceLeaving(LEAVE_TIMEOUT_MS)]);
+        await Promise.all([this.#reporter.settled(COUNTS_TIMEOUT_MS), this.#entry.leave(LEAVE_TIMEOUT_MS)]);
         await this.#close();
         this.#log.event("hostStopped", { cut });
         return { cut };
