--- a/packages/testing/src/faults/cell.ts
+++ b/packages/testing/src/faults/cell.ts
@@ -4,7 +4,7 @@
 import { Workload } from "./workload.js";
 import { REPLICATED, World } from "./world.js";
 
-/** A fault, or a pair of faults, that strikes when a step is reached. */
+/** A fault, or a pair of faults, that is injected when a step is reached. */
 export interface Cell {
     readonly name: string;
     readonly step: Step;
@@ -34,12 +34,12 @@
     const world = await World.start(seed, conditions);
     const workload = new Workload(world);
     await world.run(WARM_UP_MS);
-    const struckAt = await strike(world, cell);
-    if (struckAt === undefined) {
+    const injectedAt = await inject(world, cell);
+    if (injectedAt === undefined) {
         return { kind: "violated", details: ["harness: the step was never reached"], traces: world.traces };
     }
     const last = Math.max(...cell.faults.map((fault, index) => (cell.offsetsMs[index] ?? 0) + fault.durationMs));
-    await world.run(last + 1 - (world.time.now - struckAt));
+    await world.run(last + 1 - (world.time.now - injectedAt));
     await heal(world);
     const healedAt = world.time.now;
     world.record({ kind: "healed", at: healedAt });
@@ -62,27 +62,27 @@
         : undefined;
 }
 
-async function strike(world: World, { step, faults, offsetsMs }: Cell): Promise<number | undefined> {
-    let struckAt: number | undefined;
+async function inject(world: World, { step, faults, offsetsMs }: Cell): Promise<number | undefined> {
+    let injectedAt: number | undefined;
     world.reach = trigger => {
-        if (trigger !== step.trigger || struckAt !== undefined) {
+        if (trigger !== step.trigger || injectedAt !== undefined) {
             return;
         }
-        struckAt = world.time.now;
+        injectedAt = world.time.now;
         world.trace(`reached ${step.name}`);
-        faults.forEach((fault, index) => world.time.at(offsetsMs[index] ?? 0, () => strikeOne(world, fault)));
+        faults.forEach((fault, index) => world.time.at(offsetsMs[index] ?? 0, () => injectOne(world, fault)));
     };
     step.scenario(world);
     const end = world.time.now + REACH_MS;
-    while (struckAt === undefined && world.time.now < end) {
+    while (injectedAt === undefined && world.time.now < end) {
         await world.run(10);
     }
-    return struckAt;
+    return injectedAt;
 }
 
-function strikeOne(world: World, fault: Fault): void {
-    world.trace(`strikes: ${fault.name}`);
-    const healOne = fault.strike(world);
+function injectOne(world: World, fault: Fault): void {
+    world.trace(`injects: ${fault.name}`);
+    const healOne = fault.inject(world);
     if (healOne === undefined) {
         world.missed.push(fault.name);
         return;
@@ -142,7 +142,7 @@
     const broken = new InvariantChecker({ ...LIMITS, durable: world.conditions.acknowledge === "replica" }).check(
         world.history,
     ).map(({ invariant, detail }) => `${invariant}: ${detail}`);
-    const missed = world.missed.map(name => `harness: ${name} found nothing to strike`);
+    const missed = world.missed.map(name => `harness: ${name} had no target`);
     return acceptsWrites(world, healedAt)
         ? [...missed, ...broken]
         : [...missed, ...broken, `liveness: no write accepted within ${LIVENESS_MS} ms after healing`];
--- a/packages/testing/src/faults/fault-table.ts
+++ b/packages/testing/src/faults/fault-table.ts
@@ -2,11 +2,11 @@
 import type { SimulatedHost } from "./simulated-host.js";
 import { change, CONTROL_HOSTS, DATABASE, type World } from "./world.js";
 
-/** One kind of fault. `strike` starts it and returns what heals it; undefined when it found nothing to strike. */
+/** One kind of fault. `inject` starts it and returns what heals it; undefined when it had no target. */
 export interface Fault {
     readonly name: string;
     readonly durationMs: number;
-    readonly strike: (world: World) => (() => void) | undefined;
+    readonly inject: (world: World) => (() => void) | undefined;
     /** The fault needs a primary that runs. */
     readonly needsPrimary: boolean;
 }
@@ -38,17 +38,17 @@
     return () => side.forEach(left => others.forEach(right => world.network.join(left, right)));
 }
 
-function withPrimary(strike: (endpoint: SimulatedEndpoint, world: World) => () => void): Fault["strike"] {
+function withPrimary(inject: (endpoint: SimulatedEndpoint, world: World) => () => void): Fault["inject"] {
     return world => {
         const endpoint = primary(world);
-        return endpoint && strike(endpoint, world);
+        return endpoint && inject(endpoint, world);
     };
 }
 
-function withControl(leads: boolean, strike: (host: SimulatedHost, world: World) => () => void): Fault["strike"] {
+function withControl(leads: boolean, inject: (host: SimulatedHost, world: World) => () => void): Fault["inject"] {
     return world => {
         const host = control(world, leads);
-        return host && strike(host, world);
+        return host && inject(host, world);
     };
 }
 
@@ -58,7 +58,7 @@
     return Math.max(2, ...numbers) + 1;
 }
 
-const failDisk = (operation: "write" | "sync", code: string): Fault["strike"] =>
+const failDisk = (operation: "write" | "sync", code: string): Fault["inject"] =>
     withControl(true, host => {
         host.disk.break(operation, code);
         return () => {
@@ -67,10 +67,10 @@
         };
     });
 
-const fault = (name: string, durationMs: number, strike: Fault["strike"], needsPrimary = false): Fault => ({
+const fault = (name: string, durationMs: number, inject: Fault["inject"], needsPrimary = false): Fault => ({
     name,
     durationMs,
-    strike,
+    inject,
     needsPrimary,
 });
 
--- a/packages/testing/src/faults/matrix.ts
+++ b/packages/testing/src/faults/matrix.ts
@@ -4,7 +4,7 @@
 import { type Fault, FAULTS } from "./fault-table.js";
 import { type Step, STEPS } from "./steps.js";
 
-/** Time between two faults that strike together. */
+/** Time between two faults that are injected together. */
 const TOGETHER_MS = 50;
 
 /** Time from the end of a fault to its second occurrence. */
--- a/packages/testing/src/faults/steps.ts
+++ b/packages/testing/src/faults/steps.ts
@@ -1,7 +1,7 @@
 import type { SimulatedHost } from "./simulated-host.js";
 import { change, type World } from "./world.js";
 
-/** One stage at which a fault strikes. */
+/** One stage at which a fault is injected. */
 export interface Step {
     readonly name: string;
     /** What the world reports when the stage is reached. */
--- a/packages/testing/src/faults/world.ts
+++ b/packages/testing/src/faults/world.ts
@@ -37,7 +37,7 @@
     readonly endpoints: readonly SimulatedEndpoint[];
     readonly history: HistoryEvent[] = [];
     readonly traces: string[] = [];
-    /** Faults that found nothing to strike. */
+    /** Faults that had no target. */
     readonly missed: string[] = [];
     /** Called when something happens that a step of the matrix may wait for. */
     reach: (trigger: string) => void = () => undefined;
--- a/scripts/faults.mjs
+++ b/scripts/faults.mjs
@@ -118,7 +118,7 @@
     return [
         "# Fault matrix",
         "",
-        `Made by \`npm run faults -- --write --seed ${values.seed} --pairs ${values.pairs}${mode}\`. Each cell strikes the`
+        `Made by \`npm run faults -- --write --seed ${values.seed} --pairs ${values.pairs}${mode}\`. Each cell injects the`
         + " fault when the step is reached, heals it, and checks the nine invariants of design.md, section 1.2, and that"
         + " writes are accepted again within 8 s of simulated time.",
         "",
