--- a/packages/telemetry/src/burn-page.ts
+++ b/packages/telemetry/src/burn-page.ts
@@ -4,7 +4,7 @@
 
 const PLOT_WIDTH = 720;
 const PLOT_HEIGHT = 150;
-const PLOT_MARGIN = 36;
+const PLOT_MARGIN = 56;
 
 const STYLE = `
 body { font: 15px/1.5 system-ui, sans-serif; color: #1d2733; background: #f6f7f9; margin: 0; }
