Take the wire types from postgres and give the load script a command

Cause: the proxy's ports stated the caller's and the endpoint's connection a second time, and the script that compares builds with a relay could only be bundled by hand.

--- a/packages/proxy/src/ports.ts
+++ b/packages/proxy/src/ports.ts
@@ -1,3 +1,4 @@
+import type { EndpointConnection } from "@medlarledge/postgres";
 import type { DatabaseView, Endpoint, Floor, Position, Term, TermRecord } from "@medlarledge/protocol";
 import type {
     AdmissionEffect,
@@ -13,6 +14,13 @@
 } from "@medlarledge/routing";
 import type { FloorCheck } from "@medlarledge/session";
 
+export type {
+    CallerConnection,
+    CallerHandler,
+    EndpointConnection,
+    EndpointHandler,
+    Frame,
+} from "@medlarledge/postgres";
 export { StatementKind } from "@medlarledge/routing";
 export type {
     AdmissionEffect,
@@ -30,51 +38,6 @@
 // Only what this package needs of the parts around it: the real classes fit these interfaces, and so do the small
 // fakes of the tests.
 
-/** One whole protocol message with its header. */
-export interface Frame {
-    readonly type: number;
-    readonly bytes: Uint8Array;
-}
-
-export interface CallerHandler {
-    frames(frames: readonly Frame[]): void;
-    drained(): void;
-    closed(): void;
-}
-
-export interface CallerConnection {
-    readonly user: string;
-    readonly database: string;
-    readonly applicationName: string;
-    readonly options: ReadonlyMap<string, string>;
-    readonly processId: number;
-    readonly secretKey: number;
-    setHandler(handler: CallerHandler): void;
-    /** Returns false when the caller must be given time to read: wait for `drained()`. */
-    send(bytes: Uint8Array): boolean;
-    pause(): void;
-    resume(): void;
-    close(): void;
-}
-
-export interface EndpointHandler {
-    frames(frames: readonly Frame[]): void;
-    drained(): void;
-    closed(reason: string): void;
-}
-
-export interface EndpointConnection {
-    readonly endpoint: Endpoint;
-    readonly processId: number;
-    readonly secretKey: number;
-    readonly parameters: ReadonlyMap<string, string>;
-    setHandler(handler: EndpointHandler): void;
-    send(bytes: Uint8Array): boolean;
-    pause(): void;
-    resume(): void;
-    close(): void;
-}
-
 export interface EndpointConnector {
     connect(
         endpoint: Endpoint,
--- a/packages/proxy/tests/fake-wire.ts
+++ b/packages/proxy/tests/fake-wire.ts
@@ -2,9 +2,10 @@
 
 export function framesOf(bytes: Uint8Array): Frame[] {
     const frames: Frame[] = [];
-    for (let at = 0; at < bytes.length;) {
-        const length = 1 + Buffer.from(bytes).readUInt32BE(at + 1);
-        frames.push({ type: bytes[at]!, bytes: bytes.subarray(at, at + length) });
+    const buffer = Buffer.from(bytes);
+    for (let at = 0; at < buffer.length;) {
+        const length = 1 + buffer.readUInt32BE(at + 1);
+        frames.push({ type: buffer[at]!, bytes: buffer.subarray(at, at + length) });
         at += length;
     }
     return frames;
--- a/scripts/build.mjs
+++ b/scripts/build.mjs
@@ -8,6 +8,7 @@
     medlarledge: "packages/cli/src/main.ts",
     "stand-in": "packages/testing/src/stand-in-main.ts",
     quickstart: "packages/testing/src/quickstart/main.ts",
+    load: "packages/testing/src/load/main.ts",
     capacity: "packages/testing/src/capacity/main.ts",
     bench: "packages/testing/src/bench/main.ts",
     "bench-load": "packages/testing/src/bench/load-main.ts",
