Move links, clocks and the agreement task into a package of their own

The programs for the users' platform need the links between processes and the task that runs the replicated log, but not the PostgreSQL parts that the daemon package brings. Both now use packages/runtime. No behaviour changes.

--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist/", "node_modules/", "**/*.mjs", "eslint.config.js"] },
+    { ignores: ["dist/", "target/", "node_modules/", "**/*.mjs", "eslint.config.js"] },
     ...tseslint.configs.strictTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
@@ -22,7 +22,7 @@
         },
     },
     {
-        files: ["packages/*/tests/**"],
+        files: ["packages/*/tests/**", "platform/tests/**"],
         rules: {
             "@typescript-eslint/no-non-null-assertion": "off",
             "@typescript-eslint/require-await": "off",
--- a/packages/daemon/src/control-host.ts
+++ b/packages/daemon/src/control-host.ts
@@ -1,12 +1,11 @@
 import { AgreementStore, describeStoreError, type RecoveredState } from "@medlarledge/agreement";
 import { hostOfMember } from "@medlarledge/control";
 import type { ControlMessage, Host, Message } from "@medlarledge/protocol";
+import { AgreementTask, type Clock } from "@medlarledge/runtime";
 import { formatFinding, type HostSettings, mergeFolder } from "@medlarledge/settings";
 import { type BurnReport, burnReport, type Log, type Objectives } from "@medlarledge/telemetry";
 import { randomInt } from "node:crypto";
 import { join } from "node:path";
-import { AgreementTask } from "./agreement-task.js";
-import type { Clock } from "./clock.js";
 import type { ConfigurationHolder } from "./configuration-holder.js";
 import { type ControlReport, ControlTask, type EndpointOrders } from "./control-task.js";
 import { initializeStore, MemberPhase, MembershipStart, phaseOf } from "./membership-start.js";
--- a/packages/daemon/src/control-task.ts
+++ b/packages/daemon/src/control-task.ts
@@ -11,11 +11,9 @@
     type RequestName,
 } from "@medlarledge/control";
 import type { ControlMessage, Endpoint, EndpointReading, Host, LogEntry } from "@medlarledge/protocol";
+import { type AgreementReport, type AgreementTask, Channel, type Clock } from "@medlarledge/runtime";
 import type { Log } from "@medlarledge/telemetry";
 import { merge, periodic } from "most";
-import type { AgreementReport, AgreementTask } from "./agreement-task.js";
-import { Channel } from "./channel.js";
-import type { Clock } from "./clock.js";
 
 const TICK_MS = 10;
 
--- a/packages/daemon/src/entry-task.ts
+++ b/packages/daemon/src/entry-task.ts
@@ -1,10 +1,9 @@
 import { EndpointObserver, HostLease } from "@medlarledge/control";
 import type { ControlMessage, Endpoint, EndpointReading, Host, Suspicion, Term } from "@medlarledge/protocol";
+import { Channel, type Clock } from "@medlarledge/runtime";
 import type { HostSettings } from "@medlarledge/settings";
 import type { Log } from "@medlarledge/telemetry";
 import { merge, periodic } from "most";
-import { Channel } from "./channel.js";
-import type { Clock } from "./clock.js";
 import type { ConfigurationHolder } from "./configuration-holder.js";
 import { LeaderClient } from "./leader-client.js";
 import { LeaderTracker } from "./leader-tracker.js";
--- a/packages/daemon/src/folder-watch.ts
+++ b/packages/daemon/src/folder-watch.ts
@@ -1,7 +1,7 @@
 import type { ConfigurationChange, ConfigurationFile } from "@medlarledge/protocol";
+import { Channel } from "@medlarledge/runtime";
 import { digestOf, type Finding, mergeFolder, readFolder } from "@medlarledge/settings";
 import { type FSWatcher, watch } from "chokidar";
-import { Channel } from "./channel.js";
 
 /** A folder counts as saved when its digest has been the same for this long. */
 const SETTLE_MS = 200;
--- a/packages/daemon/src/host-gauges.ts
+++ b/packages/daemon/src/host-gauges.ts
@@ -1,6 +1,6 @@
 import type { ProxyStatus } from "@medlarledge/proxy";
+import type { MeshTraffic } from "@medlarledge/runtime";
 import type { Metrics } from "@medlarledge/telemetry";
-import type { MeshTraffic } from "./peer-mesh.js";
 
 export interface GaugeFacts {
     readonly hasLease: boolean;
--- a/packages/daemon/src/host-links.ts
+++ b/packages/daemon/src/host-links.ts
@@ -1,6 +1,6 @@
 import type { Host, Message } from "@medlarledge/protocol";
+import type { PeerMesh } from "@medlarledge/runtime";
 import { hostNumber, hostNumberOf } from "./host-number.js";
-import type { PeerMesh } from "./peer-mesh.js";
 
 export interface HostLinksOptions {
     readonly self: Host;
--- a/packages/daemon/src/http-server.ts
+++ b/packages/daemon/src/http-server.ts
@@ -1,6 +1,6 @@
+import { parseAddress } from "@medlarledge/runtime";
 import { createHmac, timingSafeEqual } from "node:crypto";
 import { createServer, type IncomingMessage, type Server, type ServerResponse } from "node:http";
-import { parseAddress } from "./address.js";
 
 /** Largest request body; a configuration folder of 4 MiB fits with its JSON escapes. */
 const MAX_BODY_BYTES = 16 * 1024 * 1024;
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,4 +1,3 @@
-export { SYSTEM_CLOCK } from "./clock.js";
 export { folderEvent } from "./folder-watch.js";
 export { createAuthority, issueHostKeys, type KeyPair } from "./host-keys.js";
 export { HostProcess, type StartFailure } from "./host-process.js";
--- a/packages/daemon/src/local-status.ts
+++ b/packages/daemon/src/local-status.ts
@@ -1,7 +1,7 @@
 import type { Host } from "@medlarledge/protocol";
 import type { ProxyStatus } from "@medlarledge/proxy";
+import type { MeshTraffic } from "@medlarledge/runtime";
 import type { ConfigurationInForce } from "./configuration-holder.js";
-import type { MeshTraffic } from "./peer-mesh.js";
 
 /** Whether the platform should send callers to this host. */
 export interface Readiness {
--- a/packages/daemon/src/serving-host.ts
+++ b/packages/daemon/src/serving-host.ts
@@ -2,14 +2,13 @@
 import type { Endpoint, Host } from "@medlarledge/protocol";
 import { type DatabaseSource, Proxy, type ProxyEvents, type ProxyStatus, type ServiceRecord } from "@medlarledge/proxy";
 import { Classifier } from "@medlarledge/routing";
+import { type Clock, parseAddress } from "@medlarledge/runtime";
 import { TokenCodec } from "@medlarledge/session";
 import type { Configuration, HostSettings } from "@medlarledge/settings";
 import type { Log, Metrics, ServiceCount } from "@medlarledge/telemetry";
 import { randomInt } from "node:crypto";
 import { readFile } from "node:fs/promises";
-import { parseAddress } from "./address.js";
 import { mayLogIn, mayUse } from "./caller-access.js";
-import type { Clock } from "./clock.js";
 import { callerProcessId } from "./host-number.js";
 import { proxyParts } from "./proxy-parts.js";
 
--- a/packages/daemon/src/slot-task.ts
+++ b/packages/daemon/src/slot-task.ts
@@ -9,8 +9,8 @@
     type SlotRequest,
 } from "@medlarledge/protocol";
 import { endpointKey, SlotHolder, SlotKeeper, type SlotKeeperEffect } from "@medlarledge/routing";
+import type { Clock } from "@medlarledge/runtime";
 import { periodic } from "most";
-import type { Clock } from "./clock.js";
 import { SlotManagers } from "./slot-managers.js";
 import { SlotPeers } from "./slot-peers.js";
 import type { ViewTable } from "./view-table.js";
--- a/packages/daemon/tests/http-server.test.ts
+++ b/packages/daemon/tests/http-server.test.ts
@@ -1,8 +1,8 @@
 import fc from "fast-check";
 import { request as httpRequest } from "node:http";
 import { afterEach, describe, expect, it } from "vitest";
+import { freePort } from "../../runtime/tests/free-port.js";
 import { HttpServer, type HttpServerOptions, SIGNATURE_HEADER, signBody } from "../src/http-server.js";
-import { freePort } from "./free-port.js";
 
 const SEED = 20_261_204;
 const KEY = "11".repeat(32);
--- a/packages/daemon/tests/membership-start.test.ts
+++ b/packages/daemon/tests/membership-start.test.ts
@@ -1,10 +1,9 @@
 import { AgreementStore } from "@medlarledge/agreement";
+import { AgreementTask, SYSTEM_CLOCK } from "@medlarledge/runtime";
 import { mkdtemp } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { describe, expect, it } from "vitest";
-import { AgreementTask } from "../src/agreement-task.js";
-import { SYSTEM_CLOCK } from "../src/clock.js";
 import { decideStart, initializeStore, phaseOf } from "../src/membership-start.js";
 
 describe("decideStart", () => {
--- a/packages/daemon/tests/peer-mesh.test.ts
+++ b/packages/runtime/tests/peer-mesh.test.ts
@@ -1,3 +1,4 @@
+import { createAuthority, issueHostKeys, type KeyPair } from "@medlarledge/daemon";
 import type { Host } from "@medlarledge/protocol";
 import { type Log, type LogFields, SILENT_LOG } from "@medlarledge/telemetry";
 import { mkdtemp, writeFile } from "node:fs/promises";
@@ -6,7 +7,6 @@
 import { afterEach, describe, expect, it } from "vitest";
 import { WebSocket } from "ws";
 import { SYSTEM_CLOCK } from "../src/clock.js";
-import { createAuthority, issueHostKeys, type KeyPair } from "../src/host-keys.js";
 import type { IdentityFiles } from "../src/peer-identity.js";
 import { type MeshEvent, PeerMesh } from "../src/peer-mesh.js";
 import { freePort } from "./free-port.js";
