--- a/packages/agreement/src/agreement.ts
+++ b/packages/agreement/src/agreement.ts
@@ -17,6 +17,7 @@
     handleAppendReply,
     leaderTick,
     quorumContactAt,
+    voterSilence,
 } from "./replication.js";
 import { handleSnapshotChunk, handleSnapshotReply, requestSnapshot, takenSnapshot } from "./snapshot.js";
 import { AgreementState } from "./state.js";
@@ -91,6 +92,11 @@
         return this.#state.role === "leader" ? caughtUpLearners(this.#state, now) : [];
     }
 
+    /** Time since each voter last answered, in ms; empty if this member does not lead. */
+    voterSilence(now: number): ReadonlyMap<string, number> {
+        return voterSilence(this.#state, now);
+    }
+
     /** The latest members in the log, committed or not. */
     get members(): Members {
         return this.#state.log.members;
--- a/packages/agreement/src/replication.ts
+++ b/packages/agreement/src/replication.ts
@@ -10,6 +10,7 @@
     const voted = new Set(state.votes);
     state.role = "leader";
     state.leader = state.id;
+    state.electedAt = now;
     state.peers.clear();
     updatePeers(state);
     for (const [id, peer] of state.peers) {
@@ -58,6 +59,17 @@
     return times.sort((a, b) => b - a)[state.quorum - 1] ?? Number.NEGATIVE_INFINITY;
 }
 
+/**
+ * Time since each voter last answered this leader, in ms. A voter that has not answered it yet counts from the election.
+ */
+export function voterSilence(state: AgreementState, now: number): ReadonlyMap<string, number> {
+    const silenceOf = (id: string): number => {
+        const contact = state.peers.get(id)?.contact ?? Number.NEGATIVE_INFINITY;
+        return id === state.id ? 0 : now - Math.max(contact, state.electedAt);
+    };
+    return new Map(state.role === "leader" ? state.log.members.voters.map(id => [id, silenceOf(id)]) : []);
+}
+
 /** Steps down without a quorum, and otherwise sends heartbeats and what was not answered. */
 export function leaderTick(state: AgreementState, now: number): void {
     if (now - quorumContactAt(state, now) > state.options.electionMs) {
--- a/packages/agreement/src/state.ts
+++ b/packages/agreement/src/state.ts
@@ -56,6 +56,8 @@
     campaignBatch = 0;
     campaignAt = 0;
     leaderContactAt = 0;
+    /** When this member last began to lead. */
+    electedAt = 0;
     electionDeadline = 0;
     commitIndex = 0;
     appliedIndex = 0;
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -3,10 +3,12 @@
 export { MAX_TERMS } from "./database-state.js";
 export { EndpointObserver } from "./endpoint-observer.js";
 export type { FailoverStep } from "./failover-step.js";
+export { type GroupCondition, repairedMembers } from "./group-repair.js";
 export { HostLease, type HostLeaseOptions } from "./host-lease.js";
 export type { LeaderEffect, LeaderEvent, LeaderOptions } from "./leader-types.js";
 export { ControlLeader } from "./leader.js";
 export { hostOfMember, nextMembers, replacementMember } from "./member-plan.js";
+export { PrimaryWatch, type WatchEffect, type WatchEvent, type WatchReading, type WatchView } from "./primary-watch.js";
 export { OPERATOR_PAGES, type Problem } from "./problems.js";
 export { REQUEST_NAMES, type RequestError, type RequestName } from "./requests.js";
 export { ControlState, MAX_HISTORY } from "./state.js";
--- /dev/null
+++ b/packages/control/src/primary-watch.ts
@@ -0,0 +1,342 @@
+import { type EndpointRecord, EndpointRole, EndpointState, type PrimaryOrder } from "@medlarledge/protocol";
+
+/** Reports of entry hosts count for this long; hosts repeat a bad one more often. */
+export const REPORT_AGE_MS = 1_500;
+
+/** Time for the other entry hosts to answer a check; a probe of theirs takes 250 ms. */
+export const CONFIRM_MS = 400;
+
+/** Time for the endpoints to tell their positions. */
+export const READING_MS = 200;
+
+/** Pause before the endpoints are read again when none could be chosen, and before an order is repeated. */
+export const RETRY_MS = 150;
+
+/** Time for an ordered endpoint to take the lead; the platform's promotions take up to 600 ms. */
+export const PROMOTION_MS = 2_000;
+
+/** Pause between two checks of an endpoint that most entry hosts reach. */
+export const RECHECK_MS = 500;
+
+/** A group without any primary is given one after this time; its endpoints may just be starting. */
+export const NO_PRIMARY_MS = 1_500;
+
+/** What the endpoints of a group answered: the position received, newest first by term, then by number. */
+export interface WatchReading {
+    readonly leads: boolean;
+    readonly term: number;
+    readonly number: number;
+}
+
+export interface WatchReport {
+    readonly endpoint: string;
+    readonly term: number;
+    readonly reachable: boolean;
+}
+
+export type WatchEvent =
+    | { readonly kind: "tick"; }
+    /** An entry host reported on the primary that it uses. */
+    | { readonly kind: "report"; readonly from: string; readonly report: WatchReport; }
+    | { readonly kind: "reading"; readonly endpoint: string; readonly reading: WatchReading | undefined; }
+    /** The platform's answer to an order; `unknown` when none came. */
+    | { readonly kind: "ordered"; readonly fence: number; readonly outcome: "accepted" | "refused" | "unknown"; };
+
+export type WatchEffect =
+    /** Asks all entry hosts whether they reach the endpoint. */
+    | { readonly kind: "check"; readonly endpoint: string; }
+    | { readonly kind: "read"; readonly endpoint: string; }
+    | { readonly kind: "promote"; readonly order: PrimaryOrder; }
+    | { readonly kind: "event"; readonly name: string; readonly fields: Readonly<Record<string, unknown>>; };
+
+/** What the watch needs to know besides its events. */
+export interface WatchView {
+    /** Endpoints of the group that have not left. */
+    readonly endpoints: readonly EndpointRecord[];
+    /** Entry hosts that are connected. */
+    readonly entries: readonly string[];
+    /** Next fencing token; rises with every call. */
+    readonly nextFence: () => number;
+}
+
+type Phase =
+    | { readonly kind: "calm"; }
+    | { readonly kind: "checking"; readonly endpoint: string; readonly since: number; }
+    | {
+        readonly kind: "choosing";
+        readonly reason: string;
+        readonly since: number;
+        /** The primary that entry hosts do not reach; undefined when it is replaced for another reason. */
+        readonly suspect: string | undefined;
+    }
+    /** A pause before the endpoints are read again. */
+    | { readonly kind: "pausing"; readonly reason: string; readonly since: number; }
+    | { readonly kind: "promoting"; readonly order: PrimaryOrder; readonly since: number; };
+
+interface Heard extends WatchReport {
+    readonly at: number;
+}
+
+const CALM: Phase = { kind: "calm" };
+
+/**
+ * Watches the primary of one group on the leading control host and replaces it when it has failed or is about to leave.
+ * Holds nothing durable: a new leader starts anew, and its orders carry higher fencing tokens.
+ */
+export class PrimaryWatch {
+    readonly #group: string;
+    readonly #reports = new Map<string, Heard>();
+    readonly #readings = new Map<string, WatchReading | undefined>();
+    /** Endpoints whose promotion was refused, and when. */
+    readonly #refused = new Map<string, number>();
+    #phase: Phase = CALM;
+    /** The endpoint whose order was the last to succeed. */
+    #promoted: string | undefined;
+    #withoutPrimarySince: number | undefined;
+    #checkedAt = Number.NEGATIVE_INFINITY;
+
+    constructor(group: string) {
+        this.#group = group;
+    }
+
+    get phase(): Phase["kind"] {
+        return this.#phase.kind;
+    }
+
+    handle(event: WatchEvent, view: WatchView, now: number): readonly WatchEffect[] {
+        const effects: WatchEffect[] = [];
+        switch (event.kind) {
+            case "report":
+                this.#reports.set(event.from, { ...event.report, at: now });
+                break;
+            case "reading":
+                this.#readings.set(event.endpoint, event.reading);
+                break;
+            case "ordered":
+                this.#ordered(event, now);
+                break;
+            case "tick":
+                break;
+        }
+        this.#advance(view, now, effects);
+        return effects;
+    }
+
+    /** The endpoint that leads as far as is known: what entry hosts saw goes before what endpoints say of themselves. */
+    primary(view: WatchView): string | undefined {
+        const seen = [...this.#reports.values()].sort((left, right) => right.term - left.term)[0];
+        const claiming = view.endpoints.filter(record => record.role === EndpointRole.Primary);
+        const promoted = claiming.find(record => record.id === this.#promoted);
+        if (promoted !== undefined) {
+            return promoted.id;
+        }
+        const present = view.endpoints.some(record => record.id === seen?.endpoint);
+        return present ? seen?.endpoint : claiming[0]?.id;
+    }
+
+    #advance(view: WatchView, now: number, effects: WatchEffect[]): void {
+        switch (this.#phase.kind) {
+            case "calm":
+                this.#advanceCalm(view, now, effects);
+                break;
+            case "checking":
+                this.#advanceChecking(this.#phase, view, now, effects);
+                break;
+            case "choosing":
+                this.#advanceChoosing(this.#phase, view, now, effects);
+                break;
+            case "pausing":
+                if (now - this.#phase.since >= RETRY_MS) {
+                    this.#choose(this.#phase.reason, undefined, view, now, effects);
+                }
+                break;
+            case "promoting":
+                this.#advancePromoting(this.#phase, view, now, effects);
+                break;
+        }
+    }
+
+    #advanceCalm(view: WatchView, now: number, effects: WatchEffect[]): void {
+        const primary = this.primary(view);
+        const record = view.endpoints.find(({ id }) => id === primary);
+        if (record === undefined) {
+            this.#withoutPrimary(view, now, effects);
+            return;
+        }
+        this.#withoutPrimarySince = undefined;
+        if (record.state === EndpointState.Leaving && this.#successors(view, record.id).length > 0) {
+            this.#choose("the primary leaves", undefined, view, now, effects);
+        }
+        else if (now - this.#checkedAt >= RECHECK_MS && this.#against(record.id, now).length > 0) {
+            this.#checkedAt = now;
+            this.#phase = { kind: "checking", endpoint: record.id, since: now };
+            effects.push({ kind: "check", endpoint: record.id });
+            this.#advance(view, now, effects);
+        }
+    }
+
+    #withoutPrimary(view: WatchView, now: number, effects: WatchEffect[]): void {
+        if (view.endpoints.length === 0) {
+            this.#withoutPrimarySince = undefined;
+            return;
+        }
+        this.#withoutPrimarySince ??= now;
+        if (now - this.#withoutPrimarySince >= NO_PRIMARY_MS) {
+            this.#choose("no endpoint leads", undefined, view, now, effects);
+        }
+    }
+
+    #advanceChecking(
+        { endpoint, since }: Extract<Phase, { kind: "checking"; }>,
+        view: WatchView,
+        now: number,
+        effects: WatchEffect[],
+    ): void {
+        const against = this.#against(endpoint, now).length;
+        if (against === 0) {
+            this.#phase = CALM;
+        }
+        else if (this.#isCondemned(endpoint, since, view, now)) {
+            const reason = `${against} of ${view.entries.length} entry hosts do not reach it`;
+            this.#choose(reason, endpoint, view, now, effects);
+        }
+        else if (now - since >= CONFIRM_MS) {
+            this.#phase = CALM;
+        }
+    }
+
+    /** Most entry hosts do not reach the endpoint; after the time to confirm, most of those that answered. */
+    #isCondemned(endpoint: string, since: number, view: WatchView, now: number): boolean {
+        const against = this.#against(endpoint, now).length;
+        if (against > view.entries.length / 2) {
+            return true;
+        }
+        const answered =
+            [...this.#reports].filter(([from, report]) =>
+                view.entries.includes(from) && report.endpoint === endpoint && report.at >= since - REPORT_AGE_MS
+            ).length;
+        return now - since >= CONFIRM_MS && against > answered / 2 && against >= Math.min(2, view.entries.length);
+    }
+
+    #choose(
+        reason: string,
+        suspect: string | undefined,
+        view: WatchView,
+        now: number,
+        effects: WatchEffect[],
+    ): void {
+        this.#phase = { kind: "choosing", reason, suspect, since: now };
+        this.#readings.clear();
+        const event = { group: this.#group, reason, primary: this.primary(view) };
+        effects.push({ kind: "event", name: "promotion.choosing", fields: event });
+        for (const { id } of this.#successors(view, suspect)) {
+            effects.push({ kind: "read", endpoint: id });
+        }
+    }
+
+    #advanceChoosing(
+        { reason, suspect, since }: Extract<Phase, { kind: "choosing"; }>,
+        view: WatchView,
+        now: number,
+        effects: WatchEffect[],
+    ): void {
+        const successors = this.#successors(view, suspect);
+        const isComplete = successors.every(({ id }) => this.#readings.has(id));
+        if (!isComplete && now - since < READING_MS) {
+            return;
+        }
+        if (suspect !== undefined && this.#against(suspect, now).length === 0) {
+            this.#calm("the primary is reached again", suspect, effects);
+            return;
+        }
+        const leading = [...this.#readings].find(([, reading]) => reading?.leads === true)?.[0];
+        if (leading !== undefined) {
+            // Another order took effect meanwhile; entry hosts find the new leader by themselves.
+            this.#calm("already leads", leading, effects);
+            return;
+        }
+        const best = this.#best(successors, now);
+        if (best === undefined) {
+            this.#phase = { kind: "pausing", reason, since: now };
+        }
+        else {
+            this.#promote(best, view, now, effects);
+        }
+    }
+
+    #promote(endpoint: string, view: WatchView, now: number, effects: WatchEffect[]): void {
+        const order = { group: this.#group, endpoint, fence: view.nextFence() };
+        this.#phase = { kind: "promoting", order, since: now };
+        const positions = [...this.#readings].map(([id, reading]) => ({ id, ...reading }));
+        effects.push({ kind: "promote", order });
+        effects.push({ kind: "event", name: "promotion.ordered", fields: { ...order, positions } });
+    }
+
+    #advancePromoting(
+        { order, since }: Extract<Phase, { kind: "promoting"; }>,
+        view: WatchView,
+        now: number,
+        effects: WatchEffect[],
+    ): void {
+        const record = view.endpoints.find(({ id }) => id === order.endpoint);
+        const isSeen = [...this.#reports.values()].some(report =>
+            report.endpoint === order.endpoint && report.reachable && report.at > since
+        );
+        if (record?.role === EndpointRole.Primary || isSeen) {
+            this.#calm("promoted", order.endpoint, effects);
+        }
+        else if (record === undefined || now - since >= PROMOTION_MS) {
+            this.#refused.set(order.endpoint, now);
+            this.#choose("the ordered endpoint did not take the lead", undefined, view, now, effects);
+        }
+    }
+
+    #ordered({ fence, outcome }: Extract<WatchEvent, { kind: "ordered"; }>, now: number): void {
+        if (this.#phase.kind !== "promoting" || this.#phase.order.fence !== fence || outcome === "accepted") {
+            return;
+        }
+        if (outcome === "refused") {
+            this.#refused.set(this.#phase.order.endpoint, now);
+        }
+        // An order without an answer may still be carried out: the endpoints are asked first. A new order has a higher
+        // token, which makes a late one void.
+        this.#phase = { kind: "pausing", reason: `the order was ${outcome}`, since: now };
+    }
+
+    #calm(why: string, endpoint: string, effects: WatchEffect[]): void {
+        this.#phase = CALM;
+        this.#promoted = endpoint;
+        this.#reports.clear();
+        this.#refused.clear();
+        effects.push({ kind: "event", name: "promotion.done", fields: { group: this.#group, endpoint, why } });
+    }
+
+    /** The endpoint with the most of the log; one that was refused a moment ago only if there is no other. */
+    #best(successors: readonly EndpointRecord[], now: number): string | undefined {
+        const answered = successors.filter(({ id }) => this.#readings.get(id) !== undefined);
+        const fresh = answered.filter(({ id }) => now - (this.#refused.get(id) ?? -Infinity) >= PROMOTION_MS);
+        const choice = fresh.length > 0 ? fresh : answered;
+        return [...choice].sort((left, right) => this.#compare(left.id, right.id))[0]?.id;
+    }
+
+    #compare(left: string, right: string): number {
+        const first = this.#readings.get(left);
+        const second = this.#readings.get(right);
+        return (second?.term ?? 0) - (first?.term ?? 0) || (second?.number ?? 0) - (first?.number ?? 0)
+            || (left < right ? -1 : 1);
+    }
+
+    /** Endpoints that stay, without the one to be replaced. */
+    #successors(view: WatchView, replaced: string | undefined): readonly EndpointRecord[] {
+        return view.endpoints.filter(record => record.state === EndpointState.Active && record.id !== replaced);
+    }
+
+    /** Entry hosts whose last report says that they do not reach the endpoint. */
+    #against(endpoint: string, now: number): readonly string[] {
+        return [...this.#reports]
+            .filter(([, report]) =>
+                report.endpoint === endpoint && !report.reachable && now - report.at <= REPORT_AGE_MS
+            )
+            .map(([from]) => from);
+    }
+}
--- a/packages/daemon/src/entry-task.ts
+++ b/packages/daemon/src/entry-task.ts
@@ -1,11 +1,11 @@
 import { EndpointObserver, HostLease } from "@medlarledge/control";
 import type { ControlMessage, Endpoint, EndpointReading, Host, Suspicion, Term } from "@medlarledge/protocol";
 import { Channel, type Clock } from "@medlarledge/runtime";
+import { LeaderClient } from "@medlarledge/runtime";
 import type { HostSettings } from "@medlarledge/settings";
 import type { Log } from "@medlarledge/telemetry";
 import { merge, periodic } from "most";
 import type { ConfigurationHolder } from "./configuration-holder.js";
-import { LeaderClient } from "./leader-client.js";
 import { LeaderTracker } from "./leader-tracker.js";
 import { ViewTable } from "./view-table.js";
 
--- a/packages/daemon/src/http-routes.ts
+++ b/packages/daemon/src/http-routes.ts
@@ -1,8 +1,8 @@
 import type { ConfigurationChange } from "@medlarledge/protocol";
+import type { LeaderAnswer } from "@medlarledge/runtime";
 import { type BurnReport, renderBurnPage, renderBurnText } from "@medlarledge/telemetry";
 import type { EntryTask } from "./entry-task.js";
 import type { HttpAnswer, HttpRoute } from "./http-server.js";
-import type { LeaderAnswer } from "./leader-client.js";
 
 /** How long an operator's or an endpoint's call may wait for the leader. */
 const LEADER_TIMEOUT_MS = 5_000;
--- a/packages/daemon/src/message-router.ts
+++ b/packages/daemon/src/message-router.ts
@@ -1,5 +1,5 @@
 import { hostOfMember } from "@medlarledge/control";
-import type { Host, LeaderReply, LeaderRequest, Message, MessageKind } from "@medlarledge/protocol";
+import type { FleetMessage, Host, LeaderReply, LeaderRequest, Message, MessageKind } from "@medlarledge/protocol";
 import type { ControlHost } from "./control-host.js";
 import type { EntryMessage, EntryTask } from "./entry-task.js";
 import { MEMBER_PHASE_REQUEST } from "./membership-start.js";
@@ -17,8 +17,11 @@
     readonly send: (to: string, message: Message) => void;
 }
 
+/** The messages of processes that serve PostgreSQL; the others belong to the fleet package. */
+type RoutedKind = Exclude<MessageKind, FleetMessage["kind"]>;
+
 type Handlers = {
-    readonly [K in MessageKind]: (message: Extract<Message, { kind: K; }>, from: Host) => void;
+    readonly [K in RoutedKind]: (message: Extract<Message, { kind: K; }>, from: Host) => void;
 };
 
 /** Passes each message of another process to the task that owns its subject. */
@@ -62,7 +65,8 @@
     }
 
     receive(from: Host, message: Message): void {
-        (this.#handlers[message.kind] as (message: Message, from: Host) => void)(message, from);
+        const handlers: Partial<Record<MessageKind, unknown>> = this.#handlers;
+        (handlers[message.kind] as ((message: Message, from: Host) => void) | undefined)?.(message, from);
     }
 
     #toEntry(message: EntryMessage, from: Host): void {
--- /dev/null
+++ b/packages/directory/src/index.ts
@@ -0,0 +1,1 @@
+export { Directory, type MergeResult } from "./directory.js";
--- /dev/null
+++ b/packages/fleet/src/entry-host.ts
@@ -0,0 +1,256 @@
+import { Directory } from "@medlarledge/directory";
+import { Gateway, type GatewayListener } from "@medlarledge/gateway";
+import type { EndpointRecord, Host, Message, PrimaryOrder } from "@medlarledge/protocol";
+import { type Clock, type MeshEvent, PeerMesh } from "@medlarledge/runtime";
+import type { Caller, CallerHandler, EndpointConnector } from "@medlarledge/statements";
+import type { Log } from "@medlarledge/telemetry";
+import { connectionShare } from "./connection-share.js";
+import { HostLinks } from "./host-links.js";
+import type { ConfigurationReader } from "./ports.js";
+import { PrimaryReporter } from "./primary-reporter.js";
+
+/** Interval of reports to control and of checks. */
+const TICK_MS = 50;
+
+/** Links to control hosts that one entry host keeps, the leader's among them. */
+const CONTROL_LINKS = 3;
+
+/** A configuration that was asked for and did not come is asked for again, of another host, after this time. */
+const CONFIGURATION_MS = 400;
+
+/** Time after a stop for the platform to send callers elsewhere: two missed probes, a second apart, and some slack. */
+const LEAVE_ROTATION_MS = 2_300;
+
+export interface EntryHostOptions {
+    readonly self: Host;
+    readonly seeds: readonly string[];
+    readonly clock: Clock;
+    readonly log: Log;
+    readonly connector: EndpointConnector;
+    readonly configurations: ConfigurationReader;
+    readonly random: () => number;
+    readonly listener: GatewayListener;
+    /** Time from a stop to the end of the process, in ms. */
+    readonly graceMs: number;
+}
+
+type MessageOf<K extends Message["kind"]> = Extract<Message, { kind: K; }>;
+type Handlers = { readonly [K in Message["kind"]]?: (message: MessageOf<K>, from: Host) => void; };
+
+/** A process that serves callers. */
+export class EntryHost {
+    readonly #options: EntryHostOptions;
+    readonly #mesh: PeerMesh;
+    readonly #links: HostLinks;
+    readonly #gateway: Gateway;
+    readonly #directory = new Directory();
+    readonly #reporter = new PrimaryReporter();
+    #seeds: readonly string[];
+    #control: readonly string[] = [];
+    #leader: string | undefined;
+    #listTerm = 0;
+    #entryHosts = 0;
+    #wantedAt = Number.NEGATIVE_INFINITY;
+    #offered = 0;
+    #timer: NodeJS.Timeout | undefined;
+    #isStopping = false;
+
+    readonly #handlers: Handlers = {
+        endpointRecords: message => this.#recordsReceived(message.records),
+        primaryOrders: message => this.#ordersReceived(message.orders),
+        hostList: message => this.#hostsReceived(message),
+        configurationOffer: (message, from) => this.#offeredBy(from, message.number),
+        configurationUpdate: message => this.#configure(message),
+        primaryCheck: message => void this.#check(message),
+    };
+
+    constructor(options: EntryHostOptions) {
+        this.#options = options;
+        this.#seeds = options.seeds;
+        const { self, clock, log, connector, random, listener } = options;
+        this.#mesh = new PeerMesh({ self, identity: undefined, clock, log });
+        this.#links = new HostLinks(this.#mesh, self.id);
+        this.#gateway = new Gateway({
+            hostId: `${self.id}/${self.incarnation}`,
+            dataCentre: self.dataCentre,
+            connector,
+            clock,
+            share: (record, routing) =>
+                connectionShare(routing.groups.get(record.group)?.connections ?? 0, this.#entryHosts),
+            random,
+            listener,
+        });
+    }
+
+    /** Takes callers: a configuration is in force and this host does not stop. */
+    get isReady(): boolean {
+        return !this.#isStopping && this.#gateway.routing.number > 0;
+    }
+
+    get callers(): number {
+        return this.#gateway.callers;
+    }
+
+    /** Starts. Returns a reason when that is not possible. */
+    async start(): Promise<string | undefined> {
+        void this.#mesh.events.observe(event => this.#meshEvent(event));
+        const reason = await this.#mesh.listen();
+        if (reason === undefined) {
+            this.#keepLinks();
+            this.#timer = setInterval(() => this.#tick(), TICK_MS);
+        }
+        return reason;
+    }
+
+    accept(caller: Caller): CallerHandler | undefined {
+        return this.#gateway.accept(caller);
+    }
+
+    /** Takes over changed settings. */
+    reseed(seeds: readonly string[]): void {
+        this.#seeds = seeds;
+        this.#keepLinks();
+    }
+
+    /**
+     * Stops in order: first the platform sends new callers elsewhere, then idle callers are closed, open transactions get
+     * half of the grace time, and what still runs may end until shortly before its end.
+     */
+    async stop(): Promise<void> {
+        const { graceMs } = this.#options;
+        this.#isStopping = true;
+        const closeAt = Math.min(LEAVE_ROTATION_MS, graceMs / 2);
+        await pause(closeAt);
+        this.#gateway.closeIdle();
+        await pause(graceMs / 2 - closeAt);
+        this.#gateway.abortTransactions();
+        await this.#drained(graceMs / 3);
+        clearInterval(this.#timer);
+        this.#gateway.close();
+        await this.#mesh.close();
+    }
+
+    async #drained(limitMs: number): Promise<void> {
+        const endAt = this.#options.clock.now() + limitMs;
+        while (this.#gateway.callers > 0 && this.#options.clock.now() < endAt) {
+            this.#gateway.closeIdle();
+            await pause(TICK_MS);
+        }
+    }
+
+    #tick(): void {
+        const now = this.#options.clock.now();
+        for (const [name, group] of this.#gateway.groups) {
+            const state = group.primaryState();
+            const report = state === undefined ? undefined : this.#reporter.report(name, state, now);
+            if (report !== undefined) {
+                this.#links.sendAll(this.#connectedControl(), report);
+            }
+        }
+        if (this.#offered > this.#gateway.routing.number && now - this.#wantedAt >= CONFIGURATION_MS) {
+            this.#want(this.#connectedControl()[Math.floor(this.#options.random() * this.#connectedControl().length)]);
+        }
+    }
+
+    #meshEvent(event: MeshEvent): void {
+        if (event.kind === "message") {
+            const handler = this.#handlers[event.message.kind] as
+                | ((message: Message, from: Host) => void)
+                | undefined;
+            handler?.(event.message, event.from);
+        }
+        else if (event.kind === "connected" && event.host.control) {
+            this.#reporter.clear();
+        }
+    }
+
+    #recordsReceived(records: readonly EndpointRecord[]): void {
+        const groups = new Set<string>();
+        for (const record of records) {
+            const former = this.#directory.record(record.id)?.group;
+            if (this.#directory.merge(record) === "changed") {
+                groups.add(record.group);
+                groups.add(former ?? record.group);
+            }
+        }
+        for (const group of groups) {
+            this.#gateway.updateGroup(group, this.#directory.present(group));
+        }
+    }
+
+    #ordersReceived(orders: readonly PrimaryOrder[]): void {
+        for (const order of orders) {
+            if (this.#directory.order(order)) {
+                this.#gateway.ordered(order);
+            }
+        }
+    }
+
+    #hostsReceived({ term, leader, control, entries }: MessageOf<"hostList">): void {
+        if (term < this.#listTerm || control.length === 0) {
+            return;
+        }
+        this.#listTerm = term;
+        this.#control = control;
+        this.#leader = leader ?? this.#leader;
+        this.#entryHosts = entries?.length ?? this.#entryHosts;
+        this.#keepLinks();
+    }
+
+    /** Links to the leader and to some other control hosts; to the seeds as well until a list is known. */
+    #keepLinks(): void {
+        const known = [...this.#control].sort();
+        const turn = known.length === 0 ? 0 : Math.floor(this.#options.random() * known.length);
+        const turned = [...known.slice(turn), ...known.slice(0, turn)];
+        const connected = new Set(this.#connectedControl().map(host => host.id));
+        const leader = this.#leader !== undefined && known.includes(this.#leader) ? [this.#leader] : [];
+        const ordered = new Set([
+            ...leader,
+            ...turned.filter(id => connected.has(id)),
+            ...turned,
+        ]);
+        this.#links.keep(known.length === 0 ? this.#seeds : [...ordered].slice(0, CONTROL_LINKS));
+    }
+
+    #connectedControl(): readonly Host[] {
+        return this.#links.connected().filter(host => host.control);
+    }
+
+    #offeredBy(host: Host, number: number): void {
+        this.#offered = Math.max(this.#offered, number);
+        const isOverdue = this.#options.clock.now() - this.#wantedAt >= CONFIGURATION_MS;
+        if (number > this.#gateway.routing.number && isOverdue) {
+            this.#want(host);
+        }
+    }
+
+    #want(host: Host | undefined): void {
+        if (host !== undefined) {
+            this.#wantedAt = this.#options.clock.now();
+            this.#links.send(host.id, { kind: "configurationWanted" });
+        }
+    }
+
+    #configure({ change }: MessageOf<"configurationUpdate">): void {
+        this.#wantedAt = Number.NEGATIVE_INFINITY;
+        if (this.#gateway.configure(this.#options.configurations.routing(change))) {
+            this.#options.log.event("configurationInForce", { number: change.number });
+        }
+        if (this.#offered > change.number) {
+            this.#want(this.#connectedControl()[0]);
+        }
+    }
+
+    async #check({ group, endpoint }: MessageOf<"primaryCheck">): Promise<void> {
+        const used = this.#gateway.groups.get(group);
+        await used?.checkPrimary(endpoint);
+        const state = used?.primaryState();
+        if (state !== undefined) {
+            this.#links.sendAll(this.#connectedControl(), { kind: "primaryReport", group, ...state });
+        }
+    }
+}
+
+function pause(delayMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, Math.max(0, delayMs)));
+}
--- /dev/null
+++ b/packages/gateway/src/endpoint-choice.ts
@@ -0,0 +1,49 @@
+import type { LogPosition, Opening } from "@medlarledge/statements";
+
+/** Added for an endpoint in another data centre, in ms: a round trip between data centres. */
+const FAR_MS = 3;
+
+/** Reads on the primary count as this many times slower, since only the primary can serve writes. */
+const PRIMARY_FACTOR = 2;
+
+/** One endpoint as the choice sees it. */
+export interface Candidate {
+    readonly id: string;
+    readonly isPrimary: boolean;
+    readonly isNear: boolean;
+    /** Expected time until one more order would be answered, in ms. */
+    readonly expectedMs: number;
+    /** Expected to hold the required position. */
+    readonly mayHold: boolean;
+}
+
+export interface ReadQuestion {
+    /** Undefined when only the leader can prove that the read is fresh. */
+    readonly required: LogPosition | undefined;
+    /** Usable endpoints that have not failed this request. */
+    readonly candidates: readonly Candidate[];
+    /** Ties are broken by it: a number from 0 up to but not including 1. */
+    readonly random: number;
+}
+
+export interface ReadChoice {
+    readonly endpoint: string;
+    readonly opening: Extract<Opening, { kind: "bare" | "proven"; }>;
+}
+
+/** Chooses where a read runs; undefined when no candidate can serve it. */
+export function chooseForRead({ required, candidates, random }: ReadQuestion): ReadChoice | undefined {
+    if (required === undefined) {
+        const primary = candidates.find(candidate => candidate.isPrimary);
+        return primary === undefined ? undefined : { endpoint: primary.id, opening: { kind: "proven" } };
+    }
+    const fitting = candidates.filter(candidate => candidate.mayHold || candidate.isPrimary);
+    const start = Math.floor(random * fitting.length);
+    const turned = [...fitting.slice(start), ...fitting.slice(0, start)];
+    const [best] = turned.sort((left, right) => costOf(left) - costOf(right));
+    return best === undefined ? undefined : { endpoint: best.id, opening: { kind: "bare", after: required } };
+}
+
+function costOf({ expectedMs, isPrimary, isNear }: Candidate): number {
+    return expectedMs * (isPrimary ? PRIMARY_FACTOR : 1) + (isNear ? 0 : FAR_MS);
+}
--- /dev/null
+++ b/packages/gateway/src/endpoint-load.ts
@@ -0,0 +1,44 @@
+/** Service time assumed before any was seen, in ms; statements of both users take 3 to 30 ms. */
+const FIRST_MS = 10;
+
+/** Weight of one answer in the average. */
+const AVERAGE_WEIGHT = 1 / 8;
+
+/** Without answers the average returns to the assumed time, halving the distance in this time. */
+const FORGET_HALF_MS = 2_000;
+
+/** Orders of this process that run or wait at one endpoint, and how long they take. */
+export class EndpointLoad {
+    #running = 0;
+    #averageMs = FIRST_MS;
+    #answeredAt = 0;
+
+    get running(): number {
+        return this.#running;
+    }
+
+    started(): void {
+        this.#running += 1;
+    }
+
+    /** @param tookMs undefined when the order did not run */
+    ended(tookMs: number | undefined, now: number): void {
+        this.#running -= 1;
+        if (tookMs !== undefined) {
+            const former = this.averageMs(now);
+            this.#averageMs = former + (tookMs - former) * AVERAGE_WEIGHT;
+            this.#answeredAt = now;
+        }
+    }
+
+    /** Expected time of one order, its queueing at the endpoint included. */
+    averageMs(now: number): number {
+        const kept = 0.5 ** (Math.max(0, now - this.#answeredAt) / FORGET_HALF_MS);
+        return FIRST_MS + (this.#averageMs - FIRST_MS) * kept;
+    }
+
+    /** Expected time until one more order would be answered. */
+    expectedMs(slots: number, now: number): number {
+        return this.averageMs(now) * (1 + this.#running / Math.max(1, slots));
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -0,0 +1,327 @@
+import type { Clock } from "@medlarledge/runtime";
+import {
+    type ConnectFailure,
+    type EndpointAddress,
+    type EndpointConnector,
+    type LogPosition,
+    NotRunReason,
+    type Order,
+    type OrderResult,
+    UnknownReason,
+} from "@medlarledge/statements";
+import { runOrder } from "./order-run.js";
+import { type ConnectionEvents, PooledConnection } from "./pooled-connection.js";
+import { WaitQueue } from "./wait-queue.js";
+
+/** Time for a new connection. Endpoints take 12 ms when they have a free slot; a busy one takes longer. */
+const CONNECT_TIMEOUT_MS = 500;
+
+/** Pause after a failed attempt to connect before the next one. */
+const RECONNECT_PAUSE_MS = 100;
+
+const ROLLBACK = { kind: "rollback" } as const;
+
+/** How the endpoint answered, for judging whether it can be used. */
+export interface PoolEvents {
+    answered(): void;
+    connected(): void;
+    connectFailed(failure: ConnectFailure): void;
+    /** The endpoint or the network closed a connection. */
+    closed(reason: string): void;
+}
+
+export interface EndpointPoolOptions {
+    readonly address: EndpointAddress;
+    readonly connector: EndpointConnector;
+    readonly clock: Clock;
+    /** Connections that this process may hold. */
+    readonly limit: () => number;
+    readonly events: PoolEvents;
+}
+
+/** What somebody who waits for a connection needs of it. */
+type Need = Pick<Order, "priority" | "patienceMs" | "values">;
+
+interface Waiting {
+    readonly need: Need;
+    readonly granted: (connection: PooledConnection | undefined) => void;
+}
+
+/** A probe goes before all requests; it occupies no slot of the endpoint. */
+const PROBE_PRIORITY = -1;
+
+export type ProbeResult =
+    | { readonly kind: "leads"; readonly position: LogPosition | undefined; }
+    | { readonly kind: "follows"; readonly position: LogPosition | undefined; }
+    /** No connection was free or could be opened. */
+    | { readonly kind: "notAsked"; }
+    | { readonly kind: "unanswered"; };
+
+/** The connections of one process to one endpoint. */
+export class EndpointPool {
+    readonly #options: EndpointPoolOptions;
+    readonly #all = new Set<PooledConnection>();
+    readonly #idle: PooledConnection[] = [];
+    readonly #lent = new Set<PooledConnection>();
+    readonly #transactions = new Map<string, PooledConnection>();
+    readonly #waiting = new WaitQueue<Waiting>();
+    readonly #connectionEvents: ConnectionEvents;
+    #opening = 0;
+    #pausedUntil = 0;
+    #expiryTimer: NodeJS.Timeout | undefined;
+    #closed = false;
+
+    constructor(options: EndpointPoolOptions) {
+        this.#options = options;
+        this.#connectionEvents = {
+            answered: () => options.events.answered(),
+            idle: connection => this.#settle(connection),
+            closed: (connection, reason) => this.#connectionClosed(connection, reason),
+        };
+    }
+
+    /** Open connections, and those being opened. */
+    get size(): number {
+        return this.#all.size + this.#opening;
+    }
+
+    get idle(): number {
+        return this.#idle.length;
+    }
+
+    /** Orders that wait for a connection. */
+    get waiting(): number {
+        return this.#waiting.size;
+    }
+
+    /** Connections that run an order or hold a caller's transaction. */
+    get inUse(): number {
+        return this.#all.size - this.#idle.length;
+    }
+
+    /** Connections that hold a caller's transaction. */
+    get transactions(): number {
+        return this.#transactions.size;
+    }
+
+    /** Runs an order; it waits for a connection as long as the order's patience lasts. */
+    async run(order: Order): Promise<OrderResult> {
+        if (order.opening.kind === "continued") {
+            const connection = this.#transactions.get(order.transaction ?? "");
+            return connection === undefined
+                ? { kind: "notRun", reason: NotRunReason.TransactionLost, position: undefined }
+                : this.#runOn(connection, order);
+        }
+        const connection = await this.#acquire(order);
+        if (connection === undefined) {
+            const reason = this.#all.size === 0 ? NotRunReason.Unreachable : NotRunReason.NoConnection;
+            return { kind: "notRun", reason, position: undefined };
+        }
+        return this.#runOn(connection, order);
+    }
+
+    /** Asks the endpoint whether it leads, by beginning a transaction that only a leader begins. */
+    async probe(timeoutMs: number): Promise<ProbeResult> {
+        const connection = await this.#acquire({ priority: PROBE_PRIORITY, patienceMs: timeoutMs, values: [] });
+        if (connection === undefined) {
+            return { kind: "notAsked" };
+        }
+        const timer = setTimeout(() => connection.close("a probe was not answered"), timeoutMs);
+        const reply = await connection.ask([{ kind: "begin", readOnly: false, after: undefined }, ROLLBACK], 0);
+        clearTimeout(timer);
+        this.#giveBack(connection);
+        if (reply.kind === "lost") {
+            return { kind: "unanswered" };
+        }
+        const { completion, position } = reply.answer;
+        return { kind: completion.kind === "done" ? "leads" : "follows", position };
+    }
+
+    /** Rolls a caller's transaction back and frees its connection. */
+    endTransaction(transaction: string): void {
+        const connection = this.#transactions.get(transaction);
+        this.#transactions.delete(transaction);
+        if (connection === undefined || connection.isClosed) {
+            return;
+        }
+        if (connection.unanswered > 0) {
+            // Its statement still runs: closing rolls back at once, and nobody waits for the answer any more.
+            connection.close("the caller left its transaction");
+            return;
+        }
+        void connection.ask([ROLLBACK], 0);
+    }
+
+    /** Opens connections until `count` are there or being opened. */
+    warm(count: number): void {
+        while (this.size < Math.min(count, this.#options.limit()) && this.#mayOpen()) {
+            void this.#open();
+        }
+    }
+
+    /** Takes no more orders; transactions go on until they end. */
+    close(): void {
+        this.#closed = true;
+        clearTimeout(this.#expiryTimer);
+        this.#refuse(this.#waiting.clear());
+        for (const connection of [...this.#idle]) {
+            connection.close("the endpoint leaves");
+        }
+    }
+
+    async #runOn(connection: PooledConnection, order: Order): Promise<OrderResult> {
+        this.#lent.add(connection);
+        const result = await this.#limited(connection, order);
+        this.#keep(connection, order, result);
+        this.#giveBack(connection);
+        return result;
+    }
+
+    /** Ends the use of a connection; answers that are still outstanding on it are waited for. */
+    #giveBack(connection: PooledConnection): void {
+        this.#lent.delete(connection);
+        if (connection.unanswered === 0) {
+            this.#settle(connection);
+        }
+    }
+
+    #limited(connection: PooledConnection, order: Order): Promise<OrderResult> {
+        return new Promise(resolve => {
+            const timer = setTimeout(() => {
+                resolve({ kind: "unknown", reason: UnknownReason.Timeout });
+                connection.close("no answer in time");
+            }, order.timeoutMs);
+            void runOrder(connection, order).then(result => {
+                clearTimeout(timer);
+                resolve(result);
+            });
+        });
+    }
+
+    /** A transaction keeps its connection from its first statement to its end. */
+    #keep(connection: PooledConnection, { opening, transaction, statement }: Order, result: OrderResult): void {
+        if (transaction === undefined || connection.isClosed) {
+            return;
+        }
+        const open = result.kind === "answered" && result.answer.state === "open" && statement.kind !== "commit";
+        if (open) {
+            this.#transactions.set(transaction, connection);
+            return;
+        }
+        this.#transactions.delete(transaction);
+        if (opening.kind !== "bare" && !connection.isClean) {
+            void connection.ask([ROLLBACK], 0);
+        }
+    }
+
+    /** Gives a connection without outstanding answers to the next one that waits. */
+    #settle(connection: PooledConnection): void {
+        const isKept = this.#lent.has(connection) || [...this.#transactions.values()].includes(connection);
+        if (isKept || connection.isClosed || this.#idle.includes(connection)) {
+            return;
+        }
+        if (!connection.isClean || this.#closed || this.size > this.#options.limit()) {
+            connection.close("not needed any more");
+            return;
+        }
+        this.#idle.push(connection);
+        this.#serve();
+    }
+
+    #acquire(need: Need): Promise<PooledConnection | undefined> {
+        return new Promise(resolve => {
+            if (this.#closed || this.#options.limit() < 1) {
+                resolve(undefined);
+                return;
+            }
+            const giveUpAt = this.#options.clock.now() + need.patienceMs;
+            this.#waiting.push({ item: { need, granted: resolve }, priority: need.priority, giveUpAt });
+            this.#serve();
+        });
+    }
+
+    #serve(): void {
+        while (this.#idle.length > 0) {
+            const next = this.#waiting.shift();
+            if (next === undefined) {
+                break;
+            }
+            next.granted(this.#takeIdle(next.need));
+        }
+        if (this.#waiting.size > this.#opening && this.size < this.#options.limit() && this.#mayOpen()) {
+            void this.#open();
+        }
+        this.#scheduleExpiry();
+    }
+
+    /** Prefers a connection with the session's values, which saves a reset. */
+    #takeIdle(need: Need): PooledConnection | undefined {
+        const fitting = this.#idle.findLastIndex(connection => connection.hasValues(need.values));
+        const [connection] = this.#idle.splice(fitting < 0 ? this.#idle.length - 1 : fitting, 1);
+        if (connection !== undefined) {
+            this.#lent.add(connection);
+        }
+        return connection;
+    }
+
+    #mayOpen(): boolean {
+        return !this.#closed && this.#options.clock.now() >= this.#pausedUntil;
+    }
+
+    async #open(): Promise<void> {
+        const { connector, address, clock, events } = this.#options;
+        this.#opening += 1;
+        const connected = await connector.connect(address, CONNECT_TIMEOUT_MS);
+        this.#opening -= 1;
+        if (!connected.ok) {
+            this.#pausedUntil = clock.now() + RECONNECT_PAUSE_MS;
+            events.connectFailed(connected.failure);
+            this.#openFailed();
+            return;
+        }
+        const connection = new PooledConnection(connected.connection, this.#connectionEvents);
+        this.#all.add(connection);
+        events.connected();
+        this.#settle(connection);
+    }
+
+    /** Without any connection those that wait are refused at once, so that they can go elsewhere. */
+    #openFailed(): void {
+        if (this.#all.size === 0 && this.#opening === 0) {
+            this.#refuse(this.#waiting.clear());
+        }
+    }
+
+    #connectionClosed(connection: PooledConnection, reason: string): void {
+        this.#all.delete(connection);
+        const at = this.#idle.indexOf(connection);
+        if (at >= 0) {
+            this.#idle.splice(at, 1);
+        }
+        for (const [transaction, kept] of this.#transactions) {
+            if (kept === connection) {
+                this.#transactions.delete(transaction);
+            }
+        }
+        this.#options.events.closed(reason);
+        this.#serve();
+    }
+
+    #refuse(waiting: readonly Waiting[]): void {
+        for (const { granted } of waiting) {
+            granted(undefined);
+        }
+    }
+
+    #scheduleExpiry(): void {
+        clearTimeout(this.#expiryTimer);
+        const next = this.#waiting.nextExpiry();
+        if (next !== undefined) {
+            const delay = Math.max(1, next - this.#options.clock.now());
+            this.#expiryTimer = setTimeout(() => {
+                this.#refuse(this.#waiting.expired(this.#options.clock.now()));
+                this.#serve();
+            }, delay);
+        }
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/freshness.ts
@@ -0,0 +1,86 @@
+import { PrimaryPositions, ReplicaPositions } from "@medlarledge/routing";
+import { compareLogPositions, laterLogPosition, type LogPosition } from "@medlarledge/statements";
+import { Consistency, type Route } from "./route.js";
+
+/** A replica of an older term is asked again after this time: its READY tells when it follows the new one. */
+const TERM_TRIAL_MS = 100;
+
+interface Seen {
+    readonly position: LogPosition;
+    readonly at: number;
+}
+
+/**
+ * What is known of the positions in one group's log, and what a read must demand of an endpoint to be fresh enough.
+ * Times are those of an `ElapsedClock`.
+ */
+export class Freshness {
+    readonly #leader = new PrimaryPositions();
+    readonly #replicas = new ReplicaPositions();
+    readonly #seen = new Map<string, Seen>();
+    #term = 0;
+
+    /** Newest position of the leader that is known. */
+    get newest(): LogPosition | undefined {
+        const number = this.#leader.latest();
+        return number === undefined ? undefined : { term: this.#term, number };
+    }
+
+    /**
+     * The leader was at `position` in an answer to something sent at `askedAt`: every commit acknowledged before
+     * `askedAt` lies at or before it.
+     */
+    leaderAt(position: LogPosition, askedAt: number, seenAt: number): void {
+        if (position.term >= this.#term) {
+            this.#term = position.term;
+            this.#leader.record(position.term, position.number, askedAt, seenAt);
+        }
+    }
+
+    /** An endpoint's own log has reached `position`. */
+    endpointAt(endpoint: string, position: LogPosition, askedAt: number, seenAt: number): void {
+        const { term, number } = position;
+        this.#seen.set(endpoint, { position, at: seenAt });
+        this.#replicas.report(endpoint, term, number, askedAt, seenAt, this.#leader);
+    }
+
+    forget(endpoint: string): void {
+        this.#seen.delete(endpoint);
+        this.#replicas.forget(endpoint);
+    }
+
+    /**
+     * The position that an endpoint's log must have reached for a read on this route. Undefined when only the leader
+     * can prove that the read is fresh.
+     * @param floor the session's last commit
+     */
+    required(route: Route, floor: LogPosition | undefined, now: number): LogPosition | undefined {
+        if (route.consistency === Consistency.Primary) {
+            return undefined;
+        }
+        const number = this.#leader.positionWithin(route.maxStalenessMs, now);
+        if (number === undefined) {
+            return undefined;
+        }
+        const demanded = route.consistency === Consistency.Session ? this.#present(floor) : undefined;
+        return laterLogPosition({ term: this.#term, number }, demanded);
+    }
+
+    /** Whether an endpoint's log is expected to have reached a position. The endpoint itself decides in the end. */
+    mayHold(endpoint: string, required: LogPosition, now: number): boolean {
+        const seen = this.#seen.get(endpoint);
+        if (seen === undefined || compareLogPositions(seen.position, required) >= 0) {
+            return true;
+        }
+        if (seen.position.term < required.term) {
+            return now - seen.at >= TERM_TRIAL_MS;
+        }
+        const passedAt = this.#leader.passedAt(required.number) ?? now;
+        return passedAt + (this.#replicas.of(endpoint)?.lagMs ?? 0) <= now;
+    }
+
+    /** A floor of an older term may have been rolled back with it; whatever was kept lies before the present leader's. */
+    #present(floor: LogPosition | undefined): LogPosition | undefined {
+        return floor !== undefined && floor.term < this.#term ? this.newest : floor;
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/gateway.ts
@@ -0,0 +1,149 @@
+import type { EndpointRecord, PrimaryOrder } from "@medlarledge/protocol";
+import type { Clock } from "@medlarledge/runtime";
+import type { Caller, CallerHandler, EndpointConnector } from "@medlarledge/statements";
+import { CallerSession } from "./caller-session.js";
+import { ElapsedClock } from "./elapsed-clock.js";
+import type { GatewayListener } from "./gateway-event.js";
+import { Group } from "./group.js";
+import type { Routing } from "./route.js";
+import { StatementServer } from "./statement-server.js";
+
+export interface GatewayOptions {
+    readonly hostId: string;
+    readonly dataCentre: string;
+    readonly connector: EndpointConnector;
+    readonly clock: Clock;
+    /** Connections that this process may hold to an endpoint. */
+    readonly share: (record: EndpointRecord, routing: Routing) => number;
+    readonly random: () => number;
+    readonly listener: GatewayListener;
+}
+
+const NOTHING_CONFIGURED: Routing = { number: 0, routes: new Map(), groups: new Map(), transactionIdleMs: 3_000 };
+
+/** All callers of one process, and its connections to endpoints. */
+export class Gateway {
+    readonly #options: GatewayOptions;
+    readonly #elapsed: ElapsedClock;
+    readonly #groups = new Map<string, Group>();
+    readonly #sessions = new Set<CallerSession>();
+    readonly #server: StatementServer;
+    #routing = NOTHING_CONFIGURED;
+    #isStopping = false;
+    #transactions = 0;
+
+    constructor(options: GatewayOptions) {
+        this.#options = options;
+        this.#elapsed = new ElapsedClock(options.clock);
+        this.#server = new StatementServer(options.clock, (request, endpoint, cause, attempt) => {
+            const { requestId, route } = request;
+            options.listener({ kind: "retried", requestId, group: route.group, endpoint, cause, attempt });
+        });
+    }
+
+    get routing(): Routing {
+        return this.#routing;
+    }
+
+    /** Open callers. */
+    get callers(): number {
+        return this.#sessions.size;
+    }
+
+    /** Takes over a configuration unless a newer one is in force. */
+    configure(routing: Routing): boolean {
+        if (routing.number <= this.#routing.number) {
+            return false;
+        }
+        this.#routing = routing;
+        return true;
+    }
+
+    /** Takes over the endpoints of a group that have not left. */
+    updateGroup(name: string, records: readonly EndpointRecord[]): void {
+        this.#group(name).update(records);
+    }
+
+    ordered(order: PrimaryOrder): void {
+        this.#group(order.group).ordered(order);
+    }
+
+    /** Groups that this process uses, by name. */
+    get groups(): ReadonlyMap<string, Group> {
+        return this.#groups;
+    }
+
+    /** Begins a session; undefined when no route has the caller's database. */
+    accept(caller: Caller): CallerHandler | undefined {
+        if (!this.#routing.routes.has(caller.database)) {
+            return undefined;
+        }
+        const session = new CallerSession({
+            caller,
+            clock: this.#options.clock,
+            server: this.#server,
+            routing: () => this.#routing,
+            group: name => this.#group(name),
+            transactionKey: () => this.#transactionKey(),
+            listener: this.#options.listener,
+            idle: idle => this.#idle(idle),
+            ended: ended => this.#sessions.delete(ended),
+        });
+        this.#sessions.add(session);
+        return session;
+    }
+
+    /** Closes sessions as they become idle. */
+    closeIdle(): void {
+        this.#isStopping = true;
+        for (const session of [...this.#sessions]) {
+            this.#idle(session);
+        }
+    }
+
+    /** Rolls back the transactions that are still open; their callers learn it at their next statement. */
+    abortTransactions(): void {
+        for (const session of this.#sessions) {
+            session.abortTransaction();
+        }
+    }
+
+    close(): void {
+        for (const session of [...this.#sessions]) {
+            session.close();
+        }
+        for (const group of this.#groups.values()) {
+            group.close();
+        }
+    }
+
+    #idle(session: CallerSession): void {
+        if (this.#isStopping && session.isIdle) {
+            session.close();
+        }
+    }
+
+    #transactionKey(): string {
+        this.#transactions += 1;
+        return `${this.#options.hostId}/${this.#transactions}`;
+    }
+
+    #group(name: string): Group {
+        let group = this.#groups.get(name);
+        if (group === undefined) {
+            const { dataCentre, connector, clock, random, listener } = this.#options;
+            group = new Group({
+                name,
+                dataCentre,
+                connector,
+                clock,
+                elapsed: this.#elapsed,
+                share: record => this.#options.share(record, this.#routing),
+                random,
+                listener,
+            });
+            this.#groups.set(name, group);
+        }
+        return group;
+    }
+}
--- /dev/null
+++ b/packages/gateway/src/order-run.ts
@@ -0,0 +1,88 @@
+import {
+    type Answer,
+    type EndpointCommand,
+    ErrorCode,
+    isPromise,
+    NotRunReason,
+    type Opening,
+    type Order,
+    type OrderResult,
+    UnknownReason,
+} from "@medlarledge/statements";
+import type { PooledConnection, Reply } from "./pooled-connection.js";
+
+const NOT_RUN: Partial<Record<ErrorCode, NotRunReason>> = {
+    [ErrorCode.Busy]: NotRunReason.Busy,
+    [ErrorCode.Lagging]: NotRunReason.Lagging,
+    [ErrorCode.ReadOnly]: NotRunReason.Follows,
+    [ErrorCode.Misrouted]: NotRunReason.Misrouted,
+    [ErrorCode.TooManyConnections]: NotRunReason.NoConnection,
+};
+
+/** Runs one order on a connection that nobody else uses. The connection may still have answers outstanding behind it. */
+export async function runOrder(connection: PooledConnection, order: Order): Promise<OrderResult> {
+    const { before, statement } = connection.prepare(order);
+    const forwarded = { kind: "statement", requestId: order.requestId, statement } as const;
+    const { opening } = order;
+    if (opening.kind === "bare" || opening.kind === "continued") {
+        const after = opening.kind === "bare" ? opening.after : undefined;
+        const reply = await connection.ask([...before, { ...forwarded, after }], before.length);
+        return resultOf(reply, leads(order));
+    }
+    // The statement waits for the begin: behind a refused begin it would run outside of any transaction.
+    const begun = await connection.ask([...before, beginOf(opening)], before.length);
+    const refusal = refusalOf(begun);
+    if (refusal !== undefined) {
+        return refusal;
+    }
+    const command = { ...forwarded, after: undefined };
+    const commands: readonly EndpointCommand[] = opening.kind === "proven"
+        ? [command, { kind: "rollback" }]
+        : [command];
+    return resultOf(await connection.ask(commands, 0), !isReadOnly(opening));
+}
+
+function beginOf(opening: Opening): EndpointCommand {
+    return opening.kind === "transaction"
+        ? { kind: "begin", readOnly: opening.readOnly, after: opening.after }
+        : { kind: "begin", readOnly: false, after: undefined };
+}
+
+function isReadOnly(opening: Opening): boolean {
+    return opening.kind === "transaction" && opening.readOnly;
+}
+
+/** Only a leader completes a write that stands on its own. */
+function leads({ opening, statement }: Order): boolean {
+    return opening.kind === "bare"
+        && (statement.kind === "write" || (statement.kind === "execute" && statement.writes));
+}
+
+/** Nothing of the order has run yet: a lost connection is as good as a refusal. */
+function refusalOf(begun: Reply): OrderResult | undefined {
+    if (begun.kind === "lost") {
+        return { kind: "notRun", reason: NotRunReason.Unreachable, position: undefined };
+    }
+    const { completion, position } = begun.answer;
+    if (completion.kind === "done") {
+        return undefined;
+    }
+    return { kind: "notRun", reason: NOT_RUN[completion.code] ?? NotRunReason.Busy, position };
+}
+
+function resultOf(reply: Reply, leadsWhenDone: boolean): OrderResult {
+    if (reply.kind === "lost") {
+        return { kind: "unknown", reason: UnknownReason.ConnectionLost };
+    }
+    const { answer } = reply;
+    const { completion } = answer;
+    if (completion.kind === "error" && isPromise(completion.code) && completion.code !== ErrorCode.Aborted) {
+        const reason = NOT_RUN[completion.code] ?? NotRunReason.Busy;
+        return { kind: "notRun", reason, position: answer.position };
+    }
+    return { kind: "answered", answer: toAnswer(answer), led: leadsWhenDone && completion.kind === "done" };
+}
+
+function toAnswer({ rows, completion, state, position }: Answer): Answer {
+    return { rows, completion, state, position };
+}
--- /dev/null
+++ b/packages/gateway/src/route.ts
@@ -0,0 +1,37 @@
+/** What a route promises about the commits that its reads include. */
+export const Consistency = {
+    /** Every commit that was acknowledged before. */
+    Primary: "primary",
+    /** Every commit that was acknowledged before the stated age. */
+    BoundedStaleness: "boundedStaleness",
+    /** As bounded staleness, and every commit of the same session. */
+    Session: "session",
+} as const;
+export type Consistency = (typeof Consistency)[keyof typeof Consistency];
+
+/** How requests for one database name are served. */
+export interface Route {
+    readonly database: string;
+    readonly group: string;
+    readonly consistency: Consistency;
+    /** Oldest state that a read may show, in ms; 0 on routes to the primary. */
+    readonly maxStalenessMs: number;
+    /** Longest time for one statement, in ms. */
+    readonly timeoutMs: number;
+    /** 0 is the most urgent. */
+    readonly priority: number;
+}
+
+export interface GroupSettings {
+    /** Connections that each endpoint of the group takes from all processes together. */
+    readonly connections: number;
+}
+
+/** The part of a configuration that decides about requests. */
+export interface Routing {
+    readonly number: number;
+    readonly routes: ReadonlyMap<string, Route>;
+    readonly groups: ReadonlyMap<string, GroupSettings>;
+    /** A transaction whose caller pauses for longer may be rolled back, in ms. */
+    readonly transactionIdleMs: number;
+}
--- /dev/null
+++ b/packages/gateway/src/statement-server.ts
@@ -0,0 +1,192 @@
+import type { Clock } from "@medlarledge/runtime";
+import {
+    type Answer,
+    ErrorCode,
+    failed,
+    type LogPosition,
+    NotRunReason,
+    type Opening,
+    type Order,
+    type OrderedStatement,
+    type OrderResult,
+    TransactionStates,
+} from "@medlarledge/statements";
+import type { Group } from "./group.js";
+import { NOT_RUN_CODES } from "./not-run.js";
+import { Consistency, type Route } from "./route.js";
+import { writes } from "./session-image.js";
+
+/**
+ * Part of a route's timeout for which a request that has not run may wait; the rest is left for running it and for a
+ * caller that gives up before the route does.
+ */
+const PATIENCE_SHARE = 0.6;
+
+/** Pause before an endpoint that was busy is asked again. */
+const BUSY_PAUSE_MS = 10;
+
+/** Longest wait for news before the choice is made again. */
+const LOOK_AGAIN_MS = 50;
+
+/** A caller that is refused for want of an endpoint is asked to come back after this time. */
+const RETRY_AFTER_MS = 200;
+
+export interface ServeRequest {
+    readonly requestId: string;
+    readonly route: Route;
+    readonly statement: OrderedStatement;
+    readonly values: Order["values"];
+    /** The session's last commit. */
+    readonly floor: LogPosition | undefined;
+    /** The caller's transaction that the statement begins. */
+    readonly transaction: { readonly key: string; readonly readOnly: boolean; } | undefined;
+    readonly arrivedAt: number;
+}
+
+export interface Served {
+    readonly answer: Answer;
+    /** Where the statement ran or was last tried. */
+    readonly endpoint: string | undefined;
+    readonly attempts: number;
+    /** Why there is no success. */
+    readonly cause: string | undefined;
+}
+
+interface Attempt {
+    readonly endpoint: string;
+    readonly opening: Opening;
+}
+
+/** Runs statements that no transaction binds to a connection yet: chooses an endpoint, and another one if needed. */
+export class StatementServer {
+    readonly #clock: Clock;
+    readonly #retried: (request: ServeRequest, endpoint: string, cause: string, attempt: number) => void;
+
+    constructor(
+        clock: Clock,
+        retried: (request: ServeRequest, endpoint: string, cause: string, attempt: number) => void,
+    ) {
+        this.#clock = clock;
+        this.#retried = retried;
+    }
+
+    async serve(request: ServeRequest, group: Group): Promise<Served> {
+        const { route, arrivedAt } = request;
+        const giveUpAt = arrivedAt + route.timeoutMs * PATIENCE_SHARE;
+        const tried = new Set<string>();
+        let last: { readonly endpoint: string; readonly result: OrderResult; } | undefined;
+        for (let attempts = 0;;) {
+            const now = this.#clock.now();
+            if (now >= giveUpAt) {
+                return this.#givenUp(last, attempts);
+            }
+            const attempt = this.#choose(request, group, tried);
+            if (attempt === undefined) {
+                tried.clear();
+                await group.change(Math.min(LOOK_AGAIN_MS, giveUpAt - now));
+                continue;
+            }
+            attempts += 1;
+            const result = await group.run(this.#order(request, attempt, giveUpAt), !mayChangeData(request));
+            last = { endpoint: attempt.endpoint, result };
+            if (result.kind === "answered") {
+                const { answer } = result;
+                return { answer, endpoint: attempt.endpoint, attempts, cause: errorOf(answer) };
+            }
+            if (result.kind === "unknown" && mayChangeData(request)) {
+                return unknownOutcome(attempt.endpoint, attempts, result.reason);
+            }
+            this.#retried(request, attempt.endpoint, result.reason, attempts);
+            await this.#pauseBefore(result, tried, attempt.endpoint);
+        }
+    }
+
+    #choose({ route, statement, floor, transaction }: ServeRequest, group: Group, tried: ReadonlySet<string>):
+        | Attempt
+        | undefined
+    {
+        const isLeadersWork = transaction === undefined ? writes(statement) : !transaction.readOnly;
+        if (isLeadersWork) {
+            const endpoint = group.primary();
+            const opening: Opening = transaction === undefined
+                ? { kind: "bare", after: undefined }
+                : { kind: "transaction", readOnly: false, after: undefined };
+            return endpoint === undefined ? undefined : { endpoint, opening };
+        }
+        const choice = group.readChoice(route, floor, tried);
+        if (choice === undefined || transaction === undefined) {
+            return choice;
+        }
+        return { endpoint: choice.endpoint, opening: openingOfRead(choice.opening) };
+    }
+
+    #order(request: ServeRequest, { endpoint, opening }: Attempt, giveUpAt: number): Order {
+        const { route, requestId, statement, transaction, values, arrivedAt } = request;
+        const now = this.#clock.now();
+        return {
+            group: route.group,
+            endpoint,
+            requestId,
+            statement,
+            opening,
+            transaction: transaction?.key,
+            values,
+            priority: route.priority,
+            patienceMs: Math.max(1, giveUpAt - now),
+            timeoutMs: Math.max(1, arrivedAt + route.timeoutMs - now),
+        };
+    }
+
+    async #pauseBefore(result: OrderResult, tried: Set<string>, endpoint: string): Promise<void> {
+        if (result.kind === "notRun" && result.reason === NotRunReason.Follows) {
+            return;
+        }
+        tried.add(endpoint);
+        if (result.kind === "notRun" && result.reason === NotRunReason.Busy) {
+            await new Promise(resolve => setTimeout(resolve, BUSY_PAUSE_MS));
+        }
+    }
+
+    #givenUp(last: { readonly endpoint: string; readonly result: OrderResult; } | undefined, attempts: number): Served {
+        const state = TransactionStates.Idle;
+        if (last?.result.kind === "unknown") {
+            const answer = failed(ErrorCode.Timeout, "no endpoint answered in time", state);
+            return { answer, endpoint: last.endpoint, attempts, cause: last.result.reason };
+        }
+        const reason = last?.result.kind === "notRun" ? last.result.reason : NotRunReason.Unreachable;
+        const text = `not run (${reason}); retry in ${RETRY_AFTER_MS} ms`;
+        return {
+            answer: failed(NOT_RUN_CODES[reason], text, state),
+            endpoint: last?.endpoint,
+            attempts,
+            cause: reason,
+        };
+    }
+}
+
+/** A read-only transaction that only the leader may run is a plain one that writes nothing. */
+function openingOfRead(opening: Opening): Opening {
+    return opening.kind === "proven"
+        ? { kind: "transaction", readOnly: false, after: undefined }
+        : { kind: "transaction", readOnly: true, after: opening.kind === "bare" ? opening.after : undefined };
+}
+
+/** The first statement of a transaction changes nothing before its commit. */
+function mayChangeData({ statement, transaction }: ServeRequest): boolean {
+    return transaction === undefined && writes(statement);
+}
+
+function unknownOutcome(endpoint: string, attempts: number, reason: string): Served {
+    const text = `the write was sent and not answered (${reason})`;
+    const answer = failed(ErrorCode.Unknown, text, TransactionStates.Idle);
+    return { answer, endpoint, attempts, cause: reason };
+}
+
+function errorOf({ completion }: Answer): string | undefined {
+    return completion.kind === "error" ? completion.code : undefined;
+}
+
+/** True for routes whose reads must include every acknowledged commit. */
+export function demandsLeader(route: Route): boolean {
+    return route.consistency === Consistency.Primary;
+}
--- a/packages/protocol/src/message-table.ts
+++ b/packages/protocol/src/message-table.ts
@@ -1,8 +1,9 @@
 import type { AgreementEnvelope } from "./agreement-message.js";
 import type { ControlMessage } from "./control-message.js";
+import type { FleetMessage } from "./fleet-message.js";
 
 /** Every message between processes. */
-export type Message = AgreementEnvelope | ControlMessage;
+export type Message = AgreementEnvelope | ControlMessage | FleetMessage;
 
 /** A message's `kind`. */
 export type MessageKind = Message["kind"];
@@ -32,6 +33,13 @@
     silentHosts: 18,
     cancelStatement: 19,
     agreement: 20,
+    endpointRecords: 21,
+    primaryOrders: 22,
+    hostList: 23,
+    configurationOffer: 24,
+    configurationWanted: 25,
+    primaryReport: 26,
+    primaryCheck: 27,
 } as const satisfies Record<MessageKind, number>;
 
 const KINDS_BY_ID: ReadonlyMap<number, MessageKind> = new Map(
--- a/packages/runtime/src/agreement-task.ts
+++ b/packages/runtime/src/agreement-task.ts
@@ -15,13 +15,14 @@
 import { Channel } from "./channel.js";
 import type { Clock } from "./clock.js";
 
-const TICK_MS = 10;
+/** Interval of ticks when the options state none, in ms. */
+const DEFAULT_TICK_MS = 10;
 
 /** What the task tells the one that applies the log. */
 export type AgreementReport =
     | { readonly kind: "committed"; readonly entries: readonly LogEntry[]; }
     | { readonly kind: "restored"; readonly index: number; readonly data: Uint8Array; }
-    | { readonly kind: "role"; readonly role: Role; readonly leader: string | undefined; }
+    | { readonly kind: "role"; readonly role: Role; readonly term: number; readonly leader: string | undefined; }
     | { readonly kind: "proposed"; readonly requestId: number; readonly outcome: ProposalOutcome; }
     | { readonly kind: "snapshotWanted"; readonly index: number; }
     | { readonly kind: "failed"; readonly error: StoreError; };
@@ -34,6 +35,8 @@
     readonly recovered: RecoveredState;
     readonly agreement: AgreementOptions;
     readonly clock: Clock;
+    /** Interval of ticks, in ms: the precision of heartbeats and elections. */
+    readonly tickMs?: number;
     readonly send: (envelope: AgreementEnvelope) => void;
 }
 
@@ -54,7 +57,7 @@
         send: effect => this.#send(effect.to, effect.message),
         commit: effect => this.#reports.push({ kind: "committed", entries: effect.entries }),
         proposed: effect => this.#reports.push(effect),
-        role: effect => this.#reports.push({ kind: "role", role: effect.role, leader: effect.leader }),
+        role: effect => this.#reports.push(effect),
         takeSnapshot: effect => this.#reports.push({ kind: "snapshotWanted", index: effect.index }),
         restoreSnapshot: effect => this.#reports.push({ kind: "restored", index: effect.index, data: effect.data }),
     };
@@ -79,7 +82,7 @@
 
     /** Starts deciding; the stream of reports must be observed before. */
     start(): void {
-        const ticks = periodic(TICK_MS).map((): AgreementEvent => ({ kind: "tick" }));
+        const ticks = periodic(this.#options.tickMs ?? DEFAULT_TICK_MS).map((): AgreementEvent => ({ kind: "tick" }));
         void merge(this.#events.stream, ticks)
             .takeWhile(() => !this.#stopped)
             .observe(event => this.#handle(event));
@@ -108,6 +111,11 @@
         return this.#agreement.quorumContactAt(this.#options.clock.now());
     }
 
+    /** Time since each voter last answered this leader, in ms. */
+    voterSilence(): ReadonlyMap<string, number> {
+        return this.#agreement.voterSilence(this.#options.clock.now());
+    }
+
     caughtUpLearners(): readonly string[] {
         return this.#agreement.caughtUpLearners(this.#options.clock.now());
     }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -2,5 +2,6 @@
 export { type AgreementReport, AgreementTask, type AgreementTaskOptions } from "./agreement-task.js";
 export { Channel } from "./channel.js";
 export { type Clock, SYSTEM_CLOCK } from "./clock.js";
+export { type LeaderAnswer, LeaderClient } from "./leader-client.js";
 export type { IdentityFiles } from "./peer-identity.js";
 export { type MeshEvent, type MeshTraffic, PeerMesh } from "./peer-mesh.js";
--- a/packages/runtime/src/peer-mesh.ts
+++ b/packages/runtime/src/peer-mesh.ts
@@ -105,6 +105,12 @@
         dialer.dial();
     }
 
+    /** Ends the attempts to reach a process; an open link stays until one side closes it. */
+    release(id: string): void {
+        this.#dialers.get(id)?.close();
+        this.#dialers.delete(id);
+    }
+
     /** Ends the attempts to reach a process and closes the link to it. */
     forget(id: string): void {
         this.#dialers.get(id)?.close();
--- /dev/null
+++ b/packages/statements/src/answer.ts
@@ -0,0 +1,29 @@
+import type { ErrorCode } from "./error-code.js";
+import type { LogPosition } from "./log-position.js";
+
+/** Transaction state of a session behind an answer. */
+export const TransactionStates = {
+    Idle: "idle",
+    Open: "open",
+    /** Something failed in the transaction; only its end is accepted. */
+    Failed: "failed",
+} as const;
+export type TransactionState = (typeof TransactionStates)[keyof typeof TransactionStates];
+
+export type Completion =
+    /** `signature` proves which endpoint ran the statement; undefined when this proxy answered itself. */
+    | { readonly kind: "done"; readonly signature: string | undefined; }
+    | { readonly kind: "error"; readonly code: ErrorCode; readonly text: string; };
+
+/** The whole answer to one request. */
+export interface Answer {
+    readonly rows: readonly string[];
+    readonly completion: Completion;
+    readonly state: TransactionState;
+    readonly position: LogPosition | undefined;
+}
+
+/** An answer that consists of an error. */
+export function failed(code: ErrorCode, text: string, state: TransactionState): Answer {
+    return { rows: [], completion: { kind: "error", code, text }, state, position: undefined };
+}
--- /dev/null
+++ b/packages/statements/src/index.ts
@@ -0,0 +1,18 @@
+export type { Answer, Completion, TransactionState } from "./answer.js";
+export { failed, TransactionStates } from "./answer.js";
+export type { Caller, CallerHandler, CallerRequest } from "./caller.js";
+export type { CommandAnswer, EndpointCommand, EndpointStatus } from "./endpoint-command.js";
+export type {
+    Connected,
+    ConnectFailure,
+    ConnectionHandler,
+    EndpointAddress,
+    EndpointConnection,
+    EndpointConnector,
+} from "./endpoint-connection.js";
+export { ErrorCode, isPromise } from "./error-code.js";
+export type { LogPosition } from "./log-position.js";
+export { compareLogPositions, laterLogPosition } from "./log-position.js";
+export type { Opening, Order, OrderedStatement, OrderResult } from "./order.js";
+export { NotRunReason, UnknownReason } from "./order.js";
+export type { ForwardedStatement, Statement } from "./statement.js";
