End transactions of callers that left and of attempts that were given up

A caller that left during the first statement of its transaction, an attempt that was given up because its endpoint fell silent, and a rollback whose answer was lost each kept a connection. Ruled out: the limit per host, since the other five hosts served with the same limit. Change: the transaction of a caller that left is rolled back when its first statement ends, each attempt names its own transaction, and a connection given back must answer within 500 ms.

--- a/packages/gateway/src/caller-session.ts
+++ b/packages/gateway/src/caller-session.ts
@@ -23,7 +23,8 @@
 
 /** A caller's transaction. Before its first statement no endpoint knows of it. */
 interface Transaction {
-    readonly key: string;
+    /** Names the transaction at its endpoint. */
+    key: string;
     readonly readOnly: boolean;
     /** The configuration may change meanwhile; the transaction stays on its route. */
     readonly route: Route;
@@ -117,8 +118,6 @@
 
     #settled(): void {
         if (this.#isClosed) {
-            // The caller left while its statement ran, which may just have opened a transaction.
-            this.#endTransaction();
             return;
         }
         if (this.#transaction?.endpoint !== undefined && !this.#transaction.failed) {
@@ -210,10 +209,15 @@
     }
 
     /** Takes over the result of a transaction's first statement. */
-    #started(transaction: Transaction, { answer, endpoint }: Served, wrote: boolean): Answer {
+    #started(transaction: Transaction, served: Served, wrote: boolean): Answer {
+        const { answer, endpoint } = served;
         if (answer.state === TransactionStates.Open) {
             transaction.endpoint = endpoint;
+            transaction.key = served.transaction ?? transaction.key;
             transaction.wrote = wrote;
+            if (this.#isClosed) {
+                this.#rollBack(transaction);
+            }
             return answer;
         }
         transaction.failed = true;
@@ -228,8 +232,9 @@
     ): Promise<Answer> {
         const result = await transaction.group.run(this.#order(request, transaction, statement), false);
         const answer = this.#answerOf(result, transaction, statement);
-        const served = { answer, endpoint: transaction.endpoint, attempts: 1, cause: causeOf(result) };
-        this.#report(request, transaction.route, served, now, transaction.endpoint === transaction.group.primary());
+        const { endpoint, key } = transaction;
+        const served = { answer, endpoint, transaction: key, attempts: 1, cause: causeOf(result) };
+        this.#report(request, transaction.route, served, now, endpoint === transaction.group.primary());
         if (statement.kind !== "commit" && answer.state === TransactionStates.Failed) {
             this.#rollBack(transaction);
             transaction.failed = true;
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -19,6 +19,9 @@
 /** Pause after a failed attempt to connect before the next one. */
 const RECONNECT_PAUSE_MS = 100;
 
+/** Time for the answers that are outstanding when a connection is given back; ending a transaction needs no slot. */
+const RETURN_TIMEOUT_MS = 500;
+
 const ROLLBACK = { kind: "rollback" } as const;
 
 /** How the endpoint answered, for judging whether it can be used. */
@@ -149,7 +152,7 @@
             connection.close("the caller left its transaction");
             return;
         }
-        void connection.ask([ROLLBACK], 0);
+        this.#rollBack(connection);
     }
 
     /** Opens connections until `count` are there or being opened. */
@@ -183,6 +186,9 @@
         if (connection.unanswered === 0) {
             this.#settle(connection);
         }
+        else {
+            this.#limitReturn(connection);
+        }
     }
 
     #limited(connection: PooledConnection, order: Order): Promise<OrderResult> {
@@ -210,10 +216,24 @@
         }
         this.#transactions.delete(transaction);
         if (opening.kind !== "bare" && !connection.isClean) {
-            void connection.ask([ROLLBACK], 0);
+            this.#rollBack(connection);
         }
     }
 
+    #rollBack(connection: PooledConnection): void {
+        void connection.ask([ROLLBACK], 0);
+        this.#limitReturn(connection);
+    }
+
+    /** Closes a connection whose last answers do not come, so that it does not count against the limit for ever. */
+    #limitReturn(connection: PooledConnection): void {
+        setTimeout(() => {
+            if (connection.unanswered > 0 && !this.#lent.has(connection)) {
+                connection.close("the end of a transaction was not answered");
+            }
+        }, RETURN_TIMEOUT_MS);
+    }
+
     /** Gives a connection without outstanding answers to the next one that waits. */
     #settle(connection: PooledConnection): void {
         const isKept = this.#lent.has(connection) || [...this.#transactions.values()].includes(connection);
--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -240,11 +240,18 @@
             return running;
         }
         return new Promise(resolve => {
-            const abandon = (): void => resolve({ kind: "unknown", reason: UnknownReason.Timeout });
+            let isAbandoned = false;
+            const abandon = (): void => {
+                isAbandoned = true;
+                resolve({ kind: "unknown", reason: UnknownReason.Timeout });
+            };
             member.abandon.add(abandon);
             void running.then(result => {
                 member.abandon.delete(abandon);
                 resolve(result);
+                if (isAbandoned && order.transaction !== undefined) {
+                    member.pool.endTransaction(order.transaction);
+                }
             });
         });
     }
--- a/packages/gateway/src/statement-server.ts
+++ b/packages/gateway/src/statement-server.ts
@@ -13,7 +13,7 @@
 } from "@medlarledge/statements";
 import type { Group } from "./group.js";
 import { NOT_RUN_CODES } from "./not-run.js";
-import { Consistency, type Route } from "./route.js";
+import type { Route } from "./route.js";
 import { writes } from "./session-image.js";
 
 /**
@@ -47,6 +47,8 @@
     readonly answer: Answer;
     /** Where the statement ran or was last tried. */
     readonly endpoint: string | undefined;
+    /** Name of the transaction that the statement began. */
+    readonly transaction: string | undefined;
     readonly attempts: number;
     /** Why there is no success. */
     readonly cause: string | undefined;
@@ -55,6 +57,13 @@
 interface Attempt {
     readonly endpoint: string;
     readonly opening: Opening;
+    /** Of its own for each attempt: one that was given up may still open its transaction. */
+    readonly transaction: string | undefined;
+}
+
+interface Tried {
+    readonly endpoint: string;
+    readonly result: OrderResult;
 }
 
 /** Runs statements that no transaction binds to a connection yet: chooses an endpoint, and another one if needed. */
@@ -74,54 +83,36 @@
         const { route, arrivedAt } = request;
         const giveUpAt = arrivedAt + route.timeoutMs * PATIENCE_SHARE;
         const tried = new Set<string>();
-        let last: { readonly endpoint: string; readonly result: OrderResult; } | undefined;
+        let last: Tried | undefined;
         for (let attempts = 0;;) {
             const now = this.#clock.now();
             if (now >= giveUpAt) {
-                return this.#givenUp(last, attempts);
+                return givenUp(last, attempts);
             }
-            const attempt = this.#choose(request, group, tried);
-            if (attempt === undefined) {
+            const place = choose(request, group, tried);
+            if (place === undefined) {
                 tried.clear();
                 await group.change(Math.min(LOOK_AGAIN_MS, giveUpAt - now));
                 continue;
             }
             attempts += 1;
+            const attempt = { ...place, transaction: attemptKey(request, attempts) };
             const result = await group.run(this.#order(request, attempt, giveUpAt), !mayChangeData(request));
             last = { endpoint: attempt.endpoint, result };
             if (result.kind === "answered") {
                 const { answer } = result;
-                return { answer, endpoint: attempt.endpoint, attempts, cause: errorOf(answer) };
+                return { answer, ...attempt, attempts, cause: errorOf(answer) };
             }
             if (result.kind === "unknown" && mayChangeData(request)) {
                 return unknownOutcome(attempt.endpoint, attempts, result.reason);
             }
             this.#retried(request, attempt.endpoint, result.reason, attempts);
-            await this.#pauseBefore(result, tried, attempt.endpoint);
-        }
-    }
-
-    #choose({ route, statement, floor, transaction }: ServeRequest, group: Group, tried: ReadonlySet<string>):
-        | Attempt
-        | undefined
-    {
-        const isLeadersWork = transaction === undefined ? writes(statement) : !transaction.readOnly;
-        if (isLeadersWork) {
-            const endpoint = group.primary();
-            const opening: Opening = transaction === undefined
-                ? { kind: "bare", after: undefined }
-                : { kind: "transaction", readOnly: false, after: undefined };
-            return endpoint === undefined ? undefined : { endpoint, opening };
+            await pauseBefore(result, tried, attempt.endpoint);
         }
-        const choice = group.readChoice(route, floor, tried);
-        if (choice === undefined || transaction === undefined) {
-            return choice;
-        }
-        return { endpoint: choice.endpoint, opening: openingOfRead(choice.opening) };
     }
 
-    #order(request: ServeRequest, { endpoint, opening }: Attempt, giveUpAt: number): Order {
-        const { route, requestId, statement, transaction, values, arrivedAt } = request;
+    #order(request: ServeRequest, { endpoint, opening, transaction }: Attempt, giveUpAt: number): Order {
+        const { route, requestId, statement, values, arrivedAt } = request;
         const now = this.#clock.now();
         return {
             group: route.group,
@@ -129,41 +120,62 @@
             requestId,
             statement,
             opening,
-            transaction: transaction?.key,
+            transaction,
             values,
             priority: route.priority,
             patienceMs: Math.max(1, giveUpAt - now),
             timeoutMs: Math.max(1, arrivedAt + route.timeoutMs - now),
         };
     }
+}
 
-    async #pauseBefore(result: OrderResult, tried: Set<string>, endpoint: string): Promise<void> {
-        if (result.kind === "notRun" && result.reason === NotRunReason.Follows) {
-            return;
-        }
-        tried.add(endpoint);
-        if (result.kind === "notRun" && result.reason === NotRunReason.Busy) {
-            await new Promise(resolve => setTimeout(resolve, BUSY_PAUSE_MS));
-        }
+/** Chooses where the statement runs; undefined when no endpoint can take it now. */
+function choose(
+    { route, statement, floor, transaction }: ServeRequest,
+    group: Group,
+    tried: ReadonlySet<string>,
+): Omit<Attempt, "transaction"> | undefined {
+    const isLeadersWork = transaction === undefined ? writes(statement) : !transaction.readOnly;
+    if (isLeadersWork) {
+        const endpoint = group.primary();
+        const opening: Opening = transaction === undefined
+            ? { kind: "bare", after: undefined }
+            : { kind: "transaction", readOnly: false, after: undefined };
+        return endpoint === undefined ? undefined : { endpoint, opening };
+    }
+    const choice = group.readChoice(route, floor, tried);
+    if (choice === undefined || transaction === undefined) {
+        return choice;
     }
+    return { endpoint: choice.endpoint, opening: openingOfRead(choice.opening) };
+}
 
-    #givenUp(last: { readonly endpoint: string; readonly result: OrderResult; } | undefined, attempts: number): Served {
-        const state = TransactionStates.Idle;
-        if (last?.result.kind === "unknown") {
-            const answer = failed(ErrorCode.Timeout, "no endpoint answered in time", state);
-            return { answer, endpoint: last.endpoint, attempts, cause: last.result.reason };
-        }
-        const reason = last?.result.kind === "notRun" ? last.result.reason : NotRunReason.Unreachable;
-        const text = `not run (${reason}); retry in ${RETRY_AFTER_MS} ms`;
-        return {
-            answer: failed(NOT_RUN_CODES[reason], text, state),
-            endpoint: last?.endpoint,
-            attempts,
-            cause: reason,
-        };
+function attemptKey({ transaction }: ServeRequest, attempt: number): string | undefined {
+    return transaction === undefined ? undefined : `${transaction.key}/${attempt}`;
+}
+
+async function pauseBefore(result: OrderResult, tried: Set<string>, endpoint: string): Promise<void> {
+    if (result.kind === "notRun" && result.reason === NotRunReason.Follows) {
+        return;
+    }
+    tried.add(endpoint);
+    if (result.kind === "notRun" && result.reason === NotRunReason.Busy) {
+        await new Promise(resolve => setTimeout(resolve, BUSY_PAUSE_MS));
     }
 }
 
+function givenUp(last: Tried | undefined, attempts: number): Served {
+    const state = TransactionStates.Idle;
+    const rest = { endpoint: last?.endpoint, transaction: undefined, attempts };
+    if (last?.result.kind === "unknown") {
+        const answer = failed(ErrorCode.Timeout, "no endpoint answered in time", state);
+        return { answer, ...rest, cause: last.result.reason };
+    }
+    const reason = last?.result.kind === "notRun" ? last.result.reason : NotRunReason.Unreachable;
+    const text = `not run (${reason}); retry in ${RETRY_AFTER_MS} ms`;
+    return { answer: failed(NOT_RUN_CODES[reason], text, state), ...rest, cause: reason };
+}
+
 /** A read-only transaction that only the leader may run is a plain one that writes nothing. */
 function openingOfRead(opening: Opening): Opening {
     return opening.kind === "proven"
@@ -179,14 +191,9 @@
 function unknownOutcome(endpoint: string, attempts: number, reason: string): Served {
     const text = `the write was sent and not answered (${reason})`;
     const answer = failed(ErrorCode.Unknown, text, TransactionStates.Idle);
-    return { answer, endpoint, attempts, cause: reason };
+    return { answer, endpoint, transaction: undefined, attempts, cause: reason };
 }
 
 function errorOf({ completion }: Answer): string | undefined {
     return completion.kind === "error" ? completion.code : undefined;
 }
-
-/** True for routes whose reads must include every acknowledged commit. */
-export function demandsLeader(route: Route): boolean {
-    return route.consistency === Consistency.Primary;
-}
