Answer reads on primary routes outside of a transaction; test the gateway

Cause: the answer to a read that runs inside the proxy's own transaction carried the endpoint's state 'open' to the caller, who is in no transaction. Callers closed such sessions.

--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -49,6 +49,18 @@
     readonly reachable: boolean;
 }
 
+export interface EndpointUse {
+    readonly endpoint: string;
+    readonly reach: Reach;
+    readonly connections: number;
+    readonly idle: number;
+    /** Connections that callers' transactions hold. */
+    readonly transactions: number;
+    /** Orders that wait for a connection. */
+    readonly waiting: number;
+    readonly running: number;
+}
+
 interface Member {
     record: EndpointRecord;
     readonly pool: EndpointPool;
@@ -110,6 +122,19 @@
             : { ...proof, reachable: this.#members.get(proof.endpoint)?.reach.isReachable === true };
     }
 
+    /** What this process uses of each endpoint, for reports. */
+    status(): readonly EndpointUse[] {
+        return [...this.#members.values()].map(({ record, pool, reach, load }) => ({
+            endpoint: record.id,
+            reach: reach.reach,
+            connections: pool.size,
+            idle: pool.idle,
+            transactions: pool.transactions,
+            waiting: pool.waiting,
+            running: load.running,
+        }));
+    }
+
     /** Asks an endpoint whether it answers, unless it just has. */
     async checkPrimary(endpoint: string): Promise<void> {
         const member = this.#members.get(endpoint);
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,4 +1,4 @@
 export type { GatewayEvent, GatewayListener } from "./gateway-event.js";
 export { Gateway, type GatewayOptions } from "./gateway.js";
-export type { Group, PrimaryState } from "./group.js";
+export type { EndpointUse, Group, PrimaryState } from "./group.js";
 export { Consistency, type GroupSettings, type Route, type Routing } from "./route.js";
--- a/packages/gateway/src/order-run.ts
+++ b/packages/gateway/src/order-run.ts
@@ -7,6 +7,7 @@
     type Opening,
     type Order,
     type OrderResult,
+    TransactionStates,
     UnknownReason,
 } from "@medlarledge/statements";
 import type { PooledConnection, Reply } from "./pooled-connection.js";
@@ -36,10 +37,16 @@
         return refusal;
     }
     const command = { ...forwarded, after: undefined };
-    const commands: readonly EndpointCommand[] = opening.kind === "proven"
-        ? [command, { kind: "rollback" }]
-        : [command];
-    return resultOf(await connection.ask(commands, 0), !isReadOnly(opening));
+    if (opening.kind === "transaction") {
+        return resultOf(await connection.ask([command], 0), !opening.readOnly);
+    }
+    const result = resultOf(await connection.ask([command, { kind: "rollback" }], 0), true);
+    return result.kind === "answered" ? { ...result, answer: outsideTransaction(result.answer) } : result;
+}
+
+/** The caller knows nothing of the transaction around its read. */
+function outsideTransaction(answer: Answer): Answer {
+    return { ...answer, state: TransactionStates.Idle };
 }
 
 function beginOf(opening: Opening): EndpointCommand {
@@ -48,10 +55,6 @@
         : { kind: "begin", readOnly: false, after: undefined };
 }
 
-function isReadOnly(opening: Opening): boolean {
-    return opening.kind === "transaction" && opening.readOnly;
-}
-
 /** Only a leader completes a write that stands on its own. */
 function leads({ opening, statement }: Order): boolean {
     return opening.kind === "bare"
--- /dev/null
+++ b/packages/gateway/tests/reads.test.ts
@@ -0,0 +1,111 @@
+import { ErrorCode } from "@medlarledge/statements";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { pass, read, type World, world, write } from "./world.js";
+
+let it: World;
+
+beforeEach(() => {
+    vi.useFakeTimers();
+    it = world();
+});
+
+afterEach(() => {
+    it.gateway.close();
+    vi.useRealTimers();
+});
+
+// Guards against a read that misses a commit acknowledged through another entry host.
+test("a read on a primary route runs in a transaction that only the leader begins", async () => {
+    const caller = it.connect("confirm");
+    it.endpoints.commitElsewhere();
+    const answer = await caller.ask(read("1"));
+    expect(answer.completion.kind).toBe("done");
+    expect(it.endpoints.ran).toMatchObject([{ endpoint: "a", inTransaction: true, requestId: "confirm-1" }]);
+    expect(answer.state).toBe("idle");
+});
+
+// Guards against a read outside of any transaction on an endpoint that has just lost the lead.
+test("the statement is not sent behind a begin that may be refused", async () => {
+    const caller = it.connect("confirm");
+    await caller.ask(read("1"));
+    it.endpoints.promote("b");
+    const answer = await caller.ask(read("2"));
+    expect(answer.completion.kind).toBe("error");
+    expect(it.endpoints.ran.filter(ran => ran.text === "READ 2")).toEqual([]);
+    it.announce();
+    expect((await caller.ask(read("3"))).completion.kind).toBe("done");
+    expect(it.endpoints.ran.at(-1)?.endpoint).toBe("b");
+});
+
+// Guards against reads of unknown age on replicas, and against replicas that serve nothing.
+test("a bounded read goes to a replica once a position of the leader within the age is known", async () => {
+    const caller = it.connect("stock");
+    await caller.ask(read("1"));
+    const first = it.endpoints.ran[0];
+    expect(first?.endpoint).not.toBe("a");
+    expect(first?.after).toEqual({ term: 1, number: 0 });
+    await pass(1_600);
+    await caller.ask(read("2"));
+    expect(it.endpoints.ran[1]).toMatchObject({ endpoint: "a", inTransaction: true });
+});
+
+// Guards against a session that does not see its own write on a replica that is behind.
+test("a session's read after its write demands the write's position", async () => {
+    const caller = it.connect("report");
+    await caller.ask(write("1"));
+    await caller.ask(read("1"));
+    expect(it.endpoints.ran.at(-1)?.endpoint).toBe("a");
+    it.endpoints.replicate();
+    await pass(500);
+    await caller.ask(read("2"));
+    expect(it.endpoints.ran.at(-1)?.after).toEqual({ term: 1, number: 1 });
+});
+
+// Guards against reads that fail because one replica lags, although the leader can serve them.
+test("a read that a replica refuses as lagging is served by the leader", async () => {
+    const caller = it.connect("stock");
+    it.endpoints.commitElsewhere();
+    await caller.ask(read("1"));
+    const answer = await caller.ask(read("2"));
+    expect(answer.completion.kind).toBe("done");
+    expect(it.endpoints.ran.at(-1)?.endpoint).toBe("a");
+});
+
+// Guards against a floor of a former term that no log of the new term will ever reach.
+test("a session's floor that a promotion rolled back does not block its reads", async () => {
+    const caller = it.connect("report");
+    await caller.ask(write("1"));
+    it.endpoints.get("a").crash();
+    it.endpoints.promote("b");
+    it.announce();
+    it.endpoints.get("b").applied = { term: 2, number: 0 };
+    const other = it.connect("confirm");
+    await other.ask(read("x"));
+    const answer = await caller.ask(read("2"));
+    expect(answer.completion.kind).toBe("done");
+});
+
+// Guards against a read that waits for its whole deadline on an endpoint that has gone silent.
+test("a read is tried elsewhere when its endpoint falls silent", async () => {
+    const caller = it.connect("stock");
+    await caller.ask(read("1"));
+    await caller.ask(read("2"));
+    const first = it.endpoints.ran.at(-1)?.endpoint ?? "";
+    it.endpoints.get(first).isSilent = true;
+    const startedAt = performance.now();
+    const answer = await caller.ask(read("3"));
+    expect(answer.completion.kind).toBe("done");
+    expect(performance.now() - startedAt).toBeLessThan(600);
+    expect(it.endpoints.ran.at(-1)?.endpoint).not.toBe(first);
+});
+
+// Guards against a caller that is told nothing when no endpoint can be reached, and against a false outcome.
+test("a read that no endpoint can serve is refused as not run within its timeout", async () => {
+    const caller = it.connect("stock");
+    for (const endpoint of it.endpoints.endpoints.values()) {
+        endpoint.crash();
+    }
+    const answer = await caller.ask(read("1"));
+    expect(answer.completion).toMatchObject({ kind: "error", code: ErrorCode.Busy });
+    expect(it.endpoints.ran).toEqual([]);
+});
--- /dev/null
+++ b/packages/gateway/tests/transactions.test.ts
@@ -0,0 +1,146 @@
+import { ErrorCode } from "@medlarledge/statements";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { begin, beginReadOnly, commit, pass, read, rollback, type World, world, write } from "./world.js";
+
+let it: World;
+
+beforeEach(() => {
+    vi.useFakeTimers();
+    it = world({ share: 2 });
+});
+
+afterEach(() => {
+    it.gateway.close();
+    vi.useRealTimers();
+});
+
+// Guards against statements of one transaction on two connections, and against a changed order.
+test("a transaction runs on one endpoint from its first statement to its commit", async () => {
+    const caller = it.connect("confirm");
+    expect((await caller.ask(begin)).state).toBe("open");
+    expect((await caller.ask(read("1"))).state).toBe("open");
+    await caller.ask(write("2"));
+    const end = await caller.ask(commit);
+    expect(end).toMatchObject({ state: "idle", completion: { kind: "done", signature: "signed by a" } });
+    expect(it.endpoints.ran.map(ran => [ran.text, ran.inTransaction])).toEqual([
+        ["READ 1", true],
+        ["WRITE 2 data", true],
+        ["COMMIT", true],
+    ]);
+});
+
+// Guards against read-only transactions that all run on the leader.
+test("a read-only transaction may run on a replica that has reached the position", async () => {
+    const caller = it.connect("stock");
+    await caller.ask(read("1"));
+    await caller.ask(beginReadOnly);
+    await caller.ask(read("2"));
+    await caller.ask(commit);
+    expect(it.endpoints.ran.slice(1).map(ran => ran.endpoint)).not.toContain("a");
+    expect(it.endpoints.ran.at(-1)?.text).toBe("COMMIT");
+});
+
+// Guards against a commit that the proxy acknowledges itself.
+test("an empty transaction is committed by an endpoint", async () => {
+    const caller = it.connect("confirm");
+    await caller.ask(begin);
+    expect((await caller.ask(commit)).completion).toEqual({ kind: "done", signature: "signed by a" });
+});
+
+// Guards against a false promise: with a write in it, a commit without an answer may have happened.
+test("a commit without an answer is unknown after a write and aborted without one", async () => {
+    const caller = it.connect("confirm");
+    await caller.ask(begin);
+    await caller.ask(write("1"));
+    it.endpoints.get("a").losesAnswers = 1;
+    expect((await caller.ask(commit)).completion).toMatchObject({ code: ErrorCode.Unknown });
+    await caller.ask(begin);
+    await caller.ask(read("2"));
+    it.endpoints.get("a").losesAnswers = 1;
+    expect((await caller.ask(commit)).completion).toMatchObject({ code: ErrorCode.Aborted });
+});
+
+// Guards against a transaction that goes on although its endpoint lost the lead or died.
+test("a transaction whose endpoint is lost is aborted, and only its end is accepted", async () => {
+    const caller = it.connect("confirm");
+    await caller.ask(begin);
+    await caller.ask(write("1"));
+    it.endpoints.get("a").crash();
+    const next = await caller.ask(write("2"));
+    expect(next).toMatchObject({ state: "failed", completion: { code: ErrorCode.Aborted } });
+    expect((await caller.ask(read("3"))).state).toBe("failed");
+    expect(await caller.ask(rollback)).toMatchObject({ state: "idle", completion: { kind: "done" } });
+});
+
+// Guards against a first statement that fails the caller's transaction although nothing of it has run yet.
+test("the first statement of a transaction is tried again when it was refused", async () => {
+    const caller = it.connect("confirm");
+    await caller.ask(begin);
+    it.endpoints.get("a").busy = 1;
+    expect((await caller.ask(read("1"))).state).toBe("open");
+    await caller.ask(commit);
+});
+
+async function expectFreeConnections(): Promise<void> {
+    await pass(1_000);
+    const other = it.connect("confirm");
+    const startedAt = performance.now();
+    await Promise.all([other.ask(begin), it.connect("confirm").ask(write("free"))]);
+    expect((await other.ask(read("free"))).completion.kind).toBe("done");
+    expect(performance.now() - startedAt).toBeLessThan(200);
+}
+
+// Guards against connections that callers keep for ever by leaving while their first statement runs (trouble-3).
+test("a caller that leaves during the first statement of its transaction frees the connection", async () => {
+    for (let round = 0; round < 2; round++) {
+        const caller = it.connect("confirm");
+        await caller.ask(begin);
+        it.endpoints.get("a").serviceMs = 50;
+        void caller.send(read("1"));
+        await pass(30);
+        caller.leave();
+        it.endpoints.get("a").serviceMs = 5;
+    }
+    await expectFreeConnections();
+});
+
+// Guards against connections that stay in a transaction whose attempt was given up (trouble-3).
+test("an attempt that was given up leaves no open transaction behind", async () => {
+    const caller = it.connect("stock");
+    await caller.ask(read("0"));
+    await caller.ask(beginReadOnly);
+    const used = it.endpoints.get(it.endpoints.ran.at(-1)?.endpoint ?? "");
+    used.isFrozen = true;
+    const asked = caller.send(read("1"));
+    await pass(700);
+    used.isFrozen = false;
+    await pass(1_000);
+    await asked;
+    await caller.ask(rollback);
+    await pass(1_000);
+    expect(it.gateway.groups.get("orders")?.status().map(endpoint => endpoint.transactions)).toEqual([0, 0, 0]);
+});
+
+// Guards against connections that wait for ever for the answer to a rollback (trouble-3).
+test("a rollback without an answer costs its connection, not the place of it", async () => {
+    for (let round = 0; round < 2; round++) {
+        const caller = it.connect("confirm");
+        await caller.ask(begin);
+        await caller.ask(read("1"));
+        it.endpoints.get("a").losesRollbacks = 1;
+        await caller.ask(rollback);
+    }
+    await expectFreeConnections();
+});
+
+// Guards against callers that rest inside a transaction and hold the scarce connections.
+test("a transaction that rests for too long is rolled back, and its caller learns it", async () => {
+    const caller = it.connect("confirm");
+    await caller.ask(begin);
+    await caller.ask(write("1"));
+    await pass(3_200);
+    const next = await caller.ask(write("2"));
+    expect(next).toMatchObject({ state: "failed", completion: { code: ErrorCode.Aborted } });
+    expect((await caller.ask(commit)).completion).toMatchObject({ code: ErrorCode.Aborted });
+    await expectFreeConnections();
+});
--- /dev/null
+++ b/packages/gateway/tests/world.ts
@@ -0,0 +1,156 @@
+import { type EndpointRecord, EndpointRole, EndpointState } from "@medlarledge/protocol";
+import type { Answer, Caller, CallerHandler, Statement } from "@medlarledge/statements";
+import { vi } from "vitest";
+import { Consistency, Gateway, type GatewayEvent, type Route } from "../src/index.js";
+import { FakeEndpoints } from "./fake-endpoints.js";
+
+export const IDS = ["a", "b", "c"] as const;
+
+const ROUTES: readonly Route[] = [
+    {
+        database: "confirm",
+        group: "orders",
+        consistency: Consistency.Primary,
+        maxStalenessMs: 0,
+        timeoutMs: 800,
+        priority: 1,
+    },
+    {
+        database: "stock",
+        group: "orders",
+        consistency: Consistency.BoundedStaleness,
+        maxStalenessMs: 1_500,
+        timeoutMs: 1_200,
+        priority: 2,
+    },
+    {
+        database: "report",
+        group: "orders",
+        consistency: Consistency.Session,
+        maxStalenessMs: 2_500,
+        timeoutMs: 800,
+        priority: 2,
+    },
+];
+
+/** One caller, as a test drives it. */
+export class TestCaller implements Caller {
+    readonly answers: Answer[] = [];
+    handler: CallerHandler | undefined;
+    isClosed = false;
+    #requests = 0;
+    #waiting: ((answer: Answer) => void)[] = [];
+
+    constructor(readonly database: string) {}
+
+    answer(answer: Answer): void {
+        this.answers.push(answer);
+        this.#waiting.shift()?.(answer);
+    }
+
+    close(): void {
+        this.isClosed = true;
+    }
+
+    /** Sends a statement and lets time pass until it is answered. */
+    async ask(statement: Statement): Promise<Answer> {
+        const answer = this.send(statement);
+        let settled: Answer | undefined;
+        void answer.then(value => (settled = value));
+        for (let step = 0; step < 400 && settled === undefined; step++) {
+            await pass(5);
+        }
+        if (settled === undefined) {
+            throw new Error("the request was not answered");
+        }
+        return settled;
+    }
+
+    send(statement: Statement): Promise<Answer> {
+        this.#requests += 1;
+        const answer = new Promise<Answer>(resolve => this.#waiting.push(resolve));
+        this.handler?.request({ id: `${this.database}-${this.#requests}`, statement });
+        return answer;
+    }
+
+    leave(): void {
+        this.handler?.closed();
+    }
+}
+
+export interface World {
+    readonly endpoints: FakeEndpoints;
+    readonly gateway: Gateway;
+    readonly events: GatewayEvent[];
+    connect(database: string): TestCaller;
+    /** Tells the gateway how the endpoints describe themselves. */
+    announce(changes?: Partial<Record<string, Partial<EndpointRecord>>>): void;
+}
+
+export interface WorldOptions {
+    /** Connections that the gateway may hold to each endpoint. */
+    readonly share?: number;
+}
+
+/** A gateway before three endpoints, with faked time. Endpoint `a` leads. */
+export function world({ share = 4 }: WorldOptions = {}): World {
+    const endpoints = new FakeEndpoints(IDS);
+    const events: GatewayEvent[] = [];
+    const gateway = new Gateway({
+        hostId: "host",
+        dataCentre: "antwerp",
+        connector: endpoints,
+        clock: { now: () => performance.now(), wallClock: () => Date.now() },
+        share: () => share,
+        random: () => 0,
+        listener: event => events.push(event),
+    });
+    let sequence = 0;
+    const announce: World["announce"] = (changes = {}) => {
+        sequence += 1;
+        gateway.updateGroup(
+            "orders",
+            IDS.map(id => ({ ...record(id, sequence, endpoints.get(id).leads), ...changes[id] })),
+        );
+    };
+    const connect = (database: string): TestCaller => {
+        const caller = new TestCaller(database);
+        caller.handler = gateway.accept(caller);
+        return caller;
+    };
+    gateway.configure({
+        number: 1,
+        routes: new Map(ROUTES.map(route => [route.database, route])),
+        groups: new Map([["orders", { connections: 16 }]]),
+        transactionIdleMs: 3_000,
+    });
+    announce();
+    return { endpoints, gateway, events, connect, announce };
+}
+
+function record(id: string, sequence: number, leads: boolean): EndpointRecord {
+    return {
+        id,
+        group: "orders",
+        dataCentre: "antwerp",
+        host: "10.0.0.1",
+        port: id.charCodeAt(0),
+        slots: 2,
+        born: 1,
+        sequence,
+        state: EndpointState.Active,
+        role: leads ? EndpointRole.Primary : EndpointRole.Replica,
+    };
+}
+
+/** Lets faked time pass. */
+export async function pass(ms: number): Promise<void> {
+    await vi.advanceTimersByTimeAsync(ms);
+}
+
+export const read = (item: string): Statement => ({ kind: "read", text: `READ ${item}` });
+export const write = (item: string): Statement => ({ kind: "write", text: `WRITE ${item} data` });
+export const begin: Statement = { kind: "begin", readOnly: false };
+export const beginReadOnly: Statement = { kind: "begin", readOnly: true };
+export const commit: Statement = { kind: "commit" };
+export const rollback: Statement = { kind: "rollback" };
--- /dev/null
+++ b/packages/gateway/tests/writes.test.ts
@@ -0,0 +1,80 @@
+import { ErrorCode } from "@medlarledge/statements";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import { pass, type World, world, write } from "./world.js";
+
+let it: World;
+
+beforeEach(() => {
+    vi.useFakeTimers();
+    it = world();
+});
+
+afterEach(() => {
+    it.gateway.close();
+    vi.useRealTimers();
+});
+
+// Guards against a write that is lost in the answers of the proxy, or runs in a transaction that it opened.
+test("a write runs once, on the leader, on its own", async () => {
+    const answer = await it.connect("confirm").ask(write("1"));
+    expect(answer.completion).toEqual({ kind: "done", signature: "signed by a" });
+    expect(it.endpoints.ran).toMatchObject([{ endpoint: "a", text: "WRITE 1 data", inTransaction: false }]);
+});
+
+// Guards against a write that runs twice because its answer was lost.
+test("a write without an answer is unknown and is not sent again", async () => {
+    const caller = it.connect("confirm");
+    await caller.ask(write("1"));
+    it.endpoints.get("a").losesAnswers = 1;
+    const answer = await caller.ask(write("2"));
+    expect(answer.completion).toMatchObject({ kind: "error", code: ErrorCode.Unknown });
+    expect(it.endpoints.ran.filter(ran => ran.text.startsWith("WRITE 2"))).toHaveLength(1);
+});
+
+// Guards against a promise that nothing ran when the endpoint died with the write.
+test("a write whose connection broke is unknown at once", async () => {
+    const caller = it.connect("confirm");
+    await caller.ask(write("1"));
+    it.endpoints.get("a").serviceMs = 300;
+    const asked = caller.send(write("2"));
+    await pass(50);
+    const startedAt = performance.now();
+    it.endpoints.get("a").crash();
+    await pass(5);
+    expect((await asked).completion).toMatchObject({ kind: "error", code: ErrorCode.Unknown });
+    expect(performance.now() - startedAt).toBeLessThan(10);
+});
+
+// Guards against callers that have to come back although a write that was refused can run a moment later.
+test("a write that was refused as busy is tried again", async () => {
+    const caller = it.connect("confirm");
+    await caller.ask(write("1"));
+    it.endpoints.get("a").busy = 2;
+    expect((await caller.ask(write("2"))).completion.kind).toBe("done");
+    expect(it.endpoints.ran.filter(ran => ran.text.startsWith("WRITE 2"))).toHaveLength(1);
+});
+
+// Guards against a write that is refused during a change of primary that ends within its patience.
+test("a write waits for the endpoint that is being promoted", async () => {
+    const caller = it.connect("confirm");
+    await caller.ask(write("1"));
+    it.endpoints.get("a").crash();
+    it.gateway.ordered({ group: "orders", endpoint: "b", fence: 7 });
+    const asked = caller.send(write("2"));
+    await pass(300);
+    it.endpoints.promote("b");
+    await pass(100);
+    expect((await asked).completion).toEqual({ kind: "done", signature: "signed by b" });
+});
+
+// Guards against a change of primary by order that makes callers wait although the former one still leads.
+test("the former primary serves until the ordered one leads", async () => {
+    const caller = it.connect("confirm");
+    await caller.ask(write("1"));
+    it.gateway.ordered({ group: "orders", endpoint: "b", fence: 7 });
+    await caller.ask(write("2"));
+    expect(it.endpoints.ran.at(-1)?.endpoint).toBe("a");
+    it.endpoints.promote("b");
+    expect((await caller.ask(write("3"))).completion.kind).toBe("done");
+    expect(it.endpoints.ran.at(-1)?.endpoint).toBe("b");
+});
--- a/packages/statements/src/endpoint-connection.ts
+++ b/packages/statements/src/endpoint-connection.ts
@@ -28,7 +28,10 @@
 export type ConnectFailure =
     /** Nobody listens, or the network reports the endpoint as unreachable. */
     | { readonly kind: "refused"; readonly reason: string; }
+    /** The network carried no answer. */
     | { readonly kind: "timeout"; }
+    /** The endpoint can be reached, but did not take up the connection in time: it is busy. */
+    | { readonly kind: "unresponsive"; }
     /** The endpoint's connections are used up. */
     | { readonly kind: "tooMany"; }
     /** Another endpoint or group answered. */
@@ -40,5 +43,6 @@
     | { readonly ok: false; readonly failure: ConnectFailure; };
 
 export interface EndpointConnector {
+    /** @param timeoutMs longest time until the connection can be used */
     connect(address: EndpointAddress, timeoutMs: number): Promise<Connected>;
 }
