Relay statements over entry hosts that hold connections

Cause: with 25 connections for 79 hosts a share is zero, and in a partial partition (primary_cut, split) a part of the hosts reaches no primary although others do. Ruled out: more connections, since an endpoint refuses them.

--- a/packages/daemon/src/message-router.ts
+++ b/packages/daemon/src/message-router.ts
@@ -1,5 +1,13 @@
 import { hostOfMember } from "@medlarledge/control";
-import type { FleetMessage, Host, LeaderReply, LeaderRequest, Message, MessageKind } from "@medlarledge/protocol";
+import type {
+    FleetMessage,
+    Host,
+    LeaderReply,
+    LeaderRequest,
+    Message,
+    MessageKind,
+    RelayMessage,
+} from "@medlarledge/protocol";
 import type { ControlHost } from "./control-host.js";
 import type { EntryMessage, EntryTask } from "./entry-task.js";
 import { MEMBER_PHASE_REQUEST } from "./membership-start.js";
@@ -18,7 +26,7 @@
 }
 
 /** The messages of processes that serve PostgreSQL; the others belong to the fleet package. */
-type RoutedKind = Exclude<MessageKind, FleetMessage["kind"]>;
+type RoutedKind = Exclude<MessageKind, (FleetMessage | RelayMessage)["kind"]>;
 
 type Handlers = {
     readonly [K in RoutedKind]: (message: Extract<Message, { kind: K; }>, from: Host) => void;
--- a/packages/fleet/src/connection-share.ts
+++ b/packages/fleet/src/connection-share.ts
@@ -1,13 +1,41 @@
+import type { EndpointRecord, Host } from "@medlarledge/protocol";
+import { rendezvous } from "@medlarledge/routing";
+
 /** Connections of each endpoint that stay free for control, which reads positions before it promotes. */
 const CONTROL_CONNECTIONS = 2;
 
-/** Share of one entry host while it does not know how many there are. */
-const FIRST_SHARE = 1;
+/** With fewer connections than this for each entry host, only some hosts hold connections and the others relay. */
+const LEAST_SHARE = 2;
+
+/** Connections of one holder when not all hosts hold some: enough for transactions to pause on a few of them. */
+const HOLDER_SHARE = 5;
+
+/** Connections that each host of an endpoint's holders may open. */
+export interface ConnectionPlan {
+    readonly share: number;
+    /** Hosts that hold connections, best first; in the endpoint's data centre where there are any. */
+    readonly holders: readonly string[];
+}
 
-/** Connections that one entry host may hold to an endpoint, so that the sum of all stays within the endpoint's limit. */
-export function connectionShare(connections: number, entryHosts: number): number {
-    if (entryHosts === 0) {
-        return FIRST_SHARE;
+/**
+ * Divides the connections of one endpoint among the entry hosts. Every host computes the same plan from the same list,
+ * and a host that comes or goes changes the holders of few endpoints.
+ */
+export function connectionPlan(record: EndpointRecord, limit: number, entries: readonly Host[]): ConnectionPlan {
+    const usable = Math.max(0, limit - CONTROL_CONNECTIONS);
+    const ranked = rank(record, entries);
+    const share = Math.floor(usable / Math.max(1, entries.length));
+    if (share >= LEAST_SHARE || entries.length === 0) {
+        return { share: Math.max(1, share), holders: ranked };
     }
-    return Math.max(1, Math.floor((connections - CONTROL_CONNECTIONS) / entryHosts));
+    const holders = Math.max(1, Math.floor(usable / HOLDER_SHARE));
+    return { share: Math.min(HOLDER_SHARE, usable), holders: ranked.slice(0, holders) };
+}
+
+/** Hosts of the endpoint's data centre first; within a data centre by a hash that is the same on every host. */
+function rank({ group, id, dataCentre }: EndpointRecord, entries: readonly Host[]): readonly string[] {
+    const ranked = rendezvous(`${group}/${id}`, entries);
+    const near = ranked.filter(host => host.dataCentre === dataCentre);
+    const far = ranked.filter(host => host.dataCentre !== dataCentre);
+    return [...near, ...far].map(host => host.id);
 }
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -1,10 +1,10 @@
 import { Directory } from "@medlarledge/directory";
-import { Gateway, type GatewayListener } from "@medlarledge/gateway";
+import { Gateway, type GatewayListener, type Routing } from "@medlarledge/gateway";
 import type { EndpointRecord, Host, Message, PrimaryOrder } from "@medlarledge/protocol";
 import { type Clock, type MeshEvent, PeerMesh } from "@medlarledge/runtime";
 import type { Caller, CallerHandler, EndpointConnector } from "@medlarledge/statements";
 import type { Log } from "@medlarledge/telemetry";
-import { connectionShare } from "./connection-share.js";
+import { type ConnectionPlan, connectionPlan } from "./connection-share.js";
 import { HostLinks } from "./host-links.js";
 import type { ConfigurationReader } from "./ports.js";
 import { PrimaryReporter } from "./primary-reporter.js";
@@ -49,7 +49,9 @@
     #control: readonly string[] = [];
     #leader: string | undefined;
     #listTerm = 0;
-    #entryHosts = 0;
+    #entries: readonly Host[] = [];
+    /** Plans by endpoint, valid until the hosts or the configuration change. */
+    readonly #plans = new Map<string, ConnectionPlan>();
     #wantedAt = Number.NEGATIVE_INFINITY;
     #offered = 0;
     #timer: NodeJS.Timeout | undefined;
@@ -62,6 +64,9 @@
         configurationOffer: (message, from) => this.#offeredBy(from, message.number),
         configurationUpdate: message => this.#configure(message),
         primaryCheck: message => void this.#check(message),
+        relayOrder: (message, from) => this.#gateway.relayed(from.id, message),
+        relayResult: (message, from) => this.#gateway.relayed(from.id, message),
+        relayEnd: (message, from) => this.#gateway.relayed(from.id, message),
     };
 
     constructor(options: EntryHostOptions) {
@@ -75,8 +80,16 @@
             dataCentre: self.dataCentre,
             connector,
             clock,
-            share: (record, routing) =>
-                connectionShare(routing.groups.get(record.group)?.connections ?? 0, this.#entryHosts),
+            share: (record, routing) => {
+                const { share, holders } = this.#plan(record, routing);
+                return holders.length === 0 || holders.includes(self.id) ? share : 0;
+            },
+            relays: (record, routing) => this.#plan(record, routing).holders.filter(id => id !== self.id),
+            links: {
+                open: (host, timeoutMs) => this.#links.open(host, timeoutMs),
+                send: (host, message) => this.#links.send(host, message),
+                reply: (host, result) => this.#links.send(host, result),
+            },
             random,
             listener,
         });
@@ -159,8 +172,14 @@
                 | undefined;
             handler?.(event.message, event.from);
         }
-        else if (event.kind === "connected" && event.host.control) {
-            this.#reporter.clear();
+        else if (event.kind === "connected") {
+            this.#links.opened(event.host.id);
+            if (event.host.control) {
+                this.#reporter.clear();
+            }
+        }
+        else {
+            this.#gateway.disconnected(event.host.id);
         }
     }
 
@@ -193,7 +212,8 @@
         this.#listTerm = term;
         this.#control = control;
         this.#leader = leader ?? this.#leader;
-        this.#entryHosts = entries?.length ?? this.#entryHosts;
+        this.#entries = entries ?? this.#entries;
+        this.#plans.clear();
         this.#keepLinks();
     }
 
@@ -216,6 +236,16 @@
         return this.#links.connected().filter(host => host.control);
     }
 
+    #plan(record: EndpointRecord, routing: Routing): ConnectionPlan {
+        const known = this.#plans.get(record.id);
+        if (known !== undefined) {
+            return known;
+        }
+        const plan = connectionPlan(record, routing.groups.get(record.group)?.connections ?? 0, this.#entries);
+        this.#plans.set(record.id, plan);
+        return plan;
+    }
+
     #offeredBy(host: Host, number: number): void {
         this.#offered = Math.max(this.#offered, number);
         const isOverdue = this.#options.clock.now() - this.#wantedAt >= CONFIGURATION_MS;
@@ -234,6 +264,7 @@
     #configure({ change }: MessageOf<"configurationUpdate">): void {
         this.#wantedAt = Number.NEGATIVE_INFINITY;
         if (this.#gateway.configure(this.#options.configurations.routing(change))) {
+            this.#plans.clear();
             this.#options.log.event("configurationInForce", { number: change.number });
         }
         if (this.#offered > change.number) {
--- a/packages/fleet/src/host-links.ts
+++ b/packages/fleet/src/host-links.ts
@@ -9,6 +9,9 @@
     readonly #mesh: PeerMesh;
     readonly #self: string;
     #wanted = new Set<string>();
+    /** Hosts dialed for a message; the links stay as long as both sides live. */
+    readonly #extra = new Set<string>();
+    readonly #waiters = new Map<string, Set<(isOpen: boolean) => void>>();
 
     constructor(mesh: PeerMesh, self: string) {
         this.#mesh = mesh;
@@ -19,7 +22,7 @@
     keep(ids: Iterable<string>): void {
         const wanted = new Set([...ids].filter(id => id !== this.#self));
         for (const id of this.#wanted) {
-            if (!wanted.has(id)) {
+            if (!wanted.has(id) && !this.#extra.has(id)) {
                 this.#mesh.release(id);
             }
         }
@@ -29,6 +32,32 @@
         this.#wanted = wanted;
     }
 
+    /** Opens a link to another host unless there is one. Resolves to false when that takes too long. */
+    open(id: string, timeoutMs: number): Promise<boolean> {
+        if (this.#mesh.isConnected(id)) {
+            return Promise.resolve(true);
+        }
+        return new Promise(resolve => {
+            const waiter = (isOpen: boolean): void => {
+                clearTimeout(timer);
+                this.#waiters.get(id)?.delete(waiter);
+                resolve(isOpen);
+            };
+            const timer = setTimeout(() => waiter(false), timeoutMs);
+            const waiters = this.#waiters.get(id) ?? new Set();
+            this.#waiters.set(id, waiters.add(waiter));
+            this.#mesh.keepConnected(id, id);
+            this.#extra.add(id);
+        });
+    }
+
+    /** A link was opened, by either side. */
+    opened(id: string): void {
+        for (const waiter of [...this.#waiters.get(id) ?? []]) {
+            waiter(true);
+        }
+    }
+
     connected(): readonly Host[] {
         return this.#mesh.connected();
     }
--- /dev/null
+++ b/packages/fleet/tests/connection-share.test.ts
@@ -0,0 +1,58 @@
+import { type EndpointRecord, EndpointRole, EndpointState, type Host } from "@medlarledge/protocol";
+import { expect, test } from "vitest";
+import { connectionPlan } from "../src/connection-share.js";
+
+function endpoint(id: string, dataCentre: string): EndpointRecord {
+    const place = { host: "10.0.0.1", port: 1, slots: 2, born: 1, sequence: 1 };
+    return { id, group: "orders", dataCentre, ...place, state: EndpointState.Active, role: EndpointRole.Replica };
+}
+
+function hosts(count: number): readonly Host[] {
+    const addresses = { peerAddress: "", httpAddress: "", callerAddress: "", control: false, incarnation: "1" };
+    return Array.from(
+        { length: count },
+        (_, index) => ({ id: `h${index}`, dataCentre: `d${index % 3}`, ...addresses }),
+    );
+}
+
+// Guards against more connections than an endpoint takes: 16 for 6 hosts, 41 for 7, 25 for 79, 16 for 550.
+test.each([[16, 6], [41, 7], [25, 79], [16, 550], [142, 65]])(
+    "the shares of an endpoint with %i connections and %i hosts stay within its limit",
+    (limit, count) => {
+        const plan = connectionPlan(endpoint("e", "d1"), limit, hosts(count));
+        expect(plan.share * plan.holders.length).toBeLessThanOrEqual(limit - 2);
+        expect(plan.holders.length).toBeGreaterThan(0);
+    },
+);
+
+// Guards against a single holder, whose loss would cut an endpoint off, and against relays between data centres.
+test("a few hosts of the endpoint's data centre hold its connections when there are too many hosts", () => {
+    const plan = connectionPlan(endpoint("e", "d1"), 25, hosts(79));
+    expect(plan.holders).toHaveLength(4);
+    expect(plan.holders.every(id => Number(id.slice(1)) % 3 === 1)).toBe(true);
+});
+
+// Guards against one host that holds the connections of all endpoints.
+test("the endpoints' holders are spread over the hosts", () => {
+    const counts = new Map<string, number>();
+    for (let index = 0; index < 60; index++) {
+        for (const id of connectionPlan(endpoint(`e${index}`, "d1"), 25, hosts(79)).holders) {
+            counts.set(id, (counts.get(id) ?? 0) + 1);
+        }
+    }
+    expect(Math.max(...counts.values())).toBeLessThanOrEqual(20);
+    expect(counts.size).toBeGreaterThan(20);
+});
+
+// Guards against connections that all move because one host came or went.
+test("a host that goes changes only the plans that name it", () => {
+    const before = hosts(79);
+    const after = before.filter(host => host.id !== "h4");
+    for (let index = 0; index < 60; index++) {
+        const former = connectionPlan(endpoint(`e${index}`, "d1"), 25, before).holders;
+        const present = connectionPlan(endpoint(`e${index}`, "d1"), 25, after).holders;
+        if (!former.includes("h4")) {
+            expect(present).toEqual(former);
+        }
+    }
+});
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -28,7 +28,8 @@
 export interface PoolEvents {
     answered(): void;
     connected(): void;
-    connectFailed(failure: ConnectFailure): void;
+    /** An attempt that began at `startedAt` failed. */
+    connectFailed(failure: ConnectFailure, startedAt: number): void;
     /** The endpoint or the network closed a connection. */
     closed(reason: string): void;
 }
@@ -107,6 +108,11 @@
         return this.#transactions.size;
     }
 
+    /** True while a connection here is in the caller's transaction. */
+    holds(transaction: string): boolean {
+        return this.#transactions.has(transaction);
+    }
+
     /** Runs an order; it waits for a connection as long as the order's patience lasts. */
     async run(order: Order): Promise<OrderResult> {
         if (order.opening.kind === "continued") {
@@ -291,11 +297,12 @@
     async #open(): Promise<void> {
         const { connector, address, clock, events } = this.#options;
         this.#opening += 1;
+        const startedAt = clock.now();
         const connected = await connector.connect(address, CONNECT_TIMEOUT_MS);
         this.#opening -= 1;
         if (!connected.ok) {
             this.#pausedUntil = clock.now() + RECONNECT_PAUSE_MS;
-            events.connectFailed(connected.failure);
+            events.connectFailed(connected.failure, startedAt);
             this.#openFailed();
             return;
         }
--- a/packages/gateway/src/freshness.ts
+++ b/packages/gateway/src/freshness.ts
@@ -1,3 +1,4 @@
+import type { LeaderKnowledge } from "@medlarledge/protocol";
 import { PrimaryPositions, ReplicaPositions } from "@medlarledge/routing";
 import { compareLogPositions, laterLogPosition, type LogPosition } from "@medlarledge/statements";
 import { Consistency, type Route } from "./route.js";
@@ -19,6 +20,7 @@
     readonly #replicas = new ReplicaPositions();
     readonly #seen = new Map<string, Seen>();
     #term = 0;
+    #newestAt = Number.NEGATIVE_INFINITY;
 
     /** Newest position of the leader that is known. */
     get newest(): LogPosition | undefined {
@@ -32,11 +34,18 @@
      */
     leaderAt(position: LogPosition, askedAt: number, seenAt: number): void {
         if (position.term >= this.#term) {
+            this.#newestAt = position.term > this.#term ? askedAt : Math.max(askedAt, this.#newestAt);
             this.#term = position.term;
             this.#leader.record(position.term, position.number, askedAt, seenAt);
         }
     }
 
+    /** The newest position of the leader and its age; undefined before any is known. */
+    leaderKnowledge(now: number): LeaderKnowledge | undefined {
+        const position = this.newest;
+        return position === undefined ? undefined : { position, ageMs: Math.max(0, now - this.#newestAt) };
+    }
+
     /** An endpoint's own log has reached `position`. */
     endpointAt(endpoint: string, position: LogPosition, askedAt: number, seenAt: number): void {
         const { term, number } = position;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,10 +1,12 @@
-import type { EndpointRecord, PrimaryOrder } from "@medlarledge/protocol";
+import type { EndpointRecord, PrimaryOrder, RelayMessage, RelayResult } from "@medlarledge/protocol";
 import type { Clock } from "@medlarledge/runtime";
 import type { Caller, CallerHandler, EndpointConnector } from "@medlarledge/statements";
 import { CallerSession } from "./caller-session.js";
 import { ElapsedClock } from "./elapsed-clock.js";
 import type { GatewayListener } from "./gateway-event.js";
 import { Group } from "./group.js";
+import { RelayClient, type RelayLinks } from "./relay-client.js";
+import { RelayServer } from "./relay-server.js";
 import type { Routing } from "./route.js";
 import { StatementServer } from "./statement-server.js";
 
@@ -15,6 +17,9 @@
     readonly clock: Clock;
     /** Connections that this process may hold to an endpoint. */
     readonly share: (record: EndpointRecord, routing: Routing) => number;
+    /** Other hosts that may hold connections to an endpoint, best first. */
+    readonly relays: (record: EndpointRecord, routing: Routing) => readonly string[];
+    readonly links: RelayLinks & { reply(host: string, result: RelayResult): void; };
     readonly random: () => number;
     readonly listener: GatewayListener;
 }
@@ -28,6 +33,8 @@
     readonly #groups = new Map<string, Group>();
     readonly #sessions = new Set<CallerSession>();
     readonly #server: StatementServer;
+    readonly #relay: RelayClient;
+    readonly #relayServer: RelayServer;
     #routing = NOTHING_CONFIGURED;
     #isStopping = false;
     #transactions = 0;
@@ -39,6 +46,15 @@
             const { requestId, route } = request;
             options.listener({ kind: "retried", requestId, group: route.group, endpoint, cause, attempt });
         });
+        this.#relay = new RelayClient({
+            clock: options.clock,
+            links: options.links,
+            hosts: (group, endpoint) => this.#relays(group, endpoint),
+        });
+        this.#relayServer = new RelayServer(
+            name => this.#groups.get(name),
+            (host, result) => options.links.reply(host, result),
+        );
     }
 
     get routing(): Routing {
@@ -68,6 +84,27 @@
         this.#group(order.group).ordered(order);
     }
 
+    /** Takes a message of another entry host. */
+    relayed(from: string, message: RelayMessage): void {
+        switch (message.kind) {
+            case "relayOrder":
+                void this.#relayServer.ordered(from, message);
+                break;
+            case "relayResult":
+                this.#relay.replied(message);
+                break;
+            case "relayEnd":
+                this.#relayServer.ended(message);
+                break;
+        }
+    }
+
+    /** The link to another entry host is lost. */
+    disconnected(host: string): void {
+        this.#relay.disconnected(host);
+        this.#relayServer.disconnected(host);
+    }
+
     /** Groups that this process uses, by name. */
     get groups(): ReadonlyMap<string, Group> {
         return this.#groups;
@@ -123,6 +160,11 @@
         }
     }
 
+    #relays(group: string, endpoint: string): readonly string[] {
+        const record = this.#groups.get(group)?.record(endpoint);
+        return record === undefined ? [] : this.#options.relays(record, this.#routing);
+    }
+
     #transactionKey(): string {
         this.#transactions += 1;
         return `${this.#options.hostId}/${this.#transactions}`;
@@ -139,6 +181,7 @@
                 clock,
                 elapsed: this.#elapsed,
                 share: record => this.#options.share(record, this.#routing),
+                relay: this.#relay,
                 random,
                 listener,
             });
--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -1,4 +1,4 @@
-import { type EndpointRecord, EndpointState, type PrimaryOrder } from "@medlarledge/protocol";
+import { type EndpointRecord, EndpointState, type LeaderKnowledge, type PrimaryOrder } from "@medlarledge/protocol";
 import type { Clock } from "@medlarledge/runtime";
 import {
     type ConnectFailure,
@@ -17,6 +17,7 @@
 import { Freshness } from "./freshness.js";
 import type { GatewayListener } from "./gateway-event.js";
 import { PrimaryBelief } from "./primary-belief.js";
+import type { RelayClient } from "./relay-client.js";
 import type { Route } from "./route.js";
 
 /** Connections kept open to each endpoint, so that the first request does not wait for one. */
@@ -39,6 +40,7 @@
     readonly elapsed: ElapsedClock;
     /** Connections that this process may hold to an endpoint. */
     readonly share: (record: EndpointRecord) => number;
+    readonly relay: RelayClient;
     readonly random: () => number;
     readonly listener: GatewayListener;
 }
@@ -89,6 +91,10 @@
         return this.#options.name;
     }
 
+    record(endpoint: string): EndpointRecord | undefined {
+        return this.#members.get(endpoint)?.record;
+    }
+
     /** Takes over the endpoints that have not left. */
     update(records: readonly EndpointRecord[]): void {
         const ids = new Set(records.map(record => record.id));
@@ -111,15 +117,22 @@
     /** The endpoint to send to what only a leader may do; undefined while none is known that can be reached. */
     primary(): string | undefined {
         const { proved } = this.#belief;
-        return proved !== undefined && this.#members.get(proved)?.reach.isReachable === true ? proved : undefined;
+        if (proved !== undefined) {
+            return this.#canUse(proved) ? proved : undefined;
+        }
+        // Without a connection of its own, this host finds out by what the candidates answer to orders.
+        const [candidate] = this.#belief.candidates(this.#options.clock.now());
+        return candidate !== undefined && this.#isRemote(candidate) && this.#canUse(candidate) ? candidate : undefined;
     }
 
     /** The endpoint last seen to lead, the term, and whether it can be reached; undefined before any was seen. */
     primaryState(): PrimaryState | undefined {
         const proof = this.#belief.lastProof;
-        return proof === undefined
+        const member = proof === undefined ? undefined : this.#members.get(proof.endpoint);
+        // Only a host with connections of its own can judge the endpoint.
+        return proof === undefined || member === undefined || this.#options.share(member.record) < 1
             ? undefined
-            : { ...proof, reachable: this.#members.get(proof.endpoint)?.reach.isReachable === true };
+            : { ...proof, reachable: member.reach.isReachable };
     }
 
     /** What this process uses of each endpoint, for reports. */
@@ -154,7 +167,7 @@
             .map((member): Candidate => ({
                 id: member.record.id,
                 isPrimary: member.record.id === primary,
-                isNear: member.record.dataCentre === this.#options.dataCentre,
+                isNear: this.#isDirect(member) && member.record.dataCentre === this.#options.dataCentre,
                 expectedMs: member.load.expectedMs(member.record.slots, now),
                 mayHold: required === undefined
                     || this.#freshness.mayHold(member.record.id, required, elapsed.now()),
@@ -168,20 +181,38 @@
         if (member === undefined) {
             return { kind: "notRun", reason: NotRunReason.Unreachable, position: undefined };
         }
-        const { clock, elapsed } = this.#options;
-        const askedAt = elapsed.now();
-        const startedAt = clock.now();
-        member.load.started();
-        const result = await this.#abandonable(member, order, repeatable);
-        member.load.ended(result.kind === "notRun" ? undefined : clock.now() - startedAt, clock.now());
-        this.#learn(order.endpoint, result, askedAt);
-        return result;
+        return this.#measured(member, order, askedAt => this.#abandonable(member, order, repeatable, askedAt));
+    }
+
+    /** Runs an order of another host, over a connection of this one. */
+    async runHere(order: Order): Promise<OrderResult> {
+        const member = this.#members.get(order.endpoint);
+        if (member === undefined || (order.opening.kind !== "continued" && !this.#isDirect(member))) {
+            return { kind: "notRun", reason: NotRunReason.Unreachable, position: undefined };
+        }
+        return this.#measured(member, order, async askedAt => {
+            const result = await member.pool.run(order);
+            this.#learn(order.endpoint, result, askedAt);
+            return result;
+        });
     }
 
     endTransaction(endpoint: string, transaction: string): void {
+        if (!this.#options.relay.endTransaction(this.name, endpoint, transaction)) {
+            this.endHere(endpoint, transaction);
+        }
+    }
+
+    /** Rolls back a transaction that runs over a connection of this host. */
+    endHere(endpoint: string, transaction: string): void {
         this.#members.get(endpoint)?.pool.endTransaction(transaction);
     }
 
+    /** What this host knows of the leader's position, for hosts that know less. */
+    leaderKnowledge(): LeaderKnowledge | undefined {
+        return this.#freshness.leaderKnowledge(this.#options.elapsed.now());
+    }
+
     /** Resolves when something changed that may let a request be served, at the latest after `timeoutMs`. */
     change(timeoutMs: number): Promise<void> {
         return new Promise(resolve => {
@@ -234,7 +265,7 @@
                 events: {
                     answered: () => this.#reached(member),
                     connected: () => this.#reached(member),
-                    connectFailed: failure => this.#connectFailed(member, failure),
+                    connectFailed: (failure, startedAt) => this.#connectFailed(member, failure, startedAt),
                     closed: () => member.pool.warm(WARM_CONNECTIONS),
                 },
             }),
@@ -254,13 +285,26 @@
         member.pool.close();
     }
 
-    /** New work goes to endpoints that stay and answer. */
-    #isUsable({ record, reach }: Member): boolean {
-        return record.state === EndpointState.Active && reach.isReachable;
+    /** New work goes to endpoints that stay and can be reached. */
+    #isUsable({ record }: Member): boolean {
+        return record.state === EndpointState.Active && this.#canUse(record.id);
     }
 
-    #abandonable(member: Member, order: Order, repeatable: boolean): Promise<OrderResult> {
-        const running = member.pool.run(order);
+    async #measured(
+        member: Member,
+        order: Order,
+        run: (askedAt: number) => Promise<OrderResult>,
+    ): Promise<OrderResult> {
+        const { clock, elapsed } = this.#options;
+        const startedAt = clock.now();
+        member.load.started();
+        const result = await run(elapsed.now());
+        member.load.ended(result.kind === "notRun" ? undefined : clock.now() - startedAt, clock.now());
+        return result;
+    }
+
+    #abandonable(member: Member, order: Order, repeatable: boolean, askedAt: number): Promise<OrderResult> {
+        const running = this.#runAnywhere(member, order, askedAt);
         if (!repeatable) {
             return running;
         }
@@ -275,12 +319,46 @@
                 member.abandon.delete(abandon);
                 resolve(result);
                 if (isAbandoned && order.transaction !== undefined) {
-                    member.pool.endTransaction(order.transaction);
+                    this.endTransaction(order.endpoint, order.transaction);
                 }
             });
         });
     }
 
+    /** Runs an order over an own connection where there is one, and over another host's otherwise. */
+    async #runAnywhere(member: Member, order: Order, askedAt: number): Promise<OrderResult> {
+        const isOwn = order.opening.kind === "continued"
+            ? member.pool.holds(order.transaction ?? "")
+            : this.#isDirect(member);
+        if (isOwn) {
+            const result = await member.pool.run(order);
+            this.#learn(order.endpoint, result, askedAt);
+            return result;
+        }
+        const { result, leader } = await this.#options.relay.run(order);
+        this.#learn(order.endpoint, result, askedAt);
+        if (leader !== undefined) {
+            this.#freshness.leaderAt(leader.position, askedAt - leader.ageMs, this.#options.elapsed.now());
+        }
+        return result;
+    }
+
+    /** This host may hold connections to the endpoint, and it answers. */
+    #isDirect({ record, reach }: Member): boolean {
+        return reach.isReachable && this.#options.share(record) > 0;
+    }
+
+    #isRemote(endpoint: string): boolean {
+        const member = this.#members.get(endpoint);
+        return member !== undefined && !this.#isDirect(member);
+    }
+
+    #canUse(endpoint: string): boolean {
+        const member = this.#members.get(endpoint);
+        return member !== undefined
+            && (this.#isDirect(member) || this.#options.relay.canReach(this.name, endpoint));
+    }
+
     #learn(endpoint: string, result: OrderResult, askedAt: number): void {
         const { clock } = this.#options;
         if (result.kind === "answered") {
@@ -319,7 +397,11 @@
         }
     }
 
-    #connectFailed(member: Member, failure: ConnectFailure): void {
+    #connectFailed(member: Member, failure: ConnectFailure, startedAt: number): void {
+        if (member.reach.answeredAt > startedAt) {
+            // The attempt began before the endpoint answered: it says nothing about the present.
+            return;
+        }
         const reaches: Partial<Record<ConnectFailure["kind"], Exclude<Reach, "reachable">>> = {
             refused: Reach.Closed,
             timeout: Reach.Silent,
@@ -350,7 +432,7 @@
         const now = this.#options.clock.now();
         for (const member of this.#members.values()) {
             const { reach, load, pool } = member;
-            if (reach.isTrialDue(now)) {
+            if (this.#options.share(member.record) > 0 && reach.isTrialDue(now)) {
                 pool.warm(pool.size + 1);
             }
             else if (reach.isReachable && load.running > 0 && now - reach.answeredAt > QUIET_MS) {
@@ -386,7 +468,7 @@
         const candidates = this.#belief.candidates(this.#options.clock.now());
         for (const id of candidates) {
             const member = this.#members.get(id);
-            if (member?.reach.isReachable === true && id !== this.#belief.proved) {
+            if (member !== undefined && this.#isDirect(member) && id !== this.#belief.proved) {
                 void this.#probe(member);
                 return;
             }
--- /dev/null
+++ b/packages/gateway/src/relay-client.ts
@@ -0,0 +1,177 @@
+import type { LeaderKnowledge, RelayEnd, RelayOrder, RelayResult } from "@medlarledge/protocol";
+import type { Clock } from "@medlarledge/runtime";
+import { NotRunReason, type Order, type OrderResult, UnknownReason } from "@medlarledge/statements";
+
+/** A host that could not run an order for an endpoint is asked again after this time. */
+const ASK_AGAIN_MS = 500;
+
+/** Hosts that one order is offered to at most. */
+const MAX_HOSTS = 3;
+
+/** Longest wait for the link to a host; opening one takes some ms. */
+const LINK_MS = 150;
+
+/** Links to other entry hosts. */
+export interface RelayLinks {
+    /** Opens a link unless there is one. Resolves to false when it cannot be opened in time. */
+    open(host: string, timeoutMs: number): Promise<boolean>;
+    send(host: string, message: RelayOrder | RelayEnd): boolean;
+}
+
+export interface RelayClientOptions {
+    readonly clock: Clock;
+    readonly links: RelayLinks;
+    /** Hosts that may hold connections to an endpoint, best first, without this one. */
+    readonly hosts: (group: string, endpoint: string) => readonly string[];
+}
+
+interface Outstanding {
+    readonly host: string;
+    readonly resolve: (result: OrderResult, leader: LeaderKnowledge | undefined) => void;
+    readonly timer: NodeJS.Timeout;
+}
+
+export interface Relayed {
+    readonly result: OrderResult;
+    readonly leader: LeaderKnowledge | undefined;
+}
+
+/** Runs orders over connections that other entry hosts hold. */
+export class RelayClient {
+    readonly #options: RelayClientOptions;
+    readonly #outstanding = new Map<number, Outstanding>();
+    /** Where the callers' transactions run, by their names. */
+    readonly #transactions = new Map<string, string>();
+    readonly #failedAt = new Map<string, number>();
+    #lastId = 0;
+
+    constructor(options: RelayClientOptions) {
+        this.#options = options;
+    }
+
+    /** True when some host may run orders for the endpoint. */
+    canReach(group: string, endpoint: string): boolean {
+        return this.#candidates(group, endpoint).length > 0;
+    }
+
+    /** Runs an order on the first host that can. */
+    async run(order: Order): Promise<Relayed> {
+        if (order.opening.kind === "continued") {
+            return this.#continue(order);
+        }
+        let last: Relayed = notRun(NotRunReason.Unreachable);
+        for (const host of this.#candidates(order.group, order.endpoint).slice(0, MAX_HOSTS)) {
+            last = await this.#runAt(host, order);
+            if (!this.#isOfHost(last)) {
+                return last;
+            }
+            this.#failedAt.set(keyOf(host, order.endpoint), this.#options.clock.now());
+        }
+        return last;
+    }
+
+    /** Rolls a transaction back. Returns false when it does not run at another host. */
+    endTransaction(group: string, endpoint: string, transaction: string): boolean {
+        const host = this.#transactions.get(transaction);
+        this.#transactions.delete(transaction);
+        if (host === undefined) {
+            return false;
+        }
+        this.#options.links.send(host, { kind: "relayEnd", group, endpoint, transaction });
+        return true;
+    }
+
+    replied({ id, result, leader }: RelayResult): void {
+        const outstanding = this.#outstanding.get(id);
+        if (outstanding !== undefined) {
+            this.#finish(id, outstanding);
+            outstanding.resolve(result, leader);
+        }
+    }
+
+    /** The link to a host is lost, and with it the transactions and answers behind it. */
+    disconnected(host: string): void {
+        for (const [id, outstanding] of [...this.#outstanding]) {
+            if (outstanding.host === host) {
+                this.#finish(id, outstanding);
+                outstanding.resolve({ kind: "unknown", reason: UnknownReason.RelayLost }, undefined);
+            }
+        }
+        for (const [transaction, at] of [...this.#transactions]) {
+            if (at === host) {
+                this.#transactions.delete(transaction);
+            }
+        }
+    }
+
+    #continue(order: Order): Promise<Relayed> {
+        const host = this.#transactions.get(order.transaction ?? "");
+        return host === undefined
+            ? Promise.resolve(notRun(NotRunReason.TransactionLost))
+            : this.#runAt(host, order);
+    }
+
+    async #runAt(host: string, order: Order): Promise<Relayed> {
+        if (!await this.#options.links.open(host, Math.min(LINK_MS, order.timeoutMs))) {
+            return notRun(NotRunReason.Unreachable);
+        }
+        const relayed = await this.#send(host, order);
+        this.#keep(host, order, relayed.result);
+        return relayed;
+    }
+
+    #send(host: string, order: Order): Promise<Relayed> {
+        this.#lastId += 1;
+        const id = this.#lastId;
+        return new Promise(resolve => {
+            const timer = setTimeout(() => {
+                this.#outstanding.delete(id);
+                resolve({ result: { kind: "unknown", reason: UnknownReason.Timeout }, leader: undefined });
+            }, order.timeoutMs);
+            const settle: Outstanding["resolve"] = (result, leader) => resolve({ result, leader });
+            this.#outstanding.set(id, { host, resolve: settle, timer });
+            if (!this.#options.links.send(host, { kind: "relayOrder", id, order })) {
+                this.replied({ kind: "relayResult", id, ...notRun(NotRunReason.Unreachable) });
+            }
+        });
+    }
+
+    #keep(host: string, { transaction, statement }: Order, result: OrderResult): void {
+        if (transaction === undefined) {
+            return;
+        }
+        const isOpen = result.kind === "answered" && result.answer.state === "open" && statement.kind !== "commit";
+        if (isOpen) {
+            this.#transactions.set(transaction, host);
+        }
+        else {
+            this.#transactions.delete(transaction);
+        }
+    }
+
+    /** The host could not run the order, another one may. */
+    #isOfHost({ result }: Relayed): boolean {
+        return result.kind === "notRun"
+            && (result.reason === NotRunReason.Unreachable || result.reason === NotRunReason.NoConnection);
+    }
+
+    #candidates(group: string, endpoint: string): readonly string[] {
+        const now = this.#options.clock.now();
+        return this.#options.hosts(group, endpoint).filter(host =>
+            now - (this.#failedAt.get(keyOf(host, endpoint)) ?? -Infinity) >= ASK_AGAIN_MS
+        );
+    }
+
+    #finish(id: number, { timer }: Outstanding): void {
+        clearTimeout(timer);
+        this.#outstanding.delete(id);
+    }
+}
+
+function notRun(reason: NotRunReason): Relayed {
+    return { result: { kind: "notRun", reason, position: undefined }, leader: undefined };
+}
+
+function keyOf(host: string, endpoint: string): string {
+    return `${host} ${endpoint}`;
+}
--- /dev/null
+++ b/packages/gateway/src/relay-server.ts
@@ -0,0 +1,56 @@
+import type { RelayEnd, RelayOrder, RelayResult } from "@medlarledge/protocol";
+import { NotRunReason, type OrderResult } from "@medlarledge/statements";
+import type { Group } from "./group.js";
+
+interface Kept {
+    readonly host: string;
+    readonly group: string;
+    readonly endpoint: string;
+}
+
+/** Runs orders of other entry hosts over this host's connections. */
+export class RelayServer {
+    readonly #group: (name: string) => Group | undefined;
+    readonly #send: (to: string, result: RelayResult) => void;
+    /** Transactions of other hosts that run here, by their names. */
+    readonly #transactions = new Map<string, Kept>();
+
+    constructor(
+        group: (name: string) => Group | undefined,
+        send: (to: string, result: RelayResult) => void,
+    ) {
+        this.#group = group;
+        this.#send = send;
+    }
+
+    async ordered(from: string, { id, order }: RelayOrder): Promise<void> {
+        const group = this.#group(order.group);
+        const result: OrderResult = group === undefined
+            ? { kind: "notRun", reason: NotRunReason.Unreachable, position: undefined }
+            : await group.runHere(order);
+        if (order.transaction !== undefined) {
+            const isOpen = result.kind === "answered" && result.answer.state === "open";
+            if (isOpen) {
+                this.#transactions.set(order.transaction, { host: from, group: order.group, endpoint: order.endpoint });
+            }
+            else {
+                this.#transactions.delete(order.transaction);
+            }
+        }
+        this.#send(from, { kind: "relayResult", id, result, leader: group?.leaderKnowledge() });
+    }
+
+    ended({ group, endpoint, transaction }: RelayEnd): void {
+        this.#transactions.delete(transaction);
+        this.#group(group)?.endHere(endpoint, transaction);
+    }
+
+    /** A host is gone: its callers' transactions are rolled back. */
+    disconnected(host: string): void {
+        for (const [transaction, kept] of [...this.#transactions]) {
+            if (kept.host === host) {
+                this.ended({ kind: "relayEnd", ...kept, transaction });
+            }
+        }
+    }
+}
--- /dev/null
+++ b/packages/gateway/tests/relay.test.ts
@@ -0,0 +1,114 @@
+import { ErrorCode } from "@medlarledge/statements";
+import { afterEach, beforeEach, expect, test, vi } from "vitest";
+import type { Gateway } from "../src/index.js";
+import { FakeEndpoints } from "./fake-endpoints.js";
+import { begin, commit, IDS, pass, read, rollback, type World, world, write } from "./world.js";
+
+let endpoints: FakeEndpoints;
+let peers: Map<string, Gateway>;
+/** Holds connections. */
+let holder: World;
+/** Holds none. */
+let other: World;
+
+beforeEach(() => {
+    vi.useFakeTimers();
+    endpoints = new FakeEndpoints(IDS);
+    peers = new Map();
+    holder = world({ endpoints, peers, host: "holder" });
+    other = world({ endpoints, peers, host: "other", share: 0 });
+});
+
+afterEach(() => {
+    holder.gateway.close();
+    other.gateway.close();
+    vi.useRealTimers();
+});
+
+function transactionsAtHolder(): number {
+    const uses = holder.gateway.groups.get("orders")?.status() ?? [];
+    return uses.reduce((sum, use) => sum + use.transactions, 0);
+}
+
+// Guards against callers of a host that has no share of an endpoint's few connections (79 hosts before 25).
+test("a host without connections serves reads, writes and transactions through one that has some", async () => {
+    const caller = other.connect("confirm");
+    expect((await caller.ask(write("1"))).completion).toEqual({ kind: "done", signature: "signed by a" });
+    expect((await caller.ask(read("2"))).completion.kind).toBe("done");
+    await caller.ask(begin);
+    await caller.ask(read("3"));
+    await caller.ask(write("4"));
+    expect((await caller.ask(commit)).completion.kind).toBe("done");
+    expect(endpoints.ran.map(ran => ran.text)).toEqual(["WRITE 1 data", "READ 2", "READ 3", "WRITE 4 data", "COMMIT"]);
+    expect(transactionsAtHolder()).toBe(0);
+});
+
+// Guards against bounded reads that all go to the leader, because a host without connections knows no position of it.
+test("what the holder knows of the leader proves later reads on replicas", async () => {
+    const caller = other.connect("stock");
+    await holder.connect("confirm").ask(read("0"));
+    await caller.ask(read("1"));
+    await caller.ask(read("2"));
+    expect(endpoints.ran.at(-1)?.endpoint).not.toBe("a");
+    expect(endpoints.ran.at(-1)?.after).toBeDefined();
+});
+
+// Guards against callers cut off from a primary that other hosts reach (primary_cut, split).
+test("a host that cannot reach the primary itself relays to it", async () => {
+    const cutOff = world({ endpoints, peers, host: "cut-off" });
+    cutOff.cut.add("a");
+    for (const connection of [...endpoints.get("a").connections]) {
+        connection.drop("cut");
+    }
+    await pass(400);
+    const answer = await cutOff.connect("confirm").ask(write("1"));
+    expect(answer.completion).toEqual({ kind: "done", signature: "signed by a" });
+    cutOff.gateway.close();
+});
+
+// Guards against a promise that nothing ran when the relaying host died with the write.
+test("a relayed write is unknown when the link to the holder is lost, a read runs elsewhere", async () => {
+    const caller = other.connect("confirm");
+    await caller.ask(read("0"));
+    endpoints.get("a").serviceMs = 100;
+    const writing = caller.send(write("1"));
+    await pass(20);
+    other.gateway.disconnected("holder");
+    await pass(20);
+    expect((await writing).completion).toMatchObject({ kind: "error", code: ErrorCode.Unknown });
+    const reading = caller.send(read("2"));
+    await pass(20);
+    other.gateway.disconnected("holder");
+    await pass(300);
+    expect((await reading).completion.kind).toBe("done");
+});
+
+// Guards against connections that stay in transactions of callers whose entry host is gone.
+test("the holder rolls back the transactions of a host that is gone", async () => {
+    const caller = other.connect("confirm");
+    await caller.ask(begin);
+    await caller.ask(write("1"));
+    expect(transactionsAtHolder()).toBe(1);
+    holder.gateway.disconnected("other");
+    await pass(20);
+    expect(transactionsAtHolder()).toBe(0);
+});
+
+// Guards against connections that stay in transactions whose caller rolled back.
+test("the end of a relayed transaction reaches the holder", async () => {
+    const caller = other.connect("confirm");
+    await caller.ask(begin);
+    await caller.ask(read("1"));
+    await caller.ask(rollback);
+    await pass(20);
+    expect(transactionsAtHolder()).toBe(0);
+});
+
+// Guards against orders that wander from host to host.
+test("a host without connections relays nothing for others", async () => {
+    const far = world({ endpoints, peers: new Map([["other", other.gateway]]), host: "far", share: 0 });
+    peers.set("far", far.gateway);
+    const answer = await far.connect("confirm").ask(write("1"));
+    expect(answer.completion).toMatchObject({ kind: "error", code: ErrorCode.Busy });
+    far.gateway.close();
+});
--- a/packages/gateway/tests/world.ts
+++ b/packages/gateway/tests/world.ts
@@ -1,5 +1,5 @@
-import { type EndpointRecord, EndpointRole, EndpointState } from "@medlarledge/protocol";
-import type { Answer, Caller, CallerHandler, Statement } from "@medlarledge/statements";
+import { type EndpointRecord, EndpointRole, EndpointState, type RelayMessage } from "@medlarledge/protocol";
+import type { Answer, Caller, CallerHandler, EndpointConnector, Statement } from "@medlarledge/statements";
 import { vi } from "vitest";
 import { Consistency, Gateway, type GatewayEvent, type Route } from "../src/index.js";
 import { FakeEndpoints } from "./fake-endpoints.js";
@@ -82,6 +82,8 @@
     readonly endpoints: FakeEndpoints;
     readonly gateway: Gateway;
     readonly events: GatewayEvent[];
+    /** Endpoints that this gateway cannot reach. */
+    readonly cut: Set<string>;
     connect(database: string): TestCaller;
     /** Tells the gateway how the endpoints describe themselves. */
     announce(changes?: Partial<Record<string, Partial<EndpointRecord>>>): void;
@@ -90,28 +92,35 @@
 export interface WorldOptions {
     /** Connections that the gateway may hold to each endpoint. */
     readonly share?: number;
+    readonly endpoints?: FakeEndpoints;
+    readonly host?: string;
+    /** Other gateways by their host ids; filled by `linked`. */
+    readonly peers?: Map<string, Gateway>;
 }
 
 /** A gateway before three endpoints, with faked time. Endpoint `a` leads. */
-export function world({ share = 4 }: WorldOptions = {}): World {
-    const endpoints = new FakeEndpoints(IDS);
+export function world(options: WorldOptions = {}): World {
+    const { share = 4, endpoints = new FakeEndpoints(IDS), host = "host", peers = new Map<string, Gateway>() } =
+        options;
     const events: GatewayEvent[] = [];
+    const cut = new Set<string>();
     const gateway = new Gateway({
-        hostId: "host",
+        hostId: host,
         dataCentre: "antwerp",
-        connector: endpoints,
+        connector: cuttable(endpoints, cut),
         clock: { now: () => performance.now(), wallClock: () => Date.now() },
         share: () => share,
+        relays: () => [...peers.keys()].filter(id => id !== host),
+        links: linksOf(host, peers),
         random: () => 0,
         listener: event => events.push(event),
     });
+    peers.set(host, gateway);
     let sequence = 0;
     const announce: World["announce"] = (changes = {}) => {
         sequence += 1;
-        gateway.updateGroup(
-            "orders",
-            IDS.map(id => ({ ...record(id, sequence, endpoints.get(id).leads), ...changes[id] })),
-        );
+        const records = IDS.map(id => ({ ...record(id, sequence, endpoints.get(id).leads), ...changes[id] }));
+        gateway.updateGroup("orders", records);
     };
     const connect = (database: string): TestCaller => {
         const caller = new TestCaller(database);
@@ -125,7 +134,25 @@
         transactionIdleMs: 3_000,
     });
     announce();
-    return { endpoints, gateway, events, connect, announce };
+    return { endpoints, gateway, events, cut, connect, announce };
+}
+
+/** Messages between gateways take 1 ms. */
+function linksOf(self: string, peers: ReadonlyMap<string, Gateway>) {
+    const send = (host: string, message: RelayMessage): boolean => {
+        setTimeout(() => peers.get(host)?.relayed(self, message), 1);
+        return peers.has(host);
+    };
+    return { open: (host: string) => Promise.resolve(peers.has(host)), send, reply: send };
+}
+
+function cuttable(endpoints: FakeEndpoints, cut: ReadonlySet<string>): EndpointConnector {
+    return {
+        connect: (address, timeoutMs) =>
+            cut.has(address.id)
+                ? Promise.resolve({ ok: false, failure: { kind: "refused", reason: "cut off" } })
+                : endpoints.connect(address, timeoutMs),
+    };
 }
 
 function record(id: string, sequence: number, leads: boolean): EndpointRecord {
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -8,3 +8,4 @@
 export * from "./host.js";
 export * from "./message-table.js";
 export * from "./position.js";
+export * from "./relay-message.js";
--- a/packages/protocol/src/message-table.ts
+++ b/packages/protocol/src/message-table.ts
@@ -1,9 +1,10 @@
 import type { AgreementEnvelope } from "./agreement-message.js";
 import type { ControlMessage } from "./control-message.js";
 import type { FleetMessage } from "./fleet-message.js";
+import type { RelayMessage } from "./relay-message.js";
 
 /** Every message between processes. */
-export type Message = AgreementEnvelope | ControlMessage | FleetMessage;
+export type Message = AgreementEnvelope | ControlMessage | FleetMessage | RelayMessage;
 
 /** A message's `kind`. */
 export type MessageKind = Message["kind"];
@@ -40,6 +41,9 @@
     configurationWanted: 25,
     primaryReport: 26,
     primaryCheck: 27,
+    relayOrder: 28,
+    relayResult: 29,
+    relayEnd: 30,
 } as const satisfies Record<MessageKind, number>;
 
 const KINDS_BY_ID: ReadonlyMap<number, MessageKind> = new Map(
--- /dev/null
+++ b/packages/protocol/src/relay-message.ts
@@ -0,0 +1,32 @@
+import type { LogPosition, Order, OrderResult } from "@medlarledge/statements";
+
+/** Entry host to entry host: run this order over a connection of yours. */
+export interface RelayOrder {
+    readonly kind: "relayOrder";
+    readonly id: number;
+    readonly order: Order;
+}
+
+/** What the sender knows of the leader of a group: its position, and how long ago that was asked for. */
+export interface LeaderKnowledge {
+    readonly position: LogPosition;
+    readonly ageMs: number;
+}
+
+/** Answer to one relayed order. */
+export interface RelayResult {
+    readonly kind: "relayResult";
+    readonly id: number;
+    readonly result: OrderResult;
+    readonly leader: LeaderKnowledge | undefined;
+}
+
+/** Entry host to entry host: roll this transaction back. */
+export interface RelayEnd {
+    readonly kind: "relayEnd";
+    readonly group: string;
+    readonly endpoint: string;
+    readonly transaction: string;
+}
+
+export type RelayMessage = RelayOrder | RelayResult | RelayEnd;
--- a/packages/runtime/src/peer-mesh.ts
+++ b/packages/runtime/src/peer-mesh.ts
@@ -125,6 +125,10 @@
         return link !== undefined;
     }
 
+    isConnected(id: string): boolean {
+        return this.#links.has(id);
+    }
+
     connected(): readonly Host[] {
         return [...this.#links.values()].flatMap(link => link.peer ?? []);
     }
