Leave the rotation when cut off, and start from what was known before

Changes: a host that has lost all contacts in other data centres reports itself as not ready and closes idle sessions; links are judged after 800 ms; a control host keeps what it knows in an unsynced file; a new caller waits for the first configuration.

--- a/packages/fleet/src/connection-share.ts
+++ b/packages/fleet/src/connection-share.ts
@@ -1,5 +1,5 @@
 import type { EndpointRecord, Host } from "@medlarledge/protocol";
-import { rendezvous } from "@medlarledge/routing";
+import { rendezvous, rendezvousIds } from "@medlarledge/routing";
 
 /** Connections of each endpoint that stay free for control, which reads positions before it promotes. */
 const CONTROL_CONNECTIONS = 2;
@@ -32,6 +32,12 @@
     return { share: Math.min(HOLDER_SHARE, usable), holders: ranked.slice(0, holders) };
 }
 
+/** The holders in the order in which one host asks them: each host has its own, so that all holders get their part. */
+export function holdersFor(self: string, endpoint: string, { holders }: ConnectionPlan): readonly string[] {
+    const others = holders.filter(id => id !== self);
+    return rendezvousIds(`${self}/${endpoint}`, others);
+}
+
 /** Hosts of the endpoint's data centre first; within a data centre by a hash that is the same on every host. */
 function rank({ group, id, dataCentre }: EndpointRecord, entries: readonly Host[]): readonly string[] {
     const ranked = rendezvous(`${group}/${id}`, entries);
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -14,7 +14,8 @@
 import type { EndpointConnector } from "@medlarledge/statements";
 import type { Log } from "@medlarledge/telemetry";
 import { type ConfigurationRead, GroupMember } from "./group-member.js";
-import { HostLinks } from "./host-links.js";
+import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
+import { LastKnown } from "./last-known.js";
 import type { ConfigurationReader, ControlService, PromotionAuthority } from "./ports.js";
 import { PrimaryKeeper } from "./primary-keeper.js";
 
@@ -63,6 +64,9 @@
     readonly #directory = new Directory();
     readonly #keeper: PrimaryKeeper;
     readonly #client: LeaderClient;
+    readonly #lastKnown: LastKnown;
+    /** The newest configuration known to be committed, from the group's log or from before a restart. */
+    #configuration: ConfigurationChange | undefined;
     readonly #entries = new Map<string, KnownEntry>();
     #seeds: readonly string[];
     #timer: NodeJS.Timeout | undefined;
@@ -84,9 +88,13 @@
         this.#options = options;
         this.#seeds = options.seeds;
         const { self, clock, log, connector, authority, name, dataFolder, founders, configurations } = options;
-        this.#mesh = new PeerMesh({ self, identity: undefined, clock, log });
+        this.#mesh = new PeerMesh({ self, identity: undefined, clock, log, timing: FLEET_LINK_TIMING });
         this.#links = new HostLinks(this.#mesh, self.id);
         this.#client = new LeaderClient(request => this.#toLeader(request));
+        this.#lastKnown = new LastKnown(
+            dataFolder,
+            reason => log.event("controlEvent", { name: "lastKnown.failed", reason }),
+        );
         this.#member = new GroupMember({
             self,
             dataFolder,
@@ -117,6 +125,7 @@
     /** Starts. Returns a reason when that is not possible. */
     async start(): Promise<string | undefined> {
         void this.#mesh.events.observe(event => this.#meshEvent(event));
+        await this.#recall();
         const reason = await this.#mesh.listen() ?? await this.#member.start();
         if (reason !== undefined) {
             return reason;
@@ -126,6 +135,26 @@
         return undefined;
     }
 
+    /** Takes over what this host knew before a restart; whatever is newer replaces it. */
+    async #recall(): Promise<void> {
+        const { configuration, records, orders } = await this.#lastKnown.load();
+        this.#configuration = configuration;
+        for (const record of records) {
+            this.#directory.merge(record);
+        }
+        for (const order of orders) {
+            this.#directory.order(order);
+        }
+    }
+
+    #remember(): void {
+        this.#lastKnown.save(() => ({
+            configuration: this.#configuration,
+            records: this.#directory.records(),
+            orders: this.#directory.orders(),
+        }));
+    }
+
     async stop(): Promise<void> {
         clearInterval(this.#timer);
         await this.#member.stop();
@@ -139,8 +168,9 @@
     }
 
     announce(record: EndpointRecord): void {
-        if (this.#directory.merge(record) !== "ignored") {
+        if (this.#directory.merge(record) === "changed") {
             this.#spread([record], this.#links.connected());
+            this.#remember();
         }
     }
 
@@ -235,9 +265,8 @@
         this.#spread(this.#directory.records(), [host]);
         this.#links.send(host.id, { kind: "primaryOrders", orders: this.#directory.orders() });
         this.#links.send(host.id, this.#hostList());
-        const number = this.#member.configuration?.number;
-        if (number !== undefined && !host.control) {
-            this.#links.send(host.id, { kind: "configurationOffer", number });
+        if (this.#configuration !== undefined && !host.control) {
+            this.#links.send(host.id, { kind: "configurationOffer", number: this.#configuration.number });
         }
     }
 
@@ -249,7 +278,10 @@
 
     /** Control hosts are linked to each other, so only entry hosts still have to hear of what another one sent. */
     #recordsReceived(records: readonly EndpointRecord[], from: Host): void {
-        const news = records.filter(record => this.#directory.merge(record) !== "ignored");
+        const news = records.filter(record => this.#directory.merge(record) === "changed");
+        if (news.length > 0) {
+            this.#remember();
+        }
         this.#spread(news, this.#connectedEntries().filter(host => host.id !== from.id));
     }
 
@@ -277,13 +309,19 @@
         this.#tellHosts();
     }
 
-    #configured({ number }: ConfigurationChange): void {
+    #configured(change: ConfigurationChange): void {
+        const { number } = change;
+        if (number <= (this.#configuration?.number ?? 0)) {
+            return;
+        }
+        this.#configuration = change;
+        this.#remember();
         this.#options.log.event("configurationInForce", { number });
         this.#links.sendAll(this.#connectedEntries(), { kind: "configurationOffer", number });
     }
 
     #sendConfiguration(to: string): void {
-        const change = this.#member.configuration;
+        const change = this.#configuration;
         if (change !== undefined) {
             this.#links.send(to, { kind: "configurationUpdate", change });
         }
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -2,10 +2,11 @@
 import { Gateway, type GatewayListener, type Routing } from "@medlarledge/gateway";
 import type { EndpointRecord, Host, Message, PrimaryOrder } from "@medlarledge/protocol";
 import { type Clock, type MeshEvent, PeerMesh } from "@medlarledge/runtime";
-import type { Caller, CallerHandler, EndpointConnector } from "@medlarledge/statements";
+import type { Acceptance, Caller, EndpointConnector } from "@medlarledge/statements";
 import type { Log } from "@medlarledge/telemetry";
-import { type ConnectionPlan, connectionPlan } from "./connection-share.js";
-import { HostLinks } from "./host-links.js";
+import { type ConnectionPlan, connectionPlan, holdersFor } from "./connection-share.js";
+import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
+import { Isolation } from "./isolation.js";
 import type { ConfigurationReader } from "./ports.js";
 import { PrimaryReporter } from "./primary-reporter.js";
 
@@ -21,6 +22,9 @@
 /** Time after a stop for the platform to send callers elsewhere: two missed probes, a second apart, and some slack. */
 const LEAVE_ROTATION_MS = 2_300;
 
+/** Longest wait of a new caller for the first configuration; callers give up after two seconds. */
+const ACCEPT_MS = 1_500;
+
 export interface EntryHostOptions {
     readonly self: Host;
     readonly seeds: readonly string[];
@@ -45,6 +49,9 @@
     readonly #gateway: Gateway;
     readonly #directory = new Directory();
     readonly #reporter = new PrimaryReporter();
+    readonly #isolation = new Isolation();
+    /** Data centres of the control hosts that this host has been linked to. */
+    readonly #controlPlaces = new Map<string, string>();
     #seeds: readonly string[];
     #control: readonly string[] = [];
     #leader: string | undefined;
@@ -56,6 +63,9 @@
     #offered = 0;
     #timer: NodeJS.Timeout | undefined;
     #isStopping = false;
+    #setConfigured: () => void = () => undefined;
+    /** Resolves with the first configuration. */
+    readonly #configured = new Promise<void>(resolve => (this.#setConfigured = resolve));
 
     readonly #handlers: Handlers = {
         endpointRecords: message => this.#recordsReceived(message.records),
@@ -73,7 +83,7 @@
         this.#options = options;
         this.#seeds = options.seeds;
         const { self, clock, log, connector, random, listener } = options;
-        this.#mesh = new PeerMesh({ self, identity: undefined, clock, log });
+        this.#mesh = new PeerMesh({ self, identity: undefined, clock, log, timing: FLEET_LINK_TIMING });
         this.#links = new HostLinks(this.#mesh, self.id);
         this.#gateway = new Gateway({
             hostId: `${self.id}/${self.incarnation}`,
@@ -84,7 +94,7 @@
                 const { share, holders } = this.#plan(record, routing);
                 return holders.length === 0 || holders.includes(self.id) ? share : 0;
             },
-            relays: (record, routing) => this.#plan(record, routing).holders.filter(id => id !== self.id),
+            relays: (record, routing) => holdersFor(self.id, record.id, this.#plan(record, routing)),
             links: {
                 open: (host, timeoutMs) => this.#links.open(host, timeoutMs),
                 send: (host, message) => this.#links.send(host, message),
@@ -95,9 +105,9 @@
         });
     }
 
-    /** Takes callers: a configuration is in force and this host does not stop. */
+    /** Takes callers: a configuration is in force, and this host neither stops nor is cut off. */
     get isReady(): boolean {
-        return !this.#isStopping && this.#gateway.routing.number > 0;
+        return !this.#isStopping && !this.#isolation.isIsolated && this.#gateway.routing.number > 0;
     }
 
     get callers(): number {
@@ -115,7 +125,16 @@
         return reason;
     }
 
-    accept(caller: Caller): CallerHandler | undefined {
+    /**
+     * Begins a session for a caller. Right after a start it waits for the first configuration: without one nobody can say
+     * that a database does not exist.
+     */
+    async accept(caller: Caller): Promise<Acceptance> {
+        const acceptance = this.#gateway.accept(caller);
+        if (acceptance.kind !== "unavailable") {
+            return acceptance;
+        }
+        await Promise.race([this.#configured, pause(ACCEPT_MS)]);
         return this.#gateway.accept(caller);
     }
 
@@ -134,7 +153,7 @@
         this.#isStopping = true;
         const closeAt = Math.min(LEAVE_ROTATION_MS, graceMs / 2);
         await pause(closeAt);
-        this.#gateway.closeIdle();
+        this.#gateway.shed(true);
         await pause(graceMs / 2 - closeAt);
         this.#gateway.abortTransactions();
         await this.#drained(graceMs / 3);
@@ -146,7 +165,6 @@
     async #drained(limitMs: number): Promise<void> {
         const endAt = this.#options.clock.now() + limitMs;
         while (this.#gateway.callers > 0 && this.#options.clock.now() < endAt) {
-            this.#gateway.closeIdle();
             await pause(TICK_MS);
         }
     }
@@ -160,11 +178,31 @@
                 this.#links.sendAll(this.#connectedControl(), report);
             }
         }
+        this.#judgeIsolation(now);
         if (this.#offered > this.#gateway.routing.number && now - this.#wantedAt >= CONFIGURATION_MS) {
             this.#want(this.#connectedControl()[Math.floor(this.#options.random() * this.#connectedControl().length)]);
         }
     }
 
+    #judgeIsolation(now: number): void {
+        const endpoints = this.#gateway.remoteReach();
+        if (endpoints.unreachable > 0 && endpoints.reachable > 0) {
+            this.#gateway.probeRemote();
+        }
+        const connected = new Set(this.#connectedControl().map(host => host.id));
+        const remote = [...this.#controlPlaces].filter(([, place]) => place !== this.#options.self.dataCentre);
+        const linked = remote.filter(([id]) => connected.has(id)).length;
+        const contacts = {
+            reachable: endpoints.reachable + linked,
+            unreachable: endpoints.unreachable + remote.length - linked,
+        };
+        if (this.#isolation.update(contacts, now)) {
+            const { isIsolated } = this.#isolation;
+            this.#options.log.event("controlEvent", { name: "isolation", isIsolated, ...contacts });
+            this.#gateway.shed(isIsolated || this.#isStopping);
+        }
+    }
+
     #meshEvent(event: MeshEvent): void {
         if (event.kind === "message") {
             const handler = this.#handlers[event.message.kind] as
@@ -175,6 +213,7 @@
         else if (event.kind === "connected") {
             this.#links.opened(event.host.id);
             if (event.host.control) {
+                this.#controlPlaces.set(event.host.id, event.host.dataCentre);
                 this.#reporter.clear();
             }
         }
@@ -212,6 +251,11 @@
         this.#listTerm = term;
         this.#control = control;
         this.#leader = leader ?? this.#leader;
+        for (const id of this.#controlPlaces.keys()) {
+            if (!control.includes(id)) {
+                this.#controlPlaces.delete(id);
+            }
+        }
         this.#entries = entries ?? this.#entries;
         this.#plans.clear();
         this.#keepLinks();
@@ -265,6 +309,7 @@
         this.#wantedAt = Number.NEGATIVE_INFINITY;
         if (this.#gateway.configure(this.#options.configurations.routing(change))) {
             this.#plans.clear();
+            this.#setConfigured();
             this.#options.log.event("configurationInForce", { number: change.number });
         }
         if (this.#offered > change.number) {
--- a/packages/fleet/src/host-links.ts
+++ b/packages/fleet/src/host-links.ts
@@ -1,5 +1,8 @@
 import type { Host, Message } from "@medlarledge/protocol";
-import type { PeerMesh } from "@medlarledge/runtime";
+import type { LinkTiming, PeerMesh } from "@medlarledge/runtime";
+
+/** A cut must show while most of it is still to come; cuts of some seconds are the usual ones. */
+export const FLEET_LINK_TIMING: LinkTiming = { pingMs: 250, silenceMs: 800 };
 
 /**
  * Keeps links to other processes. A process is named by the address of its listener for peers, so that a seed address is
--- a/packages/fleet/tests/connection-share.test.ts
+++ b/packages/fleet/tests/connection-share.test.ts
@@ -1,6 +1,6 @@
 import { type EndpointRecord, EndpointRole, EndpointState, type Host } from "@medlarledge/protocol";
 import { expect, test } from "vitest";
-import { connectionPlan } from "../src/connection-share.js";
+import { connectionPlan, holdersFor } from "../src/connection-share.js";
 
 function endpoint(id: string, dataCentre: string): EndpointRecord {
     const place = { host: "10.0.0.1", port: 1, slots: 2, born: 1, sequence: 1 };
@@ -56,3 +56,15 @@
         }
     }
 });
+
+// Guards against the first holder of an endpoint that gets the work of all hosts while the other three idle (grown quiet-1).
+test("hosts without connections spread their orders over the holders", () => {
+    const plan = connectionPlan(endpoint("e", "d1"), 25, hosts(79));
+    const first = new Map<string, number>();
+    for (const host of hosts(79)) {
+        const [holder = ""] = holdersFor(host.id, "e", plan);
+        first.set(holder, (first.get(holder) ?? 0) + 1);
+    }
+    expect(first.size).toBe(4);
+    expect(Math.max(...first.values())).toBeLessThan(35);
+});
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,6 +1,6 @@
 import type { EndpointRecord, PrimaryOrder, RelayMessage, RelayResult } from "@medlarledge/protocol";
 import type { Clock } from "@medlarledge/runtime";
-import type { Caller, CallerHandler, EndpointConnector } from "@medlarledge/statements";
+import type { Acceptance, Caller, EndpointConnector } from "@medlarledge/statements";
 import { CallerSession } from "./caller-session.js";
 import { ElapsedClock } from "./elapsed-clock.js";
 import type { GatewayListener } from "./gateway-event.js";
@@ -24,6 +24,7 @@
     readonly listener: GatewayListener;
 }
 
+/** Before the first configuration arrives. */
 const NOTHING_CONFIGURED: Routing = { number: 0, routes: new Map(), groups: new Map(), transactionIdleMs: 3_000 };
 
 /** All callers of one process, and its connections to endpoints. */
@@ -35,8 +36,8 @@
     readonly #server: StatementServer;
     readonly #relay: RelayClient;
     readonly #relayServer: RelayServer;
-    #routing = NOTHING_CONFIGURED;
-    #isStopping = false;
+    #routing: Routing = NOTHING_CONFIGURED;
+    #isShedding = false;
     #transactions = 0;
 
     constructor(options: GatewayOptions) {
@@ -110,10 +111,13 @@
         return this.#groups;
     }
 
-    /** Begins a session; undefined when no route has the caller's database. */
-    accept(caller: Caller): CallerHandler | undefined {
+    /** Begins a session for a caller. */
+    accept(caller: Caller): Acceptance {
+        if (this.#routing === NOTHING_CONFIGURED) {
+            return { kind: "unavailable" };
+        }
         if (!this.#routing.routes.has(caller.database)) {
-            return undefined;
+            return { kind: "unknownDatabase" };
         }
         const session = new CallerSession({
             caller,
@@ -127,17 +131,33 @@
             ended: ended => this.#sessions.delete(ended),
         });
         this.#sessions.add(session);
-        return session;
+        return { kind: "accepted", handler: session };
     }
 
-    /** Closes sessions as they become idle. */
-    closeIdle(): void {
-        this.#isStopping = true;
+    /** Closes sessions whenever they are idle, so that their callers connect again, perhaps to another host. */
+    shed(isShedding: boolean): void {
+        this.#isShedding = isShedding;
         for (const session of [...this.#sessions]) {
             this.#idle(session);
         }
     }
 
+    /** How the endpoints of other data centres answer, as far as this host has connections of its own to them. */
+    remoteReach(): { readonly reachable: number; readonly unreachable: number; } {
+        const reaches = [...this.#groups.values()].map(group => group.remoteReach());
+        return {
+            reachable: reaches.reduce((sum, reach) => sum + reach.reachable, 0),
+            unreachable: reaches.reduce((sum, reach) => sum + reach.unreachable, 0),
+        };
+    }
+
+    /** Asks all endpoints of other data centres that have not answered just now. */
+    probeRemote(): void {
+        for (const group of this.#groups.values()) {
+            group.probeRemote();
+        }
+    }
+
     /** Rolls back the transactions that are still open; their callers learn it at their next statement. */
     abortTransactions(): void {
         for (const session of this.#sessions) {
@@ -155,7 +175,7 @@
     }
 
     #idle(session: CallerSession): void {
-        if (this.#isStopping && session.isIdle) {
+        if (this.#isShedding && session.isIdle) {
             session.close();
         }
     }
--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -151,11 +151,25 @@
     /** Asks an endpoint whether it answers, unless it just has. */
     async checkPrimary(endpoint: string): Promise<void> {
         const member = this.#members.get(endpoint);
-        if (member !== undefined && this.#options.clock.now() - member.reach.answeredAt > CHECK_MS) {
+        if (member !== undefined && this.#isQuiet(member)) {
             await this.#probe(member);
         }
     }
 
+    remoteReach(): { readonly reachable: number; readonly unreachable: number; } {
+        const reaches = this.#remote().map(({ reach }) => reach.isReachable);
+        const reachable = reaches.filter(isReachable => isReachable).length;
+        return { reachable, unreachable: reaches.length - reachable };
+    }
+
+    probeRemote(): void {
+        for (const member of this.#remote()) {
+            if (member.reach.isReachable && this.#isQuiet(member)) {
+                void this.#probe(member);
+            }
+        }
+    }
+
     /** Where a read runs; undefined when no endpoint can serve it now. */
     readChoice(route: Route, floor: LogPosition | undefined, tried: ReadonlySet<string>): ReadChoice | undefined {
         const { clock, elapsed, random } = this.#options;
@@ -235,6 +249,17 @@
         this.#changed();
     }
 
+    /** Members in other data centres to which this host may hold connections. */
+    #remote(): readonly Member[] {
+        return [...this.#members.values()].filter(({ record }) =>
+            record.dataCentre !== this.#options.dataCentre && this.#options.share(record) > 0
+        );
+    }
+
+    #isQuiet({ reach }: Member): boolean {
+        return this.#options.clock.now() - reach.answeredAt > CHECK_MS;
+    }
+
     #updateMember(record: EndpointRecord): void {
         const known = this.#members.get(record.id);
         const isSame = known !== undefined && known.record.born === record.born && known.record.host === record.host
--- a/packages/gateway/tests/sessions.test.ts
+++ b/packages/gateway/tests/sessions.test.ts
@@ -63,7 +63,7 @@
     expect((await caller.ask(read("2"))).completion.kind).toBe("done");
     await caller.ask(rollback);
     expect((await caller.ask(read("3"))).completion).toMatchObject({ code: ErrorCode.UnknownDatabase });
-    expect(it.gateway.accept(caller)).toBeUndefined();
+    expect(it.gateway.accept(caller)).toEqual({ kind: "unknownDatabase" });
 });
 
 // Guards against a configuration that reverts because an older one arrives late.
@@ -90,7 +90,7 @@
     const busy = it.connect("confirm");
     await busy.ask(begin);
     await busy.ask(read("1"));
-    it.gateway.closeIdle();
+    it.gateway.shed(true);
     expect(idle.isClosed).toBe(true);
     expect(busy.isClosed).toBe(false);
     await busy.ask(rollback);
--- a/packages/gateway/tests/world.ts
+++ b/packages/gateway/tests/world.ts
@@ -124,7 +124,8 @@
     };
     const connect = (database: string): TestCaller => {
         const caller = new TestCaller(database);
-        caller.handler = gateway.accept(caller);
+        const acceptance = gateway.accept(caller);
+        caller.handler = acceptance.kind === "accepted" ? acceptance.handler : undefined;
         return caller;
     };
     gateway.configure({
--- a/packages/routing/src/rendezvous.ts
+++ b/packages/routing/src/rendezvous.ts
@@ -8,10 +8,16 @@
  * the keys that it came first for.
  */
 export function rendezvous(key: string, hosts: readonly Host[]): readonly Host[] {
-    return hosts
-        .map(host => ({ host, weight: hashText(`${key}\n${host.id}`) }))
-        .sort((left, right) => right.weight - left.weight || (left.host.id < right.host.id ? -1 : 1))
-        .map(entry => entry.host);
+    const byId = new Map(hosts.map(host => [host.id, host]));
+    return rendezvousIds(key, [...byId.keys()]).flatMap(id => byId.get(id) ?? []);
+}
+
+/** As `rendezvous`, for ids. */
+export function rendezvousIds(key: string, ids: readonly string[]): readonly string[] {
+    return ids
+        .map(id => ({ id, weight: hashText(`${key}\n${id}`) }))
+        .sort((left, right) => right.weight - left.weight || (left.id < right.id ? -1 : 1))
+        .map(entry => entry.id);
 }
 
 /** The host that manages an endpoint's slots: one of its data centre, or of any when none is there. */
--- a/packages/runtime/src/peer-link.ts
+++ b/packages/runtime/src/peer-link.ts
@@ -2,9 +2,15 @@
 import type { RawData, WebSocket } from "ws";
 import { encodeShared } from "./shared-encoding.js";
 
-/** A link without traffic for this long is closed; the peer sends a ping every `PING_MS`. */
-export const LINK_SILENCE_MS = 1_500;
-export const PING_MS = 500;
+/** When links are taken for lost, in ms. */
+export interface LinkTiming {
+    /** A peer that has been silent for this long is sent a ping. */
+    readonly pingMs: number;
+    /** A link without traffic for this long is closed. */
+    readonly silenceMs: number;
+}
+
+export const LINK_TIMING: LinkTiming = { pingMs: 500, silenceMs: 1_500 };
 
 /** Bytes that may wait in a link; a peer that reads more slowly is disconnected rather than buffered for. */
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
@@ -28,6 +34,7 @@
     readonly #handler: LinkHandler;
     readonly #certifiedId: string | undefined;
     readonly #requireCertificate: boolean;
+    readonly #timing: LinkTiming;
     /** True when this host opened the connection. */
     readonly dialed: boolean;
     #peer: Host | undefined;
@@ -46,6 +53,7 @@
         /** Host id of the peer's certificate. */
         readonly certifiedId: string | undefined;
         readonly requireCertificate: boolean;
+        readonly timing: LinkTiming;
         readonly now: number;
         readonly clock: () => number;
     }) {
@@ -54,6 +62,7 @@
         this.dialed = options.dialed;
         this.#certifiedId = options.certifiedId;
         this.#requireCertificate = options.requireCertificate;
+        this.#timing = options.timing;
         this.#lastHeardAt = options.now;
         this.#socket.on("message", data => {
             this.#lastHeardAt = options.clock();
@@ -85,12 +94,16 @@
         this.#socket.send(bytes);
     }
 
-    /** Sends a ping and closes a link that has been silent for too long. */
+    /** Sends a ping to a silent peer and closes a link that has been silent for too long. */
     check(now: number): void {
-        if (now - this.#lastHeardAt > LINK_SILENCE_MS) {
+        const silentMs = now - this.#lastHeardAt;
+        if (silentMs > this.#timing.silenceMs) {
             this.#fail({ kind: "silent" });
+            return;
         }
-        else if (this.#failure === undefined && this.#socket.readyState === this.#socket.OPEN) {
+        const isOpen = this.#failure === undefined && this.#socket.readyState === this.#socket.OPEN;
+        // Half of the interval: the check itself comes only once per interval.
+        if (isOpen && silentMs > this.#timing.pingMs / 2) {
             this.#socket.ping();
         }
     }
--- a/packages/runtime/src/peer-mesh.ts
+++ b/packages/runtime/src/peer-mesh.ts
@@ -9,7 +9,7 @@
 import type { Clock } from "./clock.js";
 import { PeerDialer } from "./peer-dialer.js";
 import { certifiedHost, type IdentityFiles, type IdentityMaterial, readIdentity } from "./peer-identity.js";
-import { type LinkFailure, type LinkHandler, PeerLink, PING_MS } from "./peer-link.js";
+import { LINK_TIMING, type LinkFailure, type LinkHandler, type LinkTiming, PeerLink } from "./peer-link.js";
 
 /** How often the identity files are read again, so that renewed keys take effect without a restart. */
 const IDENTITY_CHECK_MS = 5_000;
@@ -25,6 +25,8 @@
     readonly identity: IdentityFiles | undefined;
     readonly clock: Clock;
     readonly log: Log;
+    /** `LINK_TIMING` when undefined. */
+    readonly timing?: LinkTiming;
 }
 
 /** Bytes and messages of all links so far. */
@@ -52,6 +54,10 @@
         this.#options = options;
     }
 
+    get #timing(): LinkTiming {
+        return this.#options.timing ?? LINK_TIMING;
+    }
+
     get events(): Channel<MeshEvent>["stream"] {
         return this.#events.stream;
     }
@@ -78,7 +84,7 @@
         webSockets.on("error", () => undefined);
         webSockets.on("connection", (socket, request) => this.#accept(socket, request.socket));
         this.#server = server;
-        this.#timers.push(setInterval(() => this.#checkLinks(), PING_MS));
+        this.#timers.push(setInterval(() => this.#checkLinks(), this.#timing.pingMs));
         this.#timers.push(setInterval(() => this.#rereadIdentity(), IDENTITY_CHECK_MS));
         const { host, port } = parseAddress(this.#options.self.peerAddress);
         return new Promise(resolve => {
@@ -167,6 +173,7 @@
             dialed,
             certifiedId,
             requireCertificate: this.#material !== undefined,
+            timing: this.#timing,
             now: this.#options.clock.now(),
             clock: this.#options.clock.now,
         });
--- a/packages/statements/src/caller.ts
+++ b/packages/statements/src/caller.ts
@@ -20,3 +20,11 @@
     request(request: CallerRequest): void;
     closed(): void;
 }
+
+/** What becomes of a caller that names a database. */
+export type Acceptance =
+    | { readonly kind: "accepted"; readonly handler: CallerHandler; }
+    /** No configuration names the database. */
+    | { readonly kind: "unknownDatabase"; }
+    /** This process cannot tell yet which databases there are. */
+    | { readonly kind: "unavailable"; };
--- a/packages/statements/src/index.ts
+++ b/packages/statements/src/index.ts
@@ -1,6 +1,6 @@
 export type { Answer, Completion, TransactionState } from "./answer.js";
 export { failed, TransactionStates } from "./answer.js";
-export type { Caller, CallerHandler, CallerRequest } from "./caller.js";
+export type { Acceptance, Caller, CallerHandler, CallerRequest } from "./caller.js";
 export type { CommandAnswer, EndpointCommand, EndpointStatus } from "./endpoint-command.js";
 export type {
     Connected,
