--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -22,6 +22,9 @@
 /** Time after a stop for the platform to send callers elsewhere: two missed probes, a second apart, and some slack. */
 const LEAVE_ROTATION_MS = 2_300;
 
+/** A control host that has not been heard for this long, two pings, is no contact. */
+const HEARD_MS = 450;
+
 /** Longest wait of a new caller for the first configuration; callers give up after two seconds. */
 const ACCEPT_MS = 1_500;
 
@@ -189,9 +192,8 @@
         if (endpoints.unreachable > 0 && endpoints.reachable > 0) {
             this.#gateway.probeRemote();
         }
-        const connected = new Set(this.#connectedControl().map(host => host.id));
         const remote = [...this.#controlPlaces].filter(([, place]) => place !== this.#options.self.dataCentre);
-        const linked = remote.filter(([id]) => connected.has(id)).length;
+        const linked = remote.filter(([id]) => this.#links.isHeard(id, HEARD_MS, now)).length;
         const contacts = {
             reachable: endpoints.reachable + linked,
             unreachable: endpoints.unreachable + remote.length - linked,
--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -25,10 +25,10 @@
 const SNAPSHOT_CHUNK_BYTES = 256 * 1024;
 
 /** Interval of appends to a member while there is nothing new. */
-const HEARTBEAT_MS = 100;
+const HEARTBEAT_MS = 75;
 
 /** A follower starts an election after one to two times this without a leader. */
-const ELECTION_MS = 500;
+const ELECTION_MS = 300;
 
 /** Precision of heartbeats and elections. */
 const TICK_MS = 20;
--- a/packages/fleet/src/last-known.ts
+++ b/packages/fleet/src/last-known.ts
@@ -1,5 +1,5 @@
 import type { ConfigurationChange, EndpointRecord, PrimaryOrder } from "@medlarledge/protocol";
-import { mkdir, readFile, rename, writeFile } from "node:fs/promises";
+import { mkdir, open, readFile, rename } from "node:fs/promises";
 import { join } from "node:path";
 
 const FILE_NAME = "last-known.json";
@@ -18,7 +18,7 @@
 const NOTHING: Knowledge = { configuration: undefined, records: [], orders: [] };
 
 /**
- * Keeps what a control host knows in a file, unsynced: a file that is lost or damaged only costs the time until the
+ * Keeps what a control host knows in a file. A file that is lost or damaged only costs the time until the
  * endpoints announce themselves again and the group has a leader. Decisions of the group never rest on it.
  */
 export class LastKnown {
@@ -69,7 +69,7 @@
         const path = join(this.#folder, FILE_NAME);
         try {
             await mkdir(this.#folder, { recursive: true });
-            await writeFile(`${path}.tmp`, JSON.stringify(knowledge));
+            await writeSynced(`${path}.tmp`, JSON.stringify(knowledge));
             await rename(`${path}.tmp`, path);
         }
         catch (error) {
@@ -78,6 +78,18 @@
     }
 }
 
+/** Synced, since a power loss would otherwise leave an empty file under the final name. */
+async function writeSynced(path: string, text: string): Promise<void> {
+    const file = await open(path, "w");
+    try {
+        await file.writeFile(text);
+        await file.sync();
+    }
+    finally {
+        await file.close();
+    }
+}
+
 function isKnowledge(value: unknown): value is Knowledge {
     return typeof value === "object" && value !== null && "records" in value && Array.isArray(value.records)
         && "orders" in value && Array.isArray(value.orders);
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "@medlarledge/runtime";
+import { type Clock, PatientTimer } from "@medlarledge/runtime";
 import {
     type ConnectFailure,
     type EndpointAddress,
@@ -19,6 +19,9 @@
 /** Pause after a failed attempt to connect before the next one. */
 const RECONNECT_PAUSE_MS = 100;
 
+/** A connection that was not needed for this long is closed; opening one again takes 12 ms and a slot for that time. */
+const IDLE_MS = 3_000;
+
 /** Time for the answers that are outstanding when a connection is given back; ending a transaction needs no slot. */
 const RETURN_TIMEOUT_MS = 500;
 
@@ -66,6 +69,8 @@
     readonly #options: EndpointPoolOptions;
     readonly #all = new Set<PooledConnection>();
     readonly #idle: PooledConnection[] = [];
+    /** When each idle connection was last needed. */
+    readonly #idleSince = new Map<PooledConnection, number>();
     readonly #lent = new Set<PooledConnection>();
     readonly #transactions = new Map<string, PooledConnection>();
     readonly #waiting = new WaitQueue<Waiting>();
@@ -135,9 +140,10 @@
         if (connection === undefined) {
             return { kind: "notAsked" };
         }
-        const timer = setTimeout(() => connection.close("a probe was not answered"), timeoutMs);
+        const { now } = this.#options.clock;
+        const timer = new PatientTimer(timeoutMs, now, () => connection.close("a probe was not answered"));
         const reply = await connection.ask([{ kind: "begin", readOnly: false, after: undefined }, ROLLBACK], 0);
-        clearTimeout(timer);
+        timer.cancel();
         this.#giveBack(connection);
         if (reply.kind === "lost") {
             return { kind: "unanswered" };
@@ -161,6 +167,16 @@
         this.#rollBack(connection);
     }
 
+    /** Closes connections that nobody has needed for a while, but `count` of them: others may need the places. */
+    trim(count: number): void {
+        const { clock } = this.#options;
+        for (const [connection, idleSince] of [...this.#idleSince]) {
+            if (this.size > count && clock.now() - idleSince > IDLE_MS) {
+                connection.close("not needed");
+            }
+        }
+    }
+
     /** Opens connections until `count` are there or being opened. */
     warm(count: number): void {
         while (this.size < Math.min(count, this.#options.limit()) && this.#mayOpen()) {
@@ -199,12 +215,12 @@
 
     #limited(connection: PooledConnection, order: Order): Promise<OrderResult> {
         return new Promise(resolve => {
-            const timer = setTimeout(() => {
+            const timer = new PatientTimer(order.timeoutMs, this.#options.clock.now, () => {
                 resolve({ kind: "unknown", reason: UnknownReason.Timeout });
                 connection.close("no answer in time");
-            }, order.timeoutMs);
+            });
             void runOrder(connection, order).then(result => {
-                clearTimeout(timer);
+                timer.cancel();
                 resolve(result);
             });
         });
@@ -233,11 +249,11 @@
 
     /** Closes a connection whose last answers do not come, so that it does not count against the limit for ever. */
     #limitReturn(connection: PooledConnection): void {
-        setTimeout(() => {
+        new PatientTimer(RETURN_TIMEOUT_MS, this.#options.clock.now, () => {
             if (connection.unanswered > 0 && !this.#lent.has(connection)) {
                 connection.close("the end of a transaction was not answered");
             }
-        }, RETURN_TIMEOUT_MS);
+        });
     }
 
     /** Gives a connection without outstanding answers to the next one that waits. */
@@ -251,6 +267,7 @@
             return;
         }
         this.#idle.push(connection);
+        this.#idleSince.set(connection, this.#options.clock.now());
         this.#serve();
     }
 
@@ -285,6 +302,7 @@
         const fitting = this.#idle.findLastIndex(connection => connection.hasValues(need.values));
         const [connection] = this.#idle.splice(fitting < 0 ? this.#idle.length - 1 : fitting, 1);
         if (connection !== undefined) {
+            this.#idleSince.delete(connection);
             this.#lent.add(connection);
         }
         return connection;
@@ -321,6 +339,7 @@
 
     #connectionClosed(connection: PooledConnection, reason: string): void {
         this.#all.delete(connection);
+        this.#idleSince.delete(connection);
         const at = this.#idle.indexOf(connection);
         if (at >= 0) {
             this.#idle.splice(at, 1);
--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -24,10 +24,10 @@
 const WARM_CONNECTIONS = 1;
 
 /** A probe that is not answered in this time shows a silent endpoint; probes wait for no slot. */
-const PROBE_TIMEOUT_MS = 250;
+const PROBE_TIMEOUT_MS = 200;
 
 /** An endpoint that answered nothing for this long while orders are outstanding is probed. */
-const QUIET_MS = 150;
+const QUIET_MS = 100;
 
 /** Interval of the checks for quiet and unreachable endpoints. */
 const CHECK_MS = 50;
@@ -356,9 +356,11 @@
             ? member.pool.holds(order.transaction ?? "")
             : this.#isDirect(member);
         if (isOwn) {
-            const result = await member.pool.run(order);
-            this.#learn(order.endpoint, result, askedAt);
-            return result;
+            const own = await member.pool.run(order);
+            this.#learn(order.endpoint, own, askedAt);
+            if (!needsConnection(own) || !this.#options.relay.canReach(this.name, order.endpoint)) {
+                return own;
+            }
         }
         const { result, leader } = await this.#options.relay.run(order);
         this.#learn(order.endpoint, result, askedAt);
@@ -457,6 +459,7 @@
         const now = this.#options.clock.now();
         for (const member of this.#members.values()) {
             const { reach, load, pool } = member;
+            pool.trim(WARM_CONNECTIONS);
             if (this.#options.share(member.record) > 0 && reach.isTrialDue(now)) {
                 pool.warm(pool.size + 1);
             }
@@ -506,3 +509,9 @@
         }
     }
 }
+
+/** The order did not run for want of a connection: another host may have one. */
+function needsConnection(result: OrderResult): boolean {
+    return result.kind === "notRun"
+        && (result.reason === NotRunReason.Unreachable || result.reason === NotRunReason.NoConnection);
+}
--- a/packages/runtime/src/peer-dialer.ts
+++ b/packages/runtime/src/peer-dialer.ts
@@ -4,9 +4,6 @@
 import { certifiedHost, commonName, type IdentityMaterial } from "./peer-identity.js";
 import type { PeerLink } from "./peer-link.js";
 
-/** An attempt that takes longer is given up. */
-const CONNECT_TIMEOUT_MS = 600;
-
 /** Delay before the next attempt; short, so that a healed partition is bridged well within 2 s. */
 const REDIAL_MIN_MS = 50;
 const REDIAL_MAX_MS = 400;
@@ -14,6 +11,8 @@
 export interface DialerOptions {
     readonly id: string;
     readonly address: string;
+    /** An attempt that takes longer is given up. */
+    readonly connectMs: number;
     readonly material: () => IdentityMaterial | undefined;
     /** True while any link to the host is open, whoever dialed it. */
     readonly connected: () => boolean;
@@ -46,7 +45,7 @@
         const material = this.#options.material();
         const scheme = material === undefined ? "ws" : "wss";
         const socket = new WebSocket(`${scheme}://${this.#options.address}/`, {
-            handshakeTimeout: CONNECT_TIMEOUT_MS,
+            handshakeTimeout: this.#options.connectMs,
             maxPayload: MAX_MESSAGE_BYTES,
             perMessageDeflate: false,
             ...(material === undefined ? {} : this.#tlsOptions(material)),
--- a/packages/runtime/src/peer-link.ts
+++ b/packages/runtime/src/peer-link.ts
@@ -8,9 +8,11 @@
     readonly pingMs: number;
     /** A link without traffic for this long is closed. */
     readonly silenceMs: number;
+    /** An attempt to connect that takes longer is given up. */
+    readonly connectMs: number;
 }
 
-export const LINK_TIMING: LinkTiming = { pingMs: 500, silenceMs: 1_500 };
+export const LINK_TIMING: LinkTiming = { pingMs: 500, silenceMs: 1_500, connectMs: 600 };
 
 /** Bytes that may wait in a link; a peer that reads more slowly is disconnected rather than buffered for. */
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
@@ -75,6 +77,11 @@
         this.send({ kind: "hello", protocol: PROTOCOL_VERSION, host: options.self });
     }
 
+    /** When anything last arrived, on the clock of the options. */
+    get lastHeardAt(): number {
+        return this.#lastHeardAt;
+    }
+
     /** The process at the other end, once its `hello` was accepted. */
     get peer(): Host | undefined {
         return this.#peer;
--- a/packages/runtime/src/peer-mesh.ts
+++ b/packages/runtime/src/peer-mesh.ts
@@ -49,6 +49,7 @@
     #server: Server | HttpsServer | undefined;
     #closedTraffic: MeshTraffic = { bytesSent: 0, bytesReceived: 0, messagesSent: 0, messagesReceived: 0 };
     #closed = false;
+    #checkedAt = Number.NEGATIVE_INFINITY;
 
     constructor(options: MeshOptions) {
         this.#options = options;
@@ -84,6 +85,7 @@
         webSockets.on("error", () => undefined);
         webSockets.on("connection", (socket, request) => this.#accept(socket, request.socket));
         this.#server = server;
+        this.#checkedAt = this.#options.clock.now();
         this.#timers.push(setInterval(() => this.#checkLinks(), this.#timing.pingMs));
         this.#timers.push(setInterval(() => this.#rereadIdentity(), IDENTITY_CHECK_MS));
         const { host, port } = parseAddress(this.#options.self.peerAddress);
@@ -102,6 +104,7 @@
         const dialer = new PeerDialer({
             id,
             address,
+            connectMs: this.#timing.connectMs,
             material: () => this.#material,
             connected: () => this.#links.has(id),
             opened: (socket, certifiedId) => this.#open(socket, certifiedId, true),
@@ -135,6 +138,11 @@
         return this.#links.has(id);
     }
 
+    /** When the process was last heard over an open link. */
+    lastHeardAt(id: string): number | undefined {
+        return this.#links.get(id)?.lastHeardAt;
+    }
+
     connected(): readonly Host[] {
         return [...this.#links.values()].flatMap(link => link.peer ?? []);
     }
@@ -226,6 +234,12 @@
 
     #checkLinks(): void {
         const now = this.#options.clock.now();
+        const sinceLast = now - this.#checkedAt;
+        this.#checkedAt = now;
+        if (sinceLast > this.#timing.silenceMs) {
+            // This process stood still; what arrived meanwhile is read before the next check.
+            return;
+        }
         this.#all.forEach(link => link.check(now));
     }
 
