Refuse at once what cannot be served in time; load compiled code

Cause: a request that found no primary waited for 480 ms, whether or not the next one could lead by then. Now the outlook decides: it waits while the endpoints are being asked, or when the order or the usual failover time lets it be served before it gives up, and is refused at once otherwise, with the time to come back. Restarts: bundles are loaded with V8's compiled code, links are dialed every 100 ms, a new process opens one connection to each endpoint for 3 s.

--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -28,6 +28,13 @@
 /** Longest wait of a new caller for the first configuration; callers give up after two seconds. */
 const ACCEPT_MS = 1_500;
 
+/**
+ * After a power loss endpoints still count the connections of the former process, for up to 3 s; a new process takes
+ * only few at first, so that all new processes get some of those that are left.
+ */
+const FRESH_MS = 3_000;
+const FRESH_SHARE = 1;
+
 export interface EntryHostOptions {
     readonly self: Host;
     readonly seeds: readonly string[];
@@ -55,6 +62,7 @@
     readonly #isolation = new Isolation();
     /** Data centres of the control hosts that this host has been linked to. */
     readonly #controlPlaces = new Map<string, string>();
+    readonly #startedAt: number;
     #seeds: readonly string[];
     #control: readonly string[] = [];
     #leader: string | undefined;
@@ -66,6 +74,8 @@
     #offered = 0;
     #timer: NodeJS.Timeout | undefined;
     #isStopping = false;
+    /** The platform has had the time to send new callers elsewhere. */
+    #isShedding = false;
     #setConfigured: () => void = () => undefined;
     /** Resolves with the first configuration. */
     readonly #configured = new Promise<void>(resolve => (this.#setConfigured = resolve));
@@ -84,6 +94,7 @@
 
     constructor(options: EntryHostOptions) {
         this.#options = options;
+        this.#startedAt = options.clock.now();
         this.#seeds = options.seeds;
         const { self, clock, log, connector, random, listener } = options;
         this.#mesh = new PeerMesh({ self, identity: undefined, clock, log, timing: FLEET_LINK_TIMING });
@@ -93,10 +104,7 @@
             dataCentre: self.dataCentre,
             connector,
             clock,
-            share: (record, routing) => {
-                const { share, holders } = this.#plan(record, routing);
-                return holders.length === 0 || holders.includes(self.id) ? share : 0;
-            },
+            share: (record, routing) => this.#share(record, routing),
             relays: (record, routing) => holdersFor(self.id, record.id, this.#plan(record, routing)),
             links: {
                 open: (host, timeoutMs) => this.#links.open(host, timeoutMs),
@@ -156,6 +164,7 @@
         this.#isStopping = true;
         const closeAt = Math.min(LEAVE_ROTATION_MS, graceMs / 2);
         await pause(closeAt);
+        this.#isShedding = true;
         this.#gateway.shed(true);
         await pause(graceMs / 2 - closeAt);
         this.#gateway.abortTransactions();
@@ -201,8 +210,10 @@
         if (this.#isolation.update(contacts, now)) {
             const { isIsolated } = this.#isolation;
             this.#options.log.event("controlEvent", { name: "isolation", isIsolated, ...contacts });
-            this.#gateway.shed(isIsolated || this.#isStopping);
         }
+        // Callers that come back before the platform has noticed would only return to this host or its neighbours.
+        const isLong = this.#isolation.isolatedFor(now) >= LEAVE_ROTATION_MS;
+        this.#gateway.shed(this.#isShedding || isLong);
     }
 
     #meshEvent(event: MeshEvent): void {
@@ -282,6 +293,16 @@
         return this.#links.connected().filter(host => host.control);
     }
 
+    /** Connections that this host may hold to an endpoint now. */
+    #share(record: EndpointRecord, routing: Routing): number {
+        const { share, holders } = this.#plan(record, routing);
+        if (holders.length > 0 && !holders.includes(this.#options.self.id)) {
+            return 0;
+        }
+        const isFresh = this.#options.clock.now() - this.#startedAt < FRESH_MS;
+        return isFresh ? Math.min(share, FRESH_SHARE) : share;
+    }
+
     #plan(record: EndpointRecord, routing: Routing): ConnectionPlan {
         const known = this.#plans.get(record.id);
         if (known !== undefined) {
--- a/packages/fleet/src/host-links.ts
+++ b/packages/fleet/src/host-links.ts
@@ -2,7 +2,7 @@
 import type { LinkTiming, PeerMesh } from "@medlarledge/runtime";
 
 /** A cut must show while most of it is still to come; cuts of some seconds are the usual ones. */
-export const FLEET_LINK_TIMING: LinkTiming = { pingMs: 200, silenceMs: 800, connectMs: 250 };
+export const FLEET_LINK_TIMING: LinkTiming = { pingMs: 200, silenceMs: 800, connectMs: 250, redialMs: 100 };
 
 /**
  * Keeps links to other processes. A process is named by the address of its listener for peers, so that a seed address is
--- a/packages/fleet/src/isolation.ts
+++ b/packages/fleet/src/isolation.ts
@@ -22,6 +22,11 @@
         return this.#isIsolated;
     }
 
+    /** Time since this host has taken itself for cut off, in ms; 0 while it does not. */
+    isolatedFor(now: number): number {
+        return this.#isIsolated && this.#lostSince !== undefined ? now - this.#lostSince : 0;
+    }
+
     /** Returns true when the judgement changes. */
     update({ reachable, unreachable }: RemoteContacts, now: number): boolean {
         const isLost = reachable === 0 && unreachable >= LEAST_CONTACTS;
--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -9,6 +9,7 @@
     type OrderResult,
     UnknownReason,
 } from "@medlarledge/statements";
+import { Availability } from "./availability.js";
 import type { ElapsedClock } from "./elapsed-clock.js";
 import { type Candidate, chooseForRead, type ReadChoice } from "./endpoint-choice.js";
 import { EndpointLoad } from "./endpoint-load.js";
@@ -16,6 +17,7 @@
 import { EndpointReach, Reach } from "./endpoint-reach.js";
 import { Freshness } from "./freshness.js";
 import type { GatewayListener } from "./gateway-event.js";
+import type { Outage } from "./outlook.js";
 import { PrimaryBelief } from "./primary-belief.js";
 import type { RelayClient } from "./relay-client.js";
 import type { Route } from "./route.js";
@@ -81,6 +83,9 @@
     readonly #freshness = new Freshness();
     readonly #waiting = new Set<() => void>();
     readonly #timer: NodeJS.Timeout;
+    readonly #leader = new Availability();
+    readonly #any = new Availability();
+    #orderedAt: number | undefined;
 
     constructor(options: GroupOptions) {
         this.#options = options;
@@ -111,6 +116,7 @@
 
     ordered(order: PrimaryOrder): void {
         this.#belief.order(order.endpoint, order.fence);
+        this.#orderedAt = this.#options.clock.now();
         this.#changed();
     }
 
@@ -170,6 +176,12 @@
         }
     }
 
+    /** What is known of the outage of the leader, or of all endpoints. */
+    outage(needsLeader: boolean): Outage {
+        this.#noteUsable(this.#options.clock.now());
+        return { lostAt: (needsLeader ? this.#leader : this.#any).lostAt, orderedAt: this.#orderedAt };
+    }
+
     /** Where a read runs; undefined when no endpoint can serve it now. */
     readChoice(route: Route, floor: LogPosition | undefined, tried: ReadonlySet<string>): ReadChoice | undefined {
         const { clock, elapsed, random } = this.#options;
@@ -457,9 +469,13 @@
     /** Probes endpoints that owe answers but are quiet, and tries unreachable ones again. */
     #check(): void {
         const now = this.#options.clock.now();
+        this.#noteUsable(now);
         for (const member of this.#members.values()) {
-            const { reach, load, pool } = member;
+            const { reach, load, pool, record } = member;
             pool.trim(WARM_CONNECTIONS);
+            if (reach.isReachable && record.state === EndpointState.Active) {
+                pool.warm(WARM_CONNECTIONS);
+            }
             if (this.#options.share(member.record) > 0 && reach.isTrialDue(now)) {
                 pool.warm(pool.size + 1);
             }
@@ -472,6 +488,11 @@
         }
     }
 
+    #noteUsable(now: number): void {
+        this.#leader.note(this.primary() !== undefined, now);
+        this.#any.note([...this.#members.values()].some(member => this.#isUsable(member)), now);
+    }
+
     async #probe(member: Member): Promise<void> {
         if (member.isProbed) {
             return;
@@ -504,6 +525,7 @@
     }
 
     #changed(): void {
+        this.#noteUsable(this.#options.clock.now());
         for (const done of [...this.#waiting]) {
             done();
         }
--- /dev/null
+++ b/packages/gateway/src/outlook.ts
@@ -0,0 +1,40 @@
+/**
+ * Time from the loss of a primary to the first statement on its successor: silence shows after 300 ms, control decides
+ * within 100 ms, and the platforms' promotions take up to 600 ms.
+ */
+const FAILOVER_MS = 1_100;
+
+/** Time from the order of a promotion to the first statement on the new primary. */
+const PROMOTION_MS = 650;
+
+/** Time in which this host asks the endpoints that may lead; some round trips. */
+const SEARCH_MS = 60;
+
+/** A caller is asked to come back after this time when nothing tells how long the outage will last. */
+const UNKNOWN_RETRY_MS = 500;
+
+/** What is known of an outage. */
+export interface Outage {
+    /** Undefined while the first endpoint is still looked for. */
+    readonly lostAt: number | undefined;
+    /** When control last ordered a promotion. */
+    readonly orderedAt: number | undefined;
+}
+
+export type Outlook =
+    /** A place is expected before the request gives up. */
+    | { readonly kind: "wait"; }
+    | { readonly kind: "refuse"; readonly retryAfterMs: number; };
+
+/** Decides what becomes of a request that no endpoint can serve now. Nothing of it has run. */
+export function outlook({ lostAt, orderedAt }: Outage, giveUpAt: number, now: number): Outlook {
+    if (lostAt === undefined || now - lostAt < SEARCH_MS) {
+        return { kind: "wait" };
+    }
+    const isOrdered = orderedAt !== undefined && orderedAt + PROMOTION_MS > now;
+    const expectedAt = isOrdered ? orderedAt + PROMOTION_MS : lostAt + FAILOVER_MS;
+    if (expectedAt <= now) {
+        return { kind: "refuse", retryAfterMs: UNKNOWN_RETRY_MS };
+    }
+    return expectedAt <= giveUpAt ? { kind: "wait" } : { kind: "refuse", retryAfterMs: Math.ceil(expectedAt - now) };
+}
--- a/packages/gateway/src/statement-server.ts
+++ b/packages/gateway/src/statement-server.ts
@@ -13,6 +13,7 @@
 } from "@medlarledge/statements";
 import type { Group } from "./group.js";
 import { NOT_RUN_CODES } from "./not-run.js";
+import { outlook } from "./outlook.js";
 import type { Route } from "./route.js";
 import { writes } from "./session-image.js";
 
@@ -91,6 +92,10 @@
             }
             const place = choose(request, group, tried);
             if (place === undefined) {
+                const prospect = outlook(group.outage(needsLeader(request)), giveUpAt, now);
+                if (prospect.kind === "refuse" && tried.size === 0) {
+                    return refused(NotRunReason.Unreachable, prospect.retryAfterMs, last, attempts);
+                }
                 tried.clear();
                 await group.change(Math.min(LOOK_AGAIN_MS, giveUpAt - now));
                 continue;
@@ -135,8 +140,7 @@
     group: Group,
     tried: ReadonlySet<string>,
 ): Omit<Attempt, "transaction"> | undefined {
-    const isLeadersWork = transaction === undefined ? writes(statement) : !transaction.readOnly;
-    if (isLeadersWork) {
+    if (needsLeader({ statement, transaction })) {
         const endpoint = group.primary();
         const opening: Opening = transaction === undefined
             ? { kind: "bare", after: undefined }
@@ -150,6 +154,11 @@
     return { endpoint: choice.endpoint, opening: openingOfRead(choice.opening) };
 }
 
+/** Only the group's leader can run it; reads may turn out to need it too. */
+function needsLeader({ statement, transaction }: Pick<ServeRequest, "statement" | "transaction">): boolean {
+    return transaction === undefined ? writes(statement) : !transaction.readOnly;
+}
+
 function attemptKey({ transaction }: ServeRequest, attempt: number): string | undefined {
     return transaction === undefined ? undefined : `${transaction.key}/${attempt}`;
 }
@@ -172,8 +181,13 @@
         return { answer, ...rest, cause: last.result.reason };
     }
     const reason = last?.result.kind === "notRun" ? last.result.reason : NotRunReason.Unreachable;
-    const text = `not run (${reason}); retry in ${RETRY_AFTER_MS} ms`;
-    return { answer: failed(NOT_RUN_CODES[reason], text, state), ...rest, cause: reason };
+    return refused(reason, RETRY_AFTER_MS, last, attempts);
+}
+
+function refused(reason: NotRunReason, retryAfterMs: number, last: Tried | undefined, attempts: number): Served {
+    const text = `not run (${reason}); retry in ${retryAfterMs} ms`;
+    const answer = failed(NOT_RUN_CODES[reason], text, TransactionStates.Idle);
+    return { answer, endpoint: last?.endpoint, transaction: undefined, attempts, cause: reason };
 }
 
 /** A read-only transaction that only the leader may run is a plain one that writes nothing. */
--- a/packages/gateway/tests/writes.test.ts
+++ b/packages/gateway/tests/writes.test.ts
@@ -54,14 +54,23 @@
     expect(it.endpoints.ran.filter(ran => ran.text.startsWith("WRITE 2"))).toHaveLength(1);
 });
 
-// Guards against a write that is refused during a change of primary that ends within its patience.
-test("a write waits for the endpoint that is being promoted", async () => {
+// Guards against a write that is refused although the next primary leads before it gives up, and against one that waits
+// although it cannot.
+test("a write waits for the endpoint that is being promoted when that can be in time, and is refused at once otherwise", async () => {
     const caller = it.connect("confirm");
     await caller.ask(write("1"));
     it.endpoints.get("a").crash();
+    // Long enough to notice that nobody listens any more.
+    await pass(250);
+    const startedAt = performance.now();
+    const early = await caller.ask(write("2"));
+    expect(early.completion).toMatchObject({ kind: "error", code: ErrorCode.Busy });
+    expect(early.completion).toHaveProperty("text", expect.stringContaining("retry in"));
+    expect(performance.now() - startedAt).toBeLessThan(20);
     it.gateway.ordered({ group: "orders", endpoint: "b", fence: 7 });
-    const asked = caller.send(write("2"));
-    await pass(300);
+    await pass(400);
+    const asked = caller.send(write("3"));
+    await pass(200);
     it.endpoints.promote("b");
     await pass(100);
     expect((await asked).completion).toEqual({ kind: "done", signature: "signed by b" });
--- a/packages/runtime/src/peer-dialer.ts
+++ b/packages/runtime/src/peer-dialer.ts
@@ -4,15 +4,15 @@
 import { certifiedHost, commonName, type IdentityMaterial } from "./peer-identity.js";
 import type { PeerLink } from "./peer-link.js";
 
-/** Delay before the next attempt; short, so that a healed partition is bridged well within 2 s. */
+/** Delay before the second attempt; it doubles up to the limit of the options. */
 const REDIAL_MIN_MS = 50;
-const REDIAL_MAX_MS = 400;
 
 export interface DialerOptions {
     readonly id: string;
     readonly address: string;
     /** An attempt that takes longer is given up. */
     readonly connectMs: number;
+    readonly redialMs: number;
     readonly material: () => IdentityMaterial | undefined;
     /** True while any link to the host is open, whoever dialed it. */
     readonly connected: () => boolean;
@@ -103,6 +103,6 @@
         }
         clearTimeout(this.#timer);
         this.#timer = setTimeout(() => this.dial(), this.#delayMs);
-        this.#delayMs = Math.min(this.#delayMs * 2, REDIAL_MAX_MS);
+        this.#delayMs = Math.min(this.#delayMs * 2, this.#options.redialMs);
     }
 }
--- a/packages/runtime/src/peer-link.ts
+++ b/packages/runtime/src/peer-link.ts
@@ -10,9 +10,11 @@
     readonly silenceMs: number;
     /** An attempt to connect that takes longer is given up. */
     readonly connectMs: number;
+    /** Longest pause between two attempts. */
+    readonly redialMs: number;
 }
 
-export const LINK_TIMING: LinkTiming = { pingMs: 500, silenceMs: 1_500, connectMs: 600 };
+export const LINK_TIMING: LinkTiming = { pingMs: 500, silenceMs: 1_500, connectMs: 600, redialMs: 400 };
 
 /** Bytes that may wait in a link; a peer that reads more slowly is disconnected rather than buffered for. */
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
--- a/packages/runtime/src/peer-mesh.ts
+++ b/packages/runtime/src/peer-mesh.ts
@@ -105,6 +105,7 @@
             id,
             address,
             connectMs: this.#timing.connectMs,
+            redialMs: this.#timing.redialMs,
             material: () => this.#material,
             connected: () => this.#links.has(id),
             opened: (socket, certifiedId) => this.#open(socket, certifiedId, true),
--- a/scripts/build-platform.mjs
+++ b/scripts/build-platform.mjs
@@ -1,17 +1,41 @@
 // Bundles the programs for the users' platform into target/, one for each role so that none carries parts of the other.
+// Each program is a small loader, the bundle, and the bundle's code as V8 compiled it: a restarted process is ready
+// sooner, since it need not compile again.
 import { build } from "esbuild";
-import { mkdirSync } from "node:fs";
+import { execFileSync } from "node:child_process";
+import { mkdirSync, writeFileSync } from "node:fs";
 
 const PROGRAMS = {
     "medlarledge-entry": "platform/src/entry-main.ts",
     "medlarledge-control": "platform/src/control-main.ts",
 };
 
+/** Runs the bundle beside it. Code that another version of Node compiled is refused by V8 and compiled anew. */
+function loaderOf(name) {
+    return `"use strict";
+const { existsSync, readFileSync } = require("node:fs");
+const { wrap } = require("node:module");
+const { join } = require("node:path");
+const { Script } = require("node:vm");
+const bundle = join(__dirname, "${name}.bundle.cjs");
+const cache = join(__dirname, "${name}.cache");
+const cachedData = existsSync(cache) ? readFileSync(cache) : undefined;
+const script = new Script(wrap(readFileSync(bundle, "utf8")), { filename: bundle, cachedData });
+script.runInThisContext()(exports, require, module, bundle, __dirname);
+if (process.env.MEDLARLEDGE_CODE_CACHE === undefined) {
+    void module.exports.run();
+}
+else {
+    require("node:fs").writeFileSync(process.env.MEDLARLEDGE_CODE_CACHE, script.createCachedData());
+}
+`;
+}
+
 mkdirSync("target", { recursive: true });
 for (const [name, entry] of Object.entries(PROGRAMS)) {
     await build({
         entryPoints: [entry],
-        outfile: `target/${name}.cjs`,
+        outfile: `target/${name}.bundle.cjs`,
         bundle: true,
         platform: "node",
         format: "cjs",
@@ -19,4 +43,12 @@
         external: ["bufferutil", "utf-8-validate", "msgpackr-extract", "unix-dgram"],
         logLevel: "warning",
     });
+    writeFileSync(`target/${name}.cjs`, loaderOf(name));
+    compile(name);
+}
+
+/** Loads the program once without running it and keeps what V8 compiled. */
+function compile(name) {
+    const env = { ...process.env, MEDLARLEDGE_CODE_CACHE: `target/${name}.cache` };
+    execFileSync(process.execPath, [`target/${name}.cjs`], { env, stdio: "ignore" });
 }
