--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -32,8 +32,8 @@
  * After a power loss endpoints still count the connections of the former process, for up to 3 s; a new process takes
  * only few at first, so that all new processes get some of those that are left.
  */
-const FRESH_MS = 3_000;
-const FRESH_SHARE = 1;
+const FRESH_MS = 2_000;
+const FRESH_PART = 0.5;
 
 export interface EntryHostOptions {
     readonly self: Host;
@@ -300,7 +300,7 @@
             return 0;
         }
         const isFresh = this.#options.clock.now() - this.#startedAt < FRESH_MS;
-        return isFresh ? Math.min(share, FRESH_SHARE) : share;
+        return isFresh ? Math.max(1, Math.floor(share * FRESH_PART)) : share;
     }
 
     #plan(record: EndpointRecord, routing: Routing): ConnectionPlan {
