Keep the suspected primary in mind while a promotion is repeated

Found by the tests of the watch: after an order without an answer the dead primary was asked for its position again, which cost 200 ms each time.

--- a/packages/control/src/primary-watch.ts
+++ b/packages/control/src/primary-watch.ts
@@ -59,19 +59,25 @@
     readonly nextFence: () => number;
 }
 
+/** Why a primary is replaced. */
+interface Replacement {
+    readonly reason: string;
+    /** The primary that entry hosts do not reach; undefined when it is replaced for another reason. */
+    readonly suspect: string | undefined;
+}
+
 type Phase =
     | { readonly kind: "calm"; }
     | { readonly kind: "checking"; readonly endpoint: string; readonly since: number; }
+    | { readonly kind: "choosing"; readonly cause: Replacement; readonly since: number; }
+    /** A pause before the endpoints are read again. */
+    | { readonly kind: "pausing"; readonly cause: Replacement; readonly since: number; }
     | {
-        readonly kind: "choosing";
-        readonly reason: string;
+        readonly kind: "promoting";
+        readonly cause: Replacement;
+        readonly order: PrimaryOrder;
         readonly since: number;
-        /** The primary that entry hosts do not reach; undefined when it is replaced for another reason. */
-        readonly suspect: string | undefined;
-    }
-    /** A pause before the endpoints are read again. */
-    | { readonly kind: "pausing"; readonly reason: string; readonly since: number; }
-    | { readonly kind: "promoting"; readonly order: PrimaryOrder; readonly since: number; };
+    };
 
 interface Heard extends WatchReport {
     readonly at: number;
@@ -147,7 +153,7 @@
                 break;
             case "pausing":
                 if (now - this.#phase.since >= RETRY_MS) {
-                    this.#choose(this.#phase.reason, undefined, view, now, effects);
+                    this.#choose(this.#phase.cause, view, now, effects);
                 }
                 break;
             case "promoting":
@@ -165,7 +171,7 @@
         }
         this.#withoutPrimarySince = undefined;
         if (record.state === EndpointState.Leaving && this.#successors(view, record.id).length > 0) {
-            this.#choose("the primary leaves", undefined, view, now, effects);
+            this.#choose({ reason: "the primary leaves", suspect: undefined }, view, now, effects);
         }
         else if (now - this.#checkedAt >= RECHECK_MS && this.#against(record.id, now).length > 0) {
             this.#checkedAt = now;
@@ -182,7 +188,7 @@
         }
         this.#withoutPrimarySince ??= now;
         if (now - this.#withoutPrimarySince >= NO_PRIMARY_MS) {
-            this.#choose("no endpoint leads", undefined, view, now, effects);
+            this.#choose({ reason: "no endpoint leads", suspect: undefined }, view, now, effects);
         }
     }
 
@@ -198,7 +204,7 @@
         }
         else if (this.#isCondemned(endpoint, since, view, now)) {
             const reason = `${against} of ${view.entries.length} entry hosts do not reach it`;
-            this.#choose(reason, endpoint, view, now, effects);
+            this.#choose({ reason, suspect: endpoint }, view, now, effects);
         }
         else if (now - since >= CONFIRM_MS) {
             this.#phase = CALM;
@@ -218,14 +224,9 @@
         return now - since >= CONFIRM_MS && against > answered / 2 && against >= Math.min(2, view.entries.length);
     }
 
-    #choose(
-        reason: string,
-        suspect: string | undefined,
-        view: WatchView,
-        now: number,
-        effects: WatchEffect[],
-    ): void {
-        this.#phase = { kind: "choosing", reason, suspect, since: now };
+    #choose(cause: Replacement, view: WatchView, now: number, effects: WatchEffect[]): void {
+        const { reason, suspect } = cause;
+        this.#phase = { kind: "choosing", cause, since: now };
         this.#readings.clear();
         const event = { group: this.#group, reason, primary: this.primary(view) };
         effects.push({ kind: "event", name: "promotion.choosing", fields: event });
@@ -235,11 +236,12 @@
     }
 
     #advanceChoosing(
-        { reason, suspect, since }: Extract<Phase, { kind: "choosing"; }>,
+        { cause, since }: Extract<Phase, { kind: "choosing"; }>,
         view: WatchView,
         now: number,
         effects: WatchEffect[],
     ): void {
+        const { suspect } = cause;
         const successors = this.#successors(view, suspect);
         const isComplete = successors.every(({ id }) => this.#readings.has(id));
         if (!isComplete && now - since < READING_MS) {
@@ -257,23 +259,23 @@
         }
         const best = this.#best(successors, now);
         if (best === undefined) {
-            this.#phase = { kind: "pausing", reason, since: now };
+            this.#phase = { kind: "pausing", cause, since: now };
         }
         else {
-            this.#promote(best, view, now, effects);
+            this.#promote(best, cause, view, now, effects);
         }
     }
 
-    #promote(endpoint: string, view: WatchView, now: number, effects: WatchEffect[]): void {
+    #promote(endpoint: string, cause: Replacement, view: WatchView, now: number, effects: WatchEffect[]): void {
         const order = { group: this.#group, endpoint, fence: view.nextFence() };
-        this.#phase = { kind: "promoting", order, since: now };
+        this.#phase = { kind: "promoting", cause, order, since: now };
         const positions = [...this.#readings].map(([id, reading]) => ({ id, ...reading }));
         effects.push({ kind: "promote", order });
         effects.push({ kind: "event", name: "promotion.ordered", fields: { ...order, positions } });
     }
 
     #advancePromoting(
-        { order, since }: Extract<Phase, { kind: "promoting"; }>,
+        { cause, order, since }: Extract<Phase, { kind: "promoting"; }>,
         view: WatchView,
         now: number,
         effects: WatchEffect[],
@@ -287,7 +289,8 @@
         }
         else if (record === undefined || now - since >= PROMOTION_MS) {
             this.#refused.set(order.endpoint, now);
-            this.#choose("the ordered endpoint did not take the lead", undefined, view, now, effects);
+            const reason = "the ordered endpoint did not take the lead";
+            this.#choose({ ...cause, reason }, view, now, effects);
         }
     }
 
@@ -300,7 +303,8 @@
         }
         // An order without an answer may still be carried out: the endpoints are asked first. A new order has a higher
         // token, which makes a late one void.
-        this.#phase = { kind: "pausing", reason: `the order was ${outcome}`, since: now };
+        const cause = { ...this.#phase.cause, reason: `the order was ${outcome}` };
+        this.#phase = { kind: "pausing", cause, since: now };
     }
 
     #calm(why: string, endpoint: string, effects: WatchEffect[]): void {
--- /dev/null
+++ b/packages/control/tests/group-repair.test.ts
@@ -0,0 +1,57 @@
+import type { Members } from "@medlarledge/protocol";
+import { describe, expect, it } from "vitest";
+import { type GroupCondition, repairedMembers, REPLACE_MS } from "../src/group-repair.js";
+
+function condition(changes: Partial<GroupCondition> = {}): GroupCondition {
+    return { joining: [], caughtUp: [], silentMs: new Map(), ...changes };
+}
+
+const three: Members = { voters: ["a", "b", "c"], learners: [] };
+
+describe("repairedMembers", () => {
+    // Guards against changes of a group that is whole.
+    it("leaves a group alone whose members answer", () => {
+        expect(repairedMembers(three, condition())).toBeUndefined();
+    });
+
+    // Guards against a group that stays smaller than its hosts: six control hosts start, three of them found the group.
+    it("adds every host that asks to join, as a learner first", () => {
+        const joined = repairedMembers(three, condition({ joining: ["d"] }));
+        expect(joined).toEqual({ voters: ["a", "b", "c"], learners: ["d"] });
+        const promoted = repairedMembers({ voters: ["a", "b", "c"], learners: ["d"] }, condition({ caughtUp: ["d"] }));
+        expect(promoted).toEqual({ voters: ["a", "b", "c", "d"], learners: [] });
+    });
+
+    // Guards against a second loss right after a replacement that the group would not survive (replace_core).
+    it("puts a successor in the place of a voter that is gone, one step at a time", () => {
+        const silent = condition({ caughtUp: ["d"], silentMs: new Map([["c", REPLACE_MS]]) });
+        const first = repairedMembers({ voters: ["a", "b", "c"], learners: ["d"] }, silent);
+        expect(first).toEqual({ voters: ["a", "b"], learners: ["d"] });
+        expect(repairedMembers(first ?? three, condition({ caughtUp: ["d"] }))).toEqual({
+            voters: ["a", "b", "d"],
+            learners: [],
+        });
+    });
+
+    // Guards against a group of three that shrinks to two because one of them is cut off for a while.
+    it("removes nobody from a small group without a successor", () => {
+        expect(repairedMembers(three, condition({ silentMs: new Map([["c", 60_000]]) }))).toBeUndefined();
+    });
+
+    // Guards against a larger group that bears less and less because lost hosts stay members.
+    it("removes silent voters of a larger group, as long as a majority of the rest answers", () => {
+        const six: Members = { voters: ["a", "b", "c", "d", "e", "f"], learners: [] };
+        const silentMs = new Map([["e", 4_000], ["f", 4_000]]);
+        expect(repairedMembers(six, condition({ silentMs }))?.voters).toEqual(["a", "b", "c", "d", "f"]);
+        const half = new Map([["d", 4_000], ["e", 4_000], ["f", 4_000]]);
+        expect(repairedMembers(six, condition({ silentMs: half }))?.voters).toEqual(["a", "b", "c", "e", "f"]);
+        const most = new Map([["c", 4_000], ["d", 4_000], ["e", 4_000], ["f", 4_000]]);
+        expect(repairedMembers(six, condition({ silentMs: most }))).toBeUndefined();
+    });
+
+    // Guards against a wiped host that votes under the identity of its lost disk.
+    it("removes the former member of a host that came back without its disk", () => {
+        const wiped: Members = { voters: ["a", "b", "c"], learners: ["c#2"] };
+        expect(repairedMembers(wiped, condition())).toEqual({ voters: ["a", "b"], learners: ["c#2"] });
+    });
+});
