--- a/packages/control/src/primary-watch.ts
+++ b/packages/control/src/primary-watch.ts
@@ -47,7 +47,11 @@
     | { readonly kind: "check"; readonly endpoint: string; }
     | { readonly kind: "read"; readonly endpoint: string; }
     | { readonly kind: "promote"; readonly order: PrimaryOrder; }
-    | { readonly kind: "event"; readonly name: string; readonly fields: Readonly<Record<string, unknown>>; };
+    | {
+        readonly kind: "event";
+        readonly name: "promotionChoosing" | "promotionOrdered" | "promotionDone";
+        readonly fields: Readonly<Record<string, unknown>>;
+    };
 
 /** What the watch needs to know besides its events. */
 export interface WatchView {
@@ -229,7 +233,7 @@
         this.#phase = { kind: "choosing", cause, since: now };
         this.#readings.clear();
         const event = { group: this.#group, reason, primary: this.primary(view) };
-        effects.push({ kind: "event", name: "promotion.choosing", fields: event });
+        effects.push({ kind: "event", name: "promotionChoosing", fields: event });
         for (const { id } of this.#successors(view, suspect)) {
             effects.push({ kind: "read", endpoint: id });
         }
@@ -271,7 +275,7 @@
         this.#phase = { kind: "promoting", cause, order, since: now };
         const positions = [...this.#readings].map(([id, reading]) => ({ id, ...reading }));
         effects.push({ kind: "promote", order });
-        effects.push({ kind: "event", name: "promotion.ordered", fields: { ...order, positions } });
+        effects.push({ kind: "event", name: "promotionOrdered", fields: { ...order, positions } });
     }
 
     #advancePromoting(
@@ -312,7 +316,7 @@
         this.#promoted = endpoint;
         this.#reports.clear();
         this.#refused.clear();
-        effects.push({ kind: "event", name: "promotion.done", fields: { group: this.#group, endpoint, why } });
+        effects.push({ kind: "event", name: "promotionDone", fields: { group: this.#group, endpoint, why } });
     }
 
     /** The endpoint with the most of the log; one that was refused a moment ago only if there is no other. */
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -12,7 +12,8 @@
 } from "@medlarledge/protocol";
 import { type Clock, LeaderClient, type MeshEvent, PeerMesh } from "@medlarledge/runtime";
 import type { EndpointConnector } from "@medlarledge/statements";
-import type { Log } from "@medlarledge/telemetry";
+import type { Log, LogEvent, LogFields, Meter } from "@medlarledge/telemetry";
+import { LoopDelay } from "./gauges.js";
 import { type ConfigurationRead, GroupMember } from "./group-member.js";
 import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
 import { LastKnown } from "./last-known.js";
@@ -42,6 +43,7 @@
     readonly founders: readonly string[] | undefined;
     readonly clock: Clock;
     readonly log: Log;
+    readonly meter: Meter;
     readonly connector: EndpointConnector;
     readonly configurations: ConfigurationReader;
     readonly authority: PromotionAuthority;
@@ -63,6 +65,7 @@
     readonly #member: GroupMember;
     readonly #directory = new Directory();
     readonly #keeper: PrimaryKeeper;
+    readonly #loopDelay: LoopDelay;
     readonly #client: LeaderClient;
     readonly #lastKnown: LastKnown;
     /** The newest configuration known to be committed, from the group's log or from before a restart. */
@@ -87,13 +90,14 @@
     constructor(options: ControlHostOptions) {
         this.#options = options;
         this.#seeds = options.seeds;
+        this.#loopDelay = new LoopDelay(options.meter, TICK_MS);
         const { self, clock, log, connector, authority, name, dataFolder, founders, configurations } = options;
         this.#mesh = new PeerMesh({ self, identity: undefined, clock, log, timing: FLEET_LINK_TIMING });
         this.#links = new HostLinks(this.#mesh, self.id);
         this.#client = new LeaderClient(request => this.#toLeader(request));
         this.#lastKnown = new LastKnown(
             dataFolder,
-            reason => log.event("controlEvent", { name: "lastKnown.failed", reason }),
+            reason => log.event("lastKnownFailed", { reason }),
         );
         this.#member = new GroupMember({
             self,
@@ -105,7 +109,7 @@
             events: {
                 roleChanged: () => this.#roleChanged(),
                 configured: change => this.#configured(change),
-                event: (event, fields) => log.event("controlEvent", { name: event, ...fields }),
+                event: (event, fields) => log.event(event, fields),
             },
         });
         this.#keeper = new PrimaryKeeper({
@@ -118,7 +122,7 @@
             check: (group, endpoint) =>
                 this.#links.sendAll(this.#connectedEntries(), { kind: "primaryCheck", group, endpoint }),
             ordered: order => this.#ordersReceived([order]),
-            event: (event, fields) => log.event("controlEvent", { name: event, ...fields }),
+            event: (event, fields) => this.#promotionStep(event, fields),
         });
     }
 
@@ -169,6 +173,7 @@
 
     announce(record: EndpointRecord): void {
         if (this.#directory.merge(record) === "changed") {
+            this.#options.log.event("endpointAnnounced", { ...record });
             this.#spread([record], this.#links.connected());
             this.#remember();
         }
@@ -200,8 +205,21 @@
         return answer.kind === "answered" ? answer.body as ConfigurationRead : { kind: "unavailable" };
     }
 
+    /** Sets the gauges, for a collector that asks now. */
+    measure(): void {
+        const { meter } = this.#options;
+        meter.gauge("agreement.leader", this.#member.isLeader ? 1 : 0);
+        meter.gauge("configuration.number", this.#configuration?.number ?? 0);
+    }
+
+    #promotionStep(event: LogEvent, fields: LogFields): void {
+        this.#options.log.event(event, fields);
+        this.#options.meter.count("promotion.steps", 1, { group: String(fields["group"]), step: event });
+    }
+
     #tick(): void {
         const now = this.#options.clock.now();
+        this.#loopDelay.tick(now);
         this.#client.tick(now);
         if (this.#member.hasQuorum) {
             this.#keeper.tick(this.#member.term);
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -1,10 +1,12 @@
 import { Directory } from "@medlarledge/directory";
-import { Gateway, type GatewayListener, type Routing } from "@medlarledge/gateway";
+import { Gateway, type Routing } from "@medlarledge/gateway";
 import type { EndpointRecord, Host, Message, PrimaryOrder } from "@medlarledge/protocol";
 import { type Clock, type MeshEvent, PeerMesh } from "@medlarledge/runtime";
 import type { Acceptance, Caller, EndpointConnector } from "@medlarledge/statements";
-import type { Log } from "@medlarledge/telemetry";
+import type { Log, Meter } from "@medlarledge/telemetry";
 import { type ConnectionPlan, connectionPlan, holdersFor } from "./connection-share.js";
+import { GatewayReporter } from "./gateway-reporter.js";
+import { LoopDelay, measureGroups } from "./gauges.js";
 import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
 import { Isolation } from "./isolation.js";
 import type { ConfigurationReader } from "./ports.js";
@@ -35,6 +37,10 @@
 const FRESH_MS = 2_000;
 const FRESH_PART = 0.5;
 
+/** Why callers' connections are closed. */
+const STOPPING = "this host stops";
+const ISOLATED = "this host is cut off from the other data centres";
+
 export interface EntryHostOptions {
     readonly self: Host;
     readonly seeds: readonly string[];
@@ -43,7 +49,7 @@
     readonly connector: EndpointConnector;
     readonly configurations: ConfigurationReader;
     readonly random: () => number;
-    readonly listener: GatewayListener;
+    readonly meter: Meter;
     /** Time from a stop to the end of the process, in ms. */
     readonly graceMs: number;
 }
@@ -62,6 +68,7 @@
     readonly #isolation = new Isolation();
     /** Data centres of the control hosts that this host has been linked to. */
     readonly #controlPlaces = new Map<string, string>();
+    readonly #loopDelay: LoopDelay;
     readonly #startedAt: number;
     #seeds: readonly string[];
     #control: readonly string[] = [];
@@ -95,8 +102,9 @@
     constructor(options: EntryHostOptions) {
         this.#options = options;
         this.#startedAt = options.clock.now();
+        this.#loopDelay = new LoopDelay(options.meter, TICK_MS);
         this.#seeds = options.seeds;
-        const { self, clock, log, connector, random, listener } = options;
+        const { self, clock, log, connector, random, meter } = options;
         this.#mesh = new PeerMesh({ self, identity: undefined, clock, log, timing: FLEET_LINK_TIMING });
         this.#links = new HostLinks(this.#mesh, self.id);
         this.#gateway = new Gateway({
@@ -112,7 +120,7 @@
                 reply: (host, result) => this.#links.send(host, result),
             },
             random,
-            listener,
+            listener: new GatewayReporter(log, meter, clock.now).listener,
         });
     }
 
@@ -165,12 +173,12 @@
         const closeAt = Math.min(LEAVE_ROTATION_MS, graceMs / 2);
         await pause(closeAt);
         this.#isShedding = true;
-        this.#gateway.shed(true);
+        this.#gateway.shed(STOPPING);
         await pause(graceMs / 2 - closeAt);
-        this.#gateway.abortTransactions();
+        this.#gateway.abortTransactions(STOPPING);
         await this.#drained(graceMs / 3);
         clearInterval(this.#timer);
-        this.#gateway.close();
+        this.#gateway.close(STOPPING);
         await this.#mesh.close();
     }
 
@@ -181,8 +189,18 @@
         }
     }
 
+    /** Sets the gauges, for a collector that asks now. */
+    measure(): void {
+        const { meter } = this.#options;
+        meter.gauge("callers.open", this.callers);
+        meter.gauge("configuration.number", this.#gateway.routing.number);
+        const groups = [...this.#gateway.groups];
+        measureGroups(meter, new Map(groups.map(([name, group]) => [name, group.condition()])));
+    }
+
     #tick(): void {
         const now = this.#options.clock.now();
+        this.#loopDelay.tick(now);
         for (const [name, group] of this.#gateway.groups) {
             const state = group.primaryState();
             const report = state === undefined ? undefined : this.#reporter.report(name, state, now);
@@ -209,11 +227,11 @@
         };
         if (this.#isolation.update(contacts, now)) {
             const { isIsolated } = this.#isolation;
-            this.#options.log.event("controlEvent", { name: "isolation", isIsolated, ...contacts });
+            this.#options.log.event("isolationChanged", { isIsolated, ...contacts });
         }
         // Callers that come back before the platform has noticed would only return to this host or its neighbours.
         const isLong = this.#isolation.isolatedFor(now) >= LEAVE_ROTATION_MS;
-        this.#gateway.shed(this.#isShedding || isLong);
+        this.#gateway.shed(this.#isShedding ? STOPPING : isLong ? ISOLATED : undefined);
     }
 
     #meshEvent(event: MeshEvent): void {
@@ -242,6 +260,7 @@
             if (this.#directory.merge(record) === "changed") {
                 groups.add(record.group);
                 groups.add(former ?? record.group);
+                this.#options.log.event("endpointAnnounced", { ...record });
             }
         }
         for (const group of groups) {
@@ -252,6 +271,7 @@
     #ordersReceived(orders: readonly PrimaryOrder[]): void {
         for (const order of orders) {
             if (this.#directory.order(order)) {
+                this.#options.log.event("primaryOrdered", { ...order });
                 this.#gateway.ordered(order);
             }
         }
@@ -270,6 +290,8 @@
             }
         }
         this.#entries = entries ?? this.#entries;
+        const counts = { control: control.length, entries: this.#entries.length };
+        this.#options.log.event("hostsChanged", { term, leader: this.#leader, ...counts });
         this.#plans.clear();
         this.#keepLinks();
     }
--- /dev/null
+++ b/packages/fleet/src/gateway-reporter.ts
@@ -0,0 +1,84 @@
+import { Failure, type GatewayEvent, type GatewayListener } from "@medlarledge/gateway";
+import { LineBudget, type Log, type LogEvent, type Meter, type MetricName } from "@medlarledge/telemetry";
+
+/** Lines about requests that were served at once and in time, for each group and second. */
+const ROUTINE_LINES_PER_SECOND = 1;
+
+type EventOf<K extends GatewayEvent["kind"]> = Extract<GatewayEvent, { kind: K; }>;
+type Handlers = { readonly [K in GatewayEvent["kind"]]: (event: EventOf<K>) => void; };
+
+const FAILURE_LINES: Readonly<Record<Failure, { readonly event: LogEvent; readonly metric: MetricName; }>> = {
+    [Failure.Refused]: { event: "requestRefused", metric: "statement.refused" },
+    [Failure.Unknown]: { event: "requestUnknown", metric: "statement.unknown" },
+    [Failure.Failed]: { event: "requestFailed", metric: "statement.failed" },
+};
+
+/** Writes the decisions of a gateway to the log and counts them. */
+export class GatewayReporter {
+    readonly #log: Log;
+    readonly #meter: Meter;
+    readonly #now: () => number;
+    readonly #routine = new LineBudget(ROUTINE_LINES_PER_SECOND);
+
+    readonly #handlers: Handlers = {
+        served: event => this.#served(event),
+        notServed: event => this.#notServed(event),
+        retried: event => this.#retried(event),
+        aborted: event => this.#write("transactionAborted", event),
+        cut: event => this.#write("sessionCut", event),
+        reach: event => this.#write(event.reach === "reachable" ? "endpointReached" : "endpointUnreachable", event),
+        primary: event => this.#write("primarySeen", event),
+        denied: event => this.#write("primaryDenied", event),
+    };
+
+    constructor(log: Log, meter: Meter, now: () => number) {
+        this.#log = log;
+        this.#meter = meter;
+        this.#now = now;
+    }
+
+    readonly listener: GatewayListener = event => (this.#handlers[event.kind] as (event: GatewayEvent) => void)(event);
+
+    #served({ request, onPrimary, targetMs }: EventOf<"served">): void {
+        const { group, statement, latencyMs, waitedMs } = request;
+        const role = onPrimary ? "primary" : "replica";
+        this.#meter.count("statement.served", 1, { group, statement, role });
+        this.#meter.timing("statement.latency", latencyMs, { group, statement });
+        if (waitedMs > 0) {
+            this.#meter.timing("wait.endpoint", waitedMs, { group });
+        }
+        const cause = remarkable(request, targetMs);
+        if (cause !== undefined || this.#routine.take(group, this.#now())) {
+            this.#log.event("requestServed", { ...request, role, cause: cause ?? "routine" });
+        }
+    }
+
+    #notServed({ failure, request, code, cause, condition }: EventOf<"notServed">): void {
+        const { group, statement } = request;
+        const { event, metric } = FAILURE_LINES[failure];
+        // A cause that names a request would give each request a label of its own.
+        this.#meter.count(metric, 1, { group, statement, cause: code });
+        this.#log.event(event, { ...request, code, cause, ...condition });
+    }
+
+    #retried(event: EventOf<"retried">): void {
+        this.#meter.count("statement.retried", 1, { group: event.group, cause: event.cause });
+        this.#write("requestRetried", event);
+    }
+
+    /** The name of the line says what kind of event it is. */
+    #write(name: LogEvent, event: GatewayEvent): void {
+        this.#log.event(name, { ...event, kind: undefined });
+    }
+}
+
+/** Why a served request is worth a line; undefined when it is not. */
+function remarkable(
+    { latencyMs, attempts }: EventOf<"served">["request"],
+    targetMs: number | undefined,
+): string | undefined {
+    if (targetMs !== undefined && latencyMs > targetMs) {
+        return "late";
+    }
+    return attempts > 1 ? "repeated" : undefined;
+}
--- /dev/null
+++ b/packages/fleet/src/gauges.ts
@@ -0,0 +1,39 @@
+import type { GroupCondition } from "@medlarledge/gateway";
+import type { Meter } from "@medlarledge/telemetry";
+
+/** Measures the endpoints of groups by the names of the groups. Values of endpoints that are gone are forgotten. */
+export function measureGroups(meter: Meter, conditions: ReadonlyMap<string, GroupCondition>): void {
+    meter.clear("pool.connections");
+    meter.clear("pool.waiting");
+    meter.clear("endpoint.reachable");
+    for (const [group, { endpoints }] of conditions) {
+        for (const { endpoint, reach, connections, idle, transactions, waiting } of endpoints) {
+            meter.gauge("endpoint.reachable", reach === "reachable" ? 1 : 0, { group, endpoint });
+            meter.gauge("pool.waiting", waiting, { group, endpoint });
+            meter.gauge("pool.connections", idle, { group, endpoint, state: "idle" });
+            meter.gauge("pool.connections", transactions, { group, endpoint, state: "transaction" });
+            const running = Math.max(0, connections - idle - transactions);
+            meter.gauge("pool.connections", running, { group, endpoint, state: "running" });
+        }
+    }
+}
+
+/** Measures how late a regular timer fires. */
+export class LoopDelay {
+    readonly #meter: Meter;
+    readonly #intervalMs: number;
+    #lastAt: number | undefined;
+
+    constructor(meter: Meter, intervalMs: number) {
+        this.#meter = meter;
+        this.#intervalMs = intervalMs;
+    }
+
+    /** Called by the timer. */
+    tick(now: number): void {
+        if (this.#lastAt !== undefined) {
+            this.#meter.timing("loop.delay", Math.max(0, now - this.#lastAt - this.#intervalMs));
+        }
+        this.#lastAt = now;
+    }
+}
--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -17,6 +17,7 @@
     type LogEntry,
 } from "@medlarledge/protocol";
 import { type AgreementReport, AgreementTask, type Clock } from "@medlarledge/runtime";
+import type { LogEvent, LogFields } from "@medlarledge/telemetry";
 import { randomInt } from "node:crypto";
 
 /** Committed entries between two snapshots. Bounds the log in memory at some megabytes even for large configurations. */
@@ -52,7 +53,7 @@
     roleChanged(): void;
     /** A configuration was committed. */
     configured(change: ConfigurationChange): void;
-    event(name: string, fields: Readonly<Record<string, unknown>>): void;
+    event(name: LogEvent, fields: LogFields): void;
 }
 
 export interface GroupMemberOptions {
@@ -255,7 +256,7 @@
 
     /** The disk refuses writes: this member cannot vote or acknowledge, and tries again with what the disk holds. */
     async #failed(error: StoreError): Promise<void> {
-        this.#options.events.event("store.failed", { error: describeStoreError(error) });
+        this.#options.events.event("storeFailed", { error: describeStoreError(error) });
         this.#agreement = undefined;
         this.#roleChanged({ kind: "role", role: "follower", term: this.#role.term, leader: undefined });
         await this.#store?.close();
@@ -275,7 +276,7 @@
         if (error !== undefined) {
             this.#reopenLater();
         }
-        this.#options.events.event("store.reopened", {
+        this.#options.events.event("storeReopened", {
             error: error === undefined ? undefined : describeStoreError(error),
         });
     }
@@ -306,7 +307,7 @@
     #apply(entry: LogEntry): void {
         const command = decodeCommand(entry.payload);
         if (entry.members !== undefined) {
-            this.#options.events.event("members", { ...entry.members });
+            this.#options.events.event("membersChanged", { ...entry.members });
             this.#options.events.roleChanged();
         }
         if (command === undefined) {
--- a/packages/fleet/src/primary-keeper.ts
+++ b/packages/fleet/src/primary-keeper.ts
@@ -3,6 +3,7 @@
 import type { PrimaryOrder, PrimaryReport } from "@medlarledge/protocol";
 import type { Clock } from "@medlarledge/runtime";
 import type { EndpointConnector } from "@medlarledge/statements";
+import type { LogEvent, LogFields } from "@medlarledge/telemetry";
 import { readEndpoint } from "./endpoint-reader.js";
 import type { PromotionAuthority } from "./ports.js";
 
@@ -23,7 +24,7 @@
     /** Asks all entry hosts to report on an endpoint. */
     readonly check: (group: string, endpoint: string) => void;
     readonly ordered: (order: PrimaryOrder) => void;
-    readonly event: (name: string, fields: Readonly<Record<string, unknown>>) => void;
+    readonly event: (name: LogEvent, fields: LogFields) => void;
 }
 
 type Executors = {
@@ -105,7 +106,7 @@
         const term = this.#term;
         this.#options.ordered(order);
         const outcome = await this.#options.authority.promote({ ...order, holder: this.#options.holder });
-        this.#options.event("promotion.answered", { ...order, outcome });
+        this.#options.event("promotionAnswered", { ...order, outcome });
         if (term === this.#term) {
             this.#handle(group, { kind: "ordered", fence: order.fence, outcome });
         }
--- a/packages/gateway/src/caller-session.ts
+++ b/packages/gateway/src/caller-session.ts
@@ -10,17 +10,20 @@
     type LogPosition,
     type Order,
     type OrderResult,
-    type Statement,
     type TransactionState,
     TransactionStates,
 } from "@medlarledge/statements";
 import type { GatewayListener } from "./gateway-event.js";
 import type { Group } from "./group.js";
 import { NOT_RUN_CODES } from "./not-run.js";
+import { type Outcome, type ReportedRequest, reportOutcome } from "./request-report.js";
 import type { Route, Routing } from "./route.js";
 import { type RunnableStatement, SessionImage, writes } from "./session-image.js";
 import type { Served, StatementServer } from "./statement-server.js";
 
+/** Why a transaction without statements for too long is rolled back. */
+const IDLE_CAUSE = "its caller was idle for too long";
+
 /** A caller's transaction. Before its first statement no endpoint knows of it. */
 interface Transaction {
     /** Names the transaction at its endpoint. */
@@ -32,7 +35,10 @@
     /** Where it runs; undefined before its first statement. */
     endpoint: string | undefined;
     wrote: boolean;
-    failed: boolean;
+    /** Why it was rolled back before its caller ended it; undefined while it goes on. */
+    failure: string | undefined;
+    /** The last request in it. */
+    requestId: string;
 }
 
 export interface SessionOptions {
@@ -59,6 +65,8 @@
     /** The session's last commit, and the position that callers are told. */
     #floor: LogPosition | undefined;
     #position: LogPosition | undefined;
+    /** Id of the request that is being served. */
+    #outstanding: string | undefined;
     #isBusy = false;
     #isClosed = false;
 
@@ -88,25 +96,34 @@
     }
 
     /** Ends the session. Callers take this as no failure while the session is idle. */
-    close(): void {
+    close(cause: string): void {
+        if (this.#outstanding !== undefined) {
+            const { caller, listener } = this.#options;
+            listener({ kind: "cut", requestId: this.#outstanding, database: caller.database, cause });
+        }
         this.#options.caller.close();
         this.closed();
     }
 
     /** Rolls back a transaction that may not go on; its caller learns it at the next statement. */
-    abortTransaction(): void {
+    abortTransaction(cause: string): void {
         const transaction = this.#transaction;
-        if (transaction !== undefined && !this.#isBusy) {
-            this.#rollBack(transaction);
-            transaction.failed = true;
+        if (transaction === undefined || transaction.failure !== undefined || this.#isBusy) {
+            return;
         }
+        this.#rollBack(transaction);
+        transaction.failure = cause;
+        const { endpoint, key, requestId, route } = transaction;
+        this.#options.listener({ kind: "aborted", group: route.group, endpoint, transaction: key, requestId, cause });
     }
 
     async #work(): Promise<void> {
         this.#isBusy = true;
         clearTimeout(this.#idleTimer);
         for (let request = this.#queue.shift(); request !== undefined; request = this.#queue.shift()) {
+            this.#outstanding = request.id;
             const answer = await this.#serve(request, this.#options.clock.now());
+            this.#outstanding = undefined;
             if (this.#isClosed) {
                 break;
             }
@@ -120,21 +137,21 @@
         if (this.#isClosed) {
             return;
         }
-        if (this.#transaction?.endpoint !== undefined && !this.#transaction.failed) {
+        if (this.#transaction?.endpoint !== undefined && this.#transaction.failure === undefined) {
             const { transactionIdleMs } = this.#options.routing();
-            this.#idleTimer = setTimeout(() => this.abortTransaction(), transactionIdleMs);
+            this.#idleTimer = setTimeout(() => this.abortTransaction(IDLE_CAUSE), transactionIdleMs);
         }
         this.#options.idle(this);
     }
 
     #serve(request: CallerRequest, now: number): Answer | Promise<Answer> {
         const { statement } = request;
-        if (this.#transaction?.failed === true) {
-            return this.#answerFailed(statement);
+        if (this.#transaction?.failure !== undefined) {
+            return this.#answerFailed(request, this.#transaction, now);
         }
         switch (statement.kind) {
             case "begin":
-                return this.#begin(statement.readOnly);
+                return this.#begin(request.id, statement.readOnly);
             case "rollback":
                 this.#endTransaction();
                 return this.#done();
@@ -155,7 +172,7 @@
         }
     }
 
-    #begin(readOnly: boolean): Answer {
+    #begin(requestId: string, readOnly: boolean): Answer {
         if (this.#transaction === undefined) {
             const route = this.#route();
             if (route === undefined) {
@@ -168,7 +185,8 @@
                 group: this.#options.group(route.group),
                 endpoint: undefined,
                 wrote: false,
-                failed: false,
+                failure: undefined,
+                requestId,
             };
         }
         return this.#done();
@@ -198,8 +216,9 @@
             transaction,
             arrivedAt: now,
         }, group);
-        this.#report(request, route, served, now, served.endpoint === group.primary());
+        this.#report({ request, route, group, transaction: transaction?.key }, served, now);
         if (transaction !== undefined) {
+            transaction.requestId = request.id;
             return this.#started(transaction, served, writes(ordered));
         }
         if (writes(ordered) && served.answer.completion.kind === "done") {
@@ -220,7 +239,7 @@
             }
             return answer;
         }
-        transaction.failed = true;
+        transaction.failure = served.cause ?? "its first statement failed";
         return { ...answer, state: TransactionStates.Failed };
     }
 
@@ -232,12 +251,13 @@
     ): Promise<Answer> {
         const result = await transaction.group.run(this.#order(request, transaction, statement), false);
         const answer = this.#answerOf(result, transaction, statement);
-        const { endpoint, key } = transaction;
-        const served = { answer, endpoint, transaction: key, attempts: 1, cause: causeOf(result) };
-        this.#report(request, transaction.route, served, now, endpoint === transaction.group.primary());
+        const { endpoint, key, route, group } = transaction;
+        const outcome = { answer, endpoint, attempts: 1, waitedMs: 0, cause: causeOf(result) };
+        this.#report({ request, route, group, transaction: key }, outcome, now);
+        transaction.requestId = request.id;
         if (statement.kind !== "commit" && answer.state === TransactionStates.Failed) {
             this.#rollBack(transaction);
-            transaction.failed = true;
+            transaction.failure = outcome.cause ?? "a statement failed";
         }
         return answer;
     }
@@ -303,19 +323,32 @@
             transaction,
             arrivedAt: now,
         }, group);
-        this.#report(request, route, served, now, served.endpoint === group.primary());
+        this.#report({ request, route, group, transaction: transaction.key }, served, now);
         return served.answer;
     }
 
     /** In a failed transaction only its end is accepted. */
-    #answerFailed(statement: Statement): Answer {
-        if (statement.kind === "rollback" || statement.kind === "commit") {
+    #answerFailed(request: CallerRequest, transaction: Transaction, now: number): Answer {
+        const { statement } = request;
+        if (statement.kind === "rollback") {
             this.#transaction = undefined;
-            return statement.kind === "rollback"
-                ? this.#done()
-                : failed(ErrorCode.Aborted, "the transaction had failed", TransactionStates.Idle);
+            return this.#done();
         }
-        return failed(ErrorCode.Aborted, "the transaction is rolled back", TransactionStates.Failed);
+        const isCommit = statement.kind === "commit";
+        const state = isCommit ? TransactionStates.Idle : TransactionStates.Failed;
+        const text = `the transaction is rolled back (${transaction.failure ?? ""})`;
+        const answer = failed(ErrorCode.Aborted, text, state);
+        const { endpoint, key, route, group } = transaction;
+        const cause = `rolled back after ${transaction.requestId}: ${transaction.failure ?? ""}`;
+        this.#report(
+            { request, route, group, transaction: key },
+            { answer, endpoint, attempts: 0, waitedMs: 0, cause },
+            now,
+        );
+        if (isCommit) {
+            this.#transaction = undefined;
+        }
+        return answer;
     }
 
     #fail(code: ErrorCode, text: string): Answer {
@@ -324,7 +357,7 @@
             return failed(code, text, TransactionStates.Idle);
         }
         this.#rollBack(transaction);
-        transaction.failed = true;
+        transaction.failure = text;
         return failed(code, text, TransactionStates.Failed);
     }
 
@@ -346,7 +379,7 @@
         clearTimeout(this.#idleTimer);
         const transaction = this.#transaction;
         this.#transaction = undefined;
-        if (transaction !== undefined && !transaction.failed) {
+        if (transaction !== undefined && transaction.failure === undefined) {
             this.#rollBack(transaction);
         }
     }
@@ -361,24 +394,14 @@
         return this.#options.routing().routes.get(this.#options.caller.database);
     }
 
-    #report(request: CallerRequest, route: Route, served: Served, arrivedAt: number, onPrimary: boolean): void {
-        const { answer, endpoint, attempts, cause } = served;
-        const latencyMs = this.#options.clock.now() - arrivedAt;
-        const common = { requestId: request.id, database: route.database, endpoint, latencyMs, attempts };
-        if (answer.completion.kind === "done") {
-            this.#options.listener({ kind: "served", ...common, onPrimary });
-            return;
-        }
-        const { code } = answer.completion;
-        const configuration = this.#options.routing().number;
-        this.#options.listener({
-            kind: "refused",
-            ...common,
-            group: route.group,
-            code,
-            cause: cause ?? code,
-            configuration,
-        });
+    #report(
+        request: Pick<ReportedRequest, "request" | "route" | "group" | "transaction">,
+        outcome: Outcome,
+        arrivedAt: number,
+    ): void {
+        const { clock, listener, routing } = this.#options;
+        const latencyMs = clock.now() - arrivedAt;
+        reportOutcome(listener, { ...request, latencyMs, configuration: routing().number }, outcome);
     }
 }
 
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -37,7 +37,7 @@
     readonly #relay: RelayClient;
     readonly #relayServer: RelayServer;
     #routing: Routing = NOTHING_CONFIGURED;
-    #isShedding = false;
+    #sheddingCause: string | undefined;
     #transactions = 0;
 
     constructor(options: GatewayOptions) {
@@ -134,9 +134,12 @@
         return { kind: "accepted", handler: session };
     }
 
-    /** Closes sessions whenever they are idle, so that their callers connect again, perhaps to another host. */
-    shed(isShedding: boolean): void {
-        this.#isShedding = isShedding;
+    /**
+     * Closes sessions whenever they are idle, so that their callers connect again, perhaps to another host.
+     * @param cause why sessions are closed; undefined to let them be
+     */
+    shed(cause: string | undefined): void {
+        this.#sheddingCause = cause;
         for (const session of [...this.#sessions]) {
             this.#idle(session);
         }
@@ -159,15 +162,15 @@
     }
 
     /** Rolls back the transactions that are still open; their callers learn it at their next statement. */
-    abortTransactions(): void {
+    abortTransactions(cause: string): void {
         for (const session of this.#sessions) {
-            session.abortTransaction();
+            session.abortTransaction(cause);
         }
     }
 
-    close(): void {
+    close(cause: string): void {
         for (const session of [...this.#sessions]) {
-            session.close();
+            session.close(cause);
         }
         for (const group of this.#groups.values()) {
             group.close();
@@ -175,8 +178,8 @@
     }
 
     #idle(session: CallerSession): void {
-        if (this.#isShedding && session.isIdle) {
-            session.close();
+        if (this.#sheddingCause !== undefined && session.isIdle) {
+            session.close(this.#sheddingCause);
         }
     }
 
--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -1,36 +1,24 @@
 import { type EndpointRecord, EndpointState, type LeaderKnowledge, type PrimaryOrder } from "@medlarledge/protocol";
 import type { Clock } from "@medlarledge/runtime";
 import {
-    type ConnectFailure,
     type EndpointConnector,
     type LogPosition,
     NotRunReason,
     type Order,
     type OrderResult,
-    UnknownReason,
 } from "@medlarledge/statements";
 import { Availability } from "./availability.js";
 import type { ElapsedClock } from "./elapsed-clock.js";
 import { type Candidate, chooseForRead, type ReadChoice } from "./endpoint-choice.js";
-import { EndpointLoad } from "./endpoint-load.js";
-import { EndpointPool } from "./endpoint-pool.js";
-import { EndpointReach, Reach } from "./endpoint-reach.js";
 import { Freshness } from "./freshness.js";
 import type { GatewayListener } from "./gateway-event.js";
+import type { GroupCondition } from "./group-condition.js";
+import { GroupEndpoint, type ReachChange } from "./group-endpoint.js";
 import type { Outage } from "./outlook.js";
 import { PrimaryBelief } from "./primary-belief.js";
 import type { RelayClient } from "./relay-client.js";
 import type { Route } from "./route.js";
 
-/** Connections kept open to each endpoint, so that the first request does not wait for one. */
-const WARM_CONNECTIONS = 1;
-
-/** A probe that is not answered in this time shows a silent endpoint; probes wait for no slot. */
-const PROBE_TIMEOUT_MS = 200;
-
-/** An endpoint that answered nothing for this long while orders are outstanding is probed. */
-const QUIET_MS = 100;
-
 /** Interval of the checks for quiet and unreachable endpoints. */
 const CHECK_MS = 50;
 
@@ -53,32 +41,10 @@
     readonly reachable: boolean;
 }
 
-export interface EndpointUse {
-    readonly endpoint: string;
-    readonly reach: Reach;
-    readonly connections: number;
-    readonly idle: number;
-    /** Connections that callers' transactions hold. */
-    readonly transactions: number;
-    /** Orders that wait for a connection. */
-    readonly waiting: number;
-    readonly running: number;
-}
-
-interface Member {
-    record: EndpointRecord;
-    readonly pool: EndpointPool;
-    readonly reach: EndpointReach;
-    readonly load: EndpointLoad;
-    /** Gives up reads that wait for this endpoint, so that they go elsewhere. */
-    readonly abandon: Set<() => void>;
-    isProbed: boolean;
-}
-
 /** The endpoints that replicate one database, as one process uses them. */
 export class Group {
     readonly #options: GroupOptions;
-    readonly #members = new Map<string, Member>();
+    readonly #endpoints = new Map<string, GroupEndpoint>();
     readonly #belief = new PrimaryBelief();
     readonly #freshness = new Freshness();
     readonly #waiting = new Set<() => void>();
@@ -97,19 +63,19 @@
     }
 
     record(endpoint: string): EndpointRecord | undefined {
-        return this.#members.get(endpoint)?.record;
+        return this.#endpoints.get(endpoint)?.record;
     }
 
     /** Takes over the endpoints that have not left. */
     update(records: readonly EndpointRecord[]): void {
         const ids = new Set(records.map(record => record.id));
-        for (const [id, member] of this.#members) {
+        for (const [id, endpoint] of this.#endpoints) {
             if (!ids.has(id)) {
-                this.#remove(id, member);
+                this.#remove(id, endpoint);
             }
         }
         for (const record of records) {
-            this.#updateMember(record);
+            this.#updateEndpoint(record);
         }
         this.#changed();
     }
@@ -134,44 +100,44 @@
     /** The endpoint last seen to lead, the term, and whether it can be reached; undefined before any was seen. */
     primaryState(): PrimaryState | undefined {
         const proof = this.#belief.lastProof;
-        const member = proof === undefined ? undefined : this.#members.get(proof.endpoint);
+        const endpoint = proof === undefined ? undefined : this.#endpoints.get(proof.endpoint);
         // Only a host with connections of its own can judge the endpoint.
-        return proof === undefined || member === undefined || this.#options.share(member.record) < 1
+        return proof === undefined || endpoint === undefined || endpoint.share < 1
             ? undefined
-            : { ...proof, reachable: member.reach.isReachable };
+            : { endpoint: proof.endpoint, term: proof.term, reachable: endpoint.isReachable };
     }
 
-    /** What this process uses of each endpoint, for reports. */
-    status(): readonly EndpointUse[] {
-        return [...this.#members.values()].map(({ record, pool, reach, load }) => ({
-            endpoint: record.id,
-            reach: reach.reach,
-            connections: pool.size,
-            idle: pool.idle,
-            transactions: pool.transactions,
-            waiting: pool.waiting,
-            running: load.running,
-        }));
+    /** What this process knows of the group, for reports. */
+    condition(): GroupCondition {
+        const now = this.#options.clock.now();
+        const proof = this.#belief.lastProof;
+        const { lostAt } = this.#leader;
+        return {
+            primary: proof && { endpoint: proof.endpoint, term: proof.term, ageMs: now - proof.at },
+            leaderlessMs: lostAt === undefined ? undefined : now - lostAt,
+            orderedMs: this.#orderedAt === undefined ? undefined : now - this.#orderedAt,
+            endpoints: [...this.#endpoints.values()].map(endpoint => endpoint.condition(now)),
+        };
     }
 
     /** Asks an endpoint whether it answers, unless it just has. */
-    async checkPrimary(endpoint: string): Promise<void> {
-        const member = this.#members.get(endpoint);
-        if (member !== undefined && this.#isQuiet(member)) {
-            await this.#probe(member);
+    async checkPrimary(id: string): Promise<void> {
+        const endpoint = this.#endpoints.get(id);
+        if (endpoint?.isQuiet(CHECK_MS, this.#options.clock.now()) === true) {
+            await this.#probe(endpoint);
         }
     }
 
     remoteReach(): { readonly reachable: number; readonly unreachable: number; } {
-        const reaches = this.#remote().map(({ reach }) => reach.isReachable);
-        const reachable = reaches.filter(isReachable => isReachable).length;
-        return { reachable, unreachable: reaches.length - reachable };
+        const remote = this.#remote();
+        const reachable = remote.filter(endpoint => endpoint.isReachable).length;
+        return { reachable, unreachable: remote.length - reachable };
     }
 
     probeRemote(): void {
-        for (const member of this.#remote()) {
-            if (member.reach.isReachable && this.#isQuiet(member)) {
-                void this.#probe(member);
+        for (const endpoint of this.#remote()) {
+            if (endpoint.isReachable && endpoint.isQuiet(CHECK_MS, this.#options.clock.now())) {
+                void this.#probe(endpoint);
             }
         }
     }
@@ -184,43 +150,48 @@
 
     /** Where a read runs; undefined when no endpoint can serve it now. */
     readChoice(route: Route, floor: LogPosition | undefined, tried: ReadonlySet<string>): ReadChoice | undefined {
-        const { clock, elapsed, random } = this.#options;
+        const { clock, elapsed, random, dataCentre } = this.#options;
         const now = clock.now();
         const required = this.#freshness.required(route, floor, elapsed.now());
         const primary = this.primary();
-        const candidates = [...this.#members.values()]
-            .filter(member => this.#isUsable(member) && !tried.has(member.record.id))
-            .map((member): Candidate => ({
-                id: member.record.id,
-                isPrimary: member.record.id === primary,
-                isNear: this.#isDirect(member) && member.record.dataCentre === this.#options.dataCentre,
-                expectedMs: member.load.expectedMs(member.record.slots, now),
-                mayHold: required === undefined
-                    || this.#freshness.mayHold(member.record.id, required, elapsed.now()),
+        const candidates = [...this.#endpoints]
+            .filter(([id, endpoint]) => this.#isUsable(endpoint) && !tried.has(id))
+            .map(([id, endpoint]): Candidate => ({
+                id,
+                isPrimary: id === primary,
+                isNear: endpoint.isDirect && endpoint.record.dataCentre === dataCentre,
+                expectedMs: endpoint.expectedMs(now),
+                mayHold: required === undefined || this.#freshness.mayHold(id, required, elapsed.now()),
             }));
         return chooseForRead({ required, candidates, random: random() });
     }
 
     /** Runs an order and learns from its result. `repeatable` orders are given up when the endpoint falls silent. */
     async run(order: Order, repeatable: boolean): Promise<OrderResult> {
-        const member = this.#members.get(order.endpoint);
-        if (member === undefined) {
+        const endpoint = this.#endpoints.get(order.endpoint);
+        if (endpoint === undefined) {
             return { kind: "notRun", reason: NotRunReason.Unreachable, position: undefined };
         }
-        return this.#measured(member, order, askedAt => this.#abandonable(member, order, repeatable, askedAt));
+        return endpoint.measure(() => {
+            const running = this.#runAnywhere(endpoint, order);
+            const { transaction } = order;
+            return repeatable
+                ? endpoint.abandonable(running, () => {
+                    if (transaction !== undefined) {
+                        this.endTransaction(order.endpoint, transaction);
+                    }
+                })
+                : running;
+        });
     }
 
     /** Runs an order of another host, over a connection of this one. */
     async runHere(order: Order): Promise<OrderResult> {
-        const member = this.#members.get(order.endpoint);
-        if (member === undefined || (order.opening.kind !== "continued" && !this.#isDirect(member))) {
+        const endpoint = this.#endpoints.get(order.endpoint);
+        if (endpoint === undefined || (order.opening.kind !== "continued" && !endpoint.isDirect)) {
             return { kind: "notRun", reason: NotRunReason.Unreachable, position: undefined };
         }
-        return this.#measured(member, order, async askedAt => {
-            const result = await member.pool.run(order);
-            this.#learn(order.endpoint, result, askedAt);
-            return result;
-        });
+        return endpoint.measure(() => this.#runOn(endpoint, order));
     }
 
     endTransaction(endpoint: string, transaction: string): void {
@@ -231,7 +202,7 @@
 
     /** Rolls back a transaction that runs over a connection of this host. */
     endHere(endpoint: string, transaction: string): void {
-        this.#members.get(endpoint)?.pool.endTransaction(transaction);
+        this.#endpoints.get(endpoint)?.endTransaction(transaction);
     }
 
     /** What this host knows of the leader's position, for hosts that know less. */
@@ -255,158 +226,105 @@
 
     close(): void {
         clearInterval(this.#timer);
-        for (const [id, member] of this.#members) {
-            this.#remove(id, member);
+        for (const [id, endpoint] of this.#endpoints) {
+            this.#remove(id, endpoint);
         }
         this.#changed();
     }
 
-    /** Members in other data centres to which this host may hold connections. */
-    #remote(): readonly Member[] {
-        return [...this.#members.values()].filter(({ record }) =>
-            record.dataCentre !== this.#options.dataCentre && this.#options.share(record) > 0
+    /** Endpoints in other data centres to which this host may hold connections. */
+    #remote(): readonly GroupEndpoint[] {
+        return [...this.#endpoints.values()].filter(({ record, share }) =>
+            record.dataCentre !== this.#options.dataCentre && share > 0
         );
     }
 
-    #isQuiet({ reach }: Member): boolean {
-        return this.#options.clock.now() - reach.answeredAt > CHECK_MS;
-    }
-
-    #updateMember(record: EndpointRecord): void {
-        const known = this.#members.get(record.id);
-        const isSame = known !== undefined && known.record.born === record.born && known.record.host === record.host
-            && known.record.port === record.port;
-        if (known !== undefined && !isSame) {
+    #updateEndpoint(record: EndpointRecord): void {
+        const known = this.#endpoints.get(record.id);
+        if (known !== undefined && !known.isSame(record)) {
             this.#remove(record.id, known);
         }
-        const member = isSame ? known : this.#add(record);
-        const hadRole = isSame ? known.record.role : undefined;
-        member.record = record;
-        if (record.role !== hadRole) {
+        const kept = this.#endpoints.get(record.id);
+        if (record.role !== kept?.record.role) {
             this.#belief.claim(record.id, record.role === "primary", this.#options.clock.now());
         }
+        const endpoint = kept ?? this.#add(record);
+        endpoint.record = record;
         if (record.state === EndpointState.Active) {
-            member.pool.warm(WARM_CONNECTIONS);
+            endpoint.warm();
         }
     }
 
-    #add(record: EndpointRecord): Member {
-        const { id, host, port, group } = record;
-        const member: Member = {
-            record,
-            pool: new EndpointPool({
-                address: { id, group, host, port },
-                connector: this.#options.connector,
-                clock: this.#options.clock,
-                limit: () => this.#options.share(member.record),
-                events: {
-                    answered: () => this.#reached(member),
-                    connected: () => this.#reached(member),
-                    connectFailed: (failure, startedAt) => this.#connectFailed(member, failure, startedAt),
-                    closed: () => member.pool.warm(WARM_CONNECTIONS),
-                },
-            }),
-            reach: new EndpointReach(),
-            load: new EndpointLoad(),
-            abandon: new Set(),
-            isProbed: false,
-        };
-        this.#members.set(id, member);
-        return member;
+    #add(record: EndpointRecord): GroupEndpoint {
+        const { connector, clock, share } = this.#options;
+        const reachChanged = (change: ReachChange): void => this.#reachChanged(change);
+        const endpoint = new GroupEndpoint(record, { connector, clock, share, reachChanged });
+        this.#endpoints.set(record.id, endpoint);
+        return endpoint;
     }
 
-    #remove(id: string, member: Member): void {
-        this.#members.delete(id);
+    #remove(id: string, endpoint: GroupEndpoint): void {
+        this.#endpoints.delete(id);
         this.#belief.forget(id);
         this.#freshness.forget(id);
-        member.pool.close();
+        endpoint.close();
     }
 
     /** New work goes to endpoints that stay and can be reached. */
-    #isUsable({ record }: Member): boolean {
+    #isUsable({ record }: GroupEndpoint): boolean {
         return record.state === EndpointState.Active && this.#canUse(record.id);
     }
 
-    async #measured(
-        member: Member,
-        order: Order,
-        run: (askedAt: number) => Promise<OrderResult>,
-    ): Promise<OrderResult> {
-        const { clock, elapsed } = this.#options;
-        const startedAt = clock.now();
-        member.load.started();
-        const result = await run(elapsed.now());
-        member.load.ended(result.kind === "notRun" ? undefined : clock.now() - startedAt, clock.now());
-        return result;
-    }
-
-    #abandonable(member: Member, order: Order, repeatable: boolean, askedAt: number): Promise<OrderResult> {
-        const running = this.#runAnywhere(member, order, askedAt);
-        if (!repeatable) {
-            return running;
-        }
-        return new Promise(resolve => {
-            let isAbandoned = false;
-            const abandon = (): void => {
-                isAbandoned = true;
-                resolve({ kind: "unknown", reason: UnknownReason.Timeout });
-            };
-            member.abandon.add(abandon);
-            void running.then(result => {
-                member.abandon.delete(abandon);
-                resolve(result);
-                if (isAbandoned && order.transaction !== undefined) {
-                    this.endTransaction(order.endpoint, order.transaction);
-                }
-            });
-        });
-    }
-
     /** Runs an order over an own connection where there is one, and over another host's otherwise. */
-    async #runAnywhere(member: Member, order: Order, askedAt: number): Promise<OrderResult> {
+    async #runAnywhere(endpoint: GroupEndpoint, order: Order): Promise<OrderResult> {
         const isOwn = order.opening.kind === "continued"
-            ? member.pool.holds(order.transaction ?? "")
-            : this.#isDirect(member);
+            ? endpoint.pool.holds(order.transaction ?? "")
+            : endpoint.isDirect;
         if (isOwn) {
-            const own = await member.pool.run(order);
-            this.#learn(order.endpoint, own, askedAt);
+            const own = await this.#runOn(endpoint, order);
             if (!needsConnection(own) || !this.#options.relay.canReach(this.name, order.endpoint)) {
                 return own;
             }
         }
-        const { result, leader } = await this.#options.relay.run(order);
+        return this.#relay(order);
+    }
+
+    async #runOn(endpoint: GroupEndpoint, order: Order): Promise<OrderResult> {
+        const askedAt = this.#options.elapsed.now();
+        const result = await endpoint.run(order);
         this.#learn(order.endpoint, result, askedAt);
-        if (leader !== undefined) {
-            this.#freshness.leaderAt(leader.position, askedAt - leader.ageMs, this.#options.elapsed.now());
-        }
         return result;
     }
 
-    /** This host may hold connections to the endpoint, and it answers. */
-    #isDirect({ record, reach }: Member): boolean {
-        return reach.isReachable && this.#options.share(record) > 0;
+    async #relay(order: Order): Promise<OrderResult> {
+        const { elapsed, relay } = this.#options;
+        const askedAt = elapsed.now();
+        const { result, leader } = await relay.run(order);
+        this.#learn(order.endpoint, result, askedAt);
+        if (leader !== undefined) {
+            this.#freshness.leaderAt(leader.position, askedAt - leader.ageMs, elapsed.now());
+        }
+        return result;
     }
 
-    #isRemote(endpoint: string): boolean {
-        const member = this.#members.get(endpoint);
-        return member !== undefined && !this.#isDirect(member);
+    #isRemote(id: string): boolean {
+        const endpoint = this.#endpoints.get(id);
+        return endpoint !== undefined && !endpoint.isDirect;
     }
 
-    #canUse(endpoint: string): boolean {
-        const member = this.#members.get(endpoint);
-        return member !== undefined
-            && (this.#isDirect(member) || this.#options.relay.canReach(this.name, endpoint));
+    #canUse(id: string): boolean {
+        const endpoint = this.#endpoints.get(id);
+        return endpoint !== undefined && (endpoint.isDirect || this.#options.relay.canReach(this.name, id));
     }
 
     #learn(endpoint: string, result: OrderResult, askedAt: number): void {
-        const { clock } = this.#options;
         if (result.kind === "answered") {
             this.#positionSeen(endpoint, result.answer.position, result.led, askedAt);
         }
         else if (result.kind === "notRun") {
             this.#positionSeen(endpoint, result.position, false, askedAt);
             if (result.reason === NotRunReason.Follows) {
-                this.#belief.deny(endpoint, clock.now());
+                this.#denied(endpoint);
             }
         }
     }
@@ -424,45 +342,23 @@
     }
 
     #proved(endpoint: string, term: number): void {
+        const former = this.#belief.proved;
         if (this.#belief.prove(endpoint, term, this.#options.clock.now())) {
-            this.#options.listener({ kind: "primary", group: this.name, endpoint, term });
+            this.#options.listener({ kind: "primary", group: this.name, endpoint, term, former });
             this.#changed();
         }
     }
 
-    #reached(member: Member): void {
-        if (member.reach.answered(this.#options.clock.now())) {
-            this.#reachChanged(member);
-        }
-    }
-
-    #connectFailed(member: Member, failure: ConnectFailure, startedAt: number): void {
-        if (member.reach.answeredAt > startedAt) {
-            // The attempt began before the endpoint answered: it says nothing about the present.
-            return;
-        }
-        const reaches: Partial<Record<ConnectFailure["kind"], Exclude<Reach, "reachable">>> = {
-            refused: Reach.Closed,
-            timeout: Reach.Silent,
-            misrouted: Reach.Replaced,
-        };
-        const reach = reaches[failure.kind];
-        if (reach !== undefined) {
-            this.#unreachable(member, reach);
-        }
-    }
-
-    #unreachable(member: Member, reach: Exclude<Reach, "reachable">): void {
-        if (member.reach.failed(reach, this.#options.clock.now())) {
-            this.#reachChanged(member);
-            for (const abandon of [...member.abandon]) {
-                abandon();
-            }
+    #denied(endpoint: string): void {
+        const { term, proved } = this.#belief;
+        this.#belief.deny(endpoint, this.#options.clock.now());
+        if (proved === endpoint) {
+            this.#options.listener({ kind: "denied", group: this.name, endpoint, term });
         }
     }
 
-    #reachChanged({ record, reach }: Member): void {
-        this.#options.listener({ kind: "reach", group: this.name, endpoint: record.id, reach: reach.reach });
+    #reachChanged(change: ReachChange): void {
+        this.#options.listener({ kind: "reach", group: this.name, ...change });
         this.#changed();
     }
 
@@ -470,17 +366,9 @@
     #check(): void {
         const now = this.#options.clock.now();
         this.#noteUsable(now);
-        for (const member of this.#members.values()) {
-            const { reach, load, pool, record } = member;
-            pool.trim(WARM_CONNECTIONS);
-            if (reach.isReachable && record.state === EndpointState.Active) {
-                pool.warm(WARM_CONNECTIONS);
-            }
-            if (this.#options.share(member.record) > 0 && reach.isTrialDue(now)) {
-                pool.warm(pool.size + 1);
-            }
-            else if (reach.isReachable && load.running > 0 && now - reach.answeredAt > QUIET_MS) {
-                void this.#probe(member);
+        for (const endpoint of this.#endpoints.values()) {
+            if (endpoint.maintain(endpoint.record.state === EndpointState.Active, now)) {
+                void this.#probe(endpoint);
             }
         }
         if (this.#waiting.size > 0) {
@@ -490,35 +378,26 @@
 
     #noteUsable(now: number): void {
         this.#leader.note(this.primary() !== undefined, now);
-        this.#any.note([...this.#members.values()].some(member => this.#isUsable(member)), now);
+        this.#any.note([...this.#endpoints.values()].some(endpoint => this.#isUsable(endpoint)), now);
     }
 
-    async #probe(member: Member): Promise<void> {
-        if (member.isProbed) {
-            return;
-        }
-        member.isProbed = true;
+    async #probe(endpoint: GroupEndpoint): Promise<void> {
         const askedAt = this.#options.elapsed.now();
-        const result = await member.pool.probe(PROBE_TIMEOUT_MS);
-        member.isProbed = false;
-        if (result.kind === "unanswered") {
-            this.#unreachable(member, Reach.Silent);
-        }
-        else if (result.kind !== "notAsked") {
-            this.#positionSeen(member.record.id, result.position, result.kind === "leads", askedAt);
+        const result = await endpoint.probe();
+        if (result?.kind === "leads" || result?.kind === "follows") {
+            this.#positionSeen(endpoint.record.id, result.position, result.kind === "leads", askedAt);
             if (result.kind === "follows") {
-                this.#belief.deny(member.record.id, this.#options.clock.now());
+                this.#denied(endpoint.record.id);
             }
         }
     }
 
     /** While requests wait for a leader, the endpoints that may lead are asked. */
     #seekPrimary(): void {
-        const candidates = this.#belief.candidates(this.#options.clock.now());
-        for (const id of candidates) {
-            const member = this.#members.get(id);
-            if (member !== undefined && this.#isDirect(member) && id !== this.#belief.proved) {
-                void this.#probe(member);
+        for (const id of this.#belief.candidates(this.#options.clock.now())) {
+            const endpoint = this.#endpoints.get(id);
+            if (endpoint?.isDirect === true && id !== this.#belief.proved) {
+                void this.#probe(endpoint);
                 return;
             }
         }
--- a/packages/gateway/src/primary-belief.ts
+++ b/packages/gateway/src/primary-belief.ts
@@ -1,7 +1,7 @@
 /** A candidate that denied leading is asked again after this time; promotions take some hundred ms. */
 export const ASK_AGAIN_MS = 40;
 
-interface Proof {
+export interface Proof {
     readonly endpoint: string;
     readonly term: number;
     readonly at: number;
@@ -28,8 +28,8 @@
     }
 
     /** The endpoint last seen to lead, whether or not it has denied it since. */
-    get lastProof(): { readonly endpoint: string; readonly term: number; } | undefined {
-        return this.#proof === undefined ? undefined : { endpoint: this.#proof.endpoint, term: this.#proof.term };
+    get lastProof(): Proof | undefined {
+        return this.#proof;
     }
 
     /** The endpoint that was last seen to lead and has not denied it since. */
--- a/packages/gateway/src/route.ts
+++ b/packages/gateway/src/route.ts
@@ -18,6 +18,8 @@
     readonly maxStalenessMs: number;
     /** Longest time for one statement, in ms. */
     readonly timeoutMs: number;
+    /** Time in which a caller should have its answer, in ms; undefined when none is stated. */
+    readonly targetMs: number | undefined;
     /** 0 is the most urgent. */
     readonly priority: number;
 }
--- a/packages/gateway/src/statement-server.ts
+++ b/packages/gateway/src/statement-server.ts
@@ -14,6 +14,7 @@
 import type { Group } from "./group.js";
 import { NOT_RUN_CODES } from "./not-run.js";
 import { outlook } from "./outlook.js";
+import type { Outcome } from "./request-report.js";
 import type { Route } from "./route.js";
 import { writes } from "./session-image.js";
 
@@ -44,15 +45,9 @@
     readonly arrivedAt: number;
 }
 
-export interface Served {
-    readonly answer: Answer;
-    /** Where the statement ran or was last tried. */
-    readonly endpoint: string | undefined;
+export interface Served extends Outcome {
     /** Name of the transaction that the statement began. */
     readonly transaction: string | undefined;
-    readonly attempts: number;
-    /** Why there is no success. */
-    readonly cause: string | undefined;
 }
 
 interface Attempt {
@@ -67,55 +62,83 @@
     readonly result: OrderResult;
 }
 
+/** How far the serving of one request has come. */
+interface Progress {
+    readonly giveUpAt: number;
+    /** Endpoints that cannot run it, until no others are left. */
+    readonly tried: Set<string>;
+    last: Tried | undefined;
+    attempts: number;
+    waitedMs: number;
+}
+
+export type RetryListener = (request: ServeRequest, endpoint: string, cause: string, attempt: number) => void;
+
 /** Runs statements that no transaction binds to a connection yet: chooses an endpoint, and another one if needed. */
 export class StatementServer {
     readonly #clock: Clock;
-    readonly #retried: (request: ServeRequest, endpoint: string, cause: string, attempt: number) => void;
+    readonly #retried: RetryListener;
 
-    constructor(
-        clock: Clock,
-        retried: (request: ServeRequest, endpoint: string, cause: string, attempt: number) => void,
-    ) {
+    constructor(clock: Clock, retried: RetryListener) {
         this.#clock = clock;
         this.#retried = retried;
     }
 
     async serve(request: ServeRequest, group: Group): Promise<Served> {
-        const { route, arrivedAt } = request;
-        const giveUpAt = arrivedAt + route.timeoutMs * PATIENCE_SHARE;
-        const tried = new Set<string>();
-        let last: Tried | undefined;
-        for (let attempts = 0;;) {
-            const now = this.#clock.now();
-            if (now >= giveUpAt) {
-                return givenUp(last, attempts);
-            }
-            const place = choose(request, group, tried);
-            if (place === undefined) {
-                const prospect = outlook(group.outage(needsLeader(request)), giveUpAt, now);
-                if (prospect.kind === "refuse" && tried.size === 0) {
-                    return refused(NotRunReason.Unreachable, prospect.retryAfterMs, last, attempts);
-                }
-                tried.clear();
-                await group.change(Math.min(LOOK_AGAIN_MS, giveUpAt - now));
-                continue;
+        const giveUpAt = request.arrivedAt + request.route.timeoutMs * PATIENCE_SHARE;
+        const progress: Progress = { giveUpAt, tried: new Set(), last: undefined, attempts: 0, waitedMs: 0 };
+        for (;;) {
+            if (this.#clock.now() >= giveUpAt) {
+                return givenUp(progress);
             }
-            attempts += 1;
-            const attempt = { ...place, transaction: attemptKey(request, attempts) };
-            const result = await group.run(this.#order(request, attempt, giveUpAt), !mayChangeData(request));
-            last = { endpoint: attempt.endpoint, result };
-            if (result.kind === "answered") {
-                const { answer } = result;
-                return { answer, ...attempt, attempts, cause: errorOf(answer) };
+            const place = choose(request, group, progress.tried);
+            const served = place === undefined
+                ? await this.#wait(request, group, progress)
+                : await this.#attempt(request, group, progress, place);
+            if (served !== undefined) {
+                return served;
             }
-            if (result.kind === "unknown" && mayChangeData(request)) {
-                return unknownOutcome(attempt.endpoint, attempts, result.reason);
-            }
-            this.#retried(request, attempt.endpoint, result.reason, attempts);
-            await pauseBefore(result, tried, attempt.endpoint);
         }
     }
 
+    /** Waits until an endpoint may be there; refuses at once when none is expected in time. */
+    async #wait(request: ServeRequest, group: Group, progress: Progress): Promise<Served | undefined> {
+        const { giveUpAt, tried } = progress;
+        const now = this.#clock.now();
+        const prospect = outlook(group.outage(needsLeader(request)), giveUpAt, now);
+        if (prospect.kind === "refuse" && tried.size === 0) {
+            return refused(NotRunReason.Unreachable, prospect.retryAfterMs, progress);
+        }
+        tried.clear();
+        await group.change(Math.min(LOOK_AGAIN_MS, giveUpAt - now));
+        progress.waitedMs += this.#clock.now() - now;
+        return undefined;
+    }
+
+    async #attempt(
+        request: ServeRequest,
+        group: Group,
+        progress: Progress,
+        place: Omit<Attempt, "transaction">,
+    ): Promise<Served | undefined> {
+        progress.attempts += 1;
+        const { attempts, waitedMs } = progress;
+        const attempt = { ...place, transaction: attemptKey(request, attempts) };
+        const { endpoint } = attempt;
+        const result = await group.run(this.#order(request, attempt, progress.giveUpAt), !mayChangeData(request));
+        progress.last = { endpoint, result };
+        if (result.kind === "answered") {
+            const { answer } = result;
+            return { answer, ...attempt, attempts, waitedMs, cause: errorOf(answer) };
+        }
+        if (result.kind === "unknown" && mayChangeData(request)) {
+            return unknownOutcome(progress, endpoint, result.reason);
+        }
+        this.#retried(request, endpoint, result.reason, attempts);
+        await pauseBefore(result, progress.tried, endpoint);
+        return undefined;
+    }
+
     #order(request: ServeRequest, { endpoint, opening, transaction }: Attempt, giveUpAt: number): Order {
         const { route, requestId, statement, values, arrivedAt } = request;
         const now = this.#clock.now();
@@ -173,21 +196,21 @@
     }
 }
 
-function givenUp(last: Tried | undefined, attempts: number): Served {
-    const state = TransactionStates.Idle;
-    const rest = { endpoint: last?.endpoint, transaction: undefined, attempts };
+function givenUp(progress: Progress): Served {
+    const { last, attempts, waitedMs } = progress;
     if (last?.result.kind === "unknown") {
-        const answer = failed(ErrorCode.Timeout, "no endpoint answered in time", state);
-        return { answer, ...rest, cause: last.result.reason };
+        const answer = failed(ErrorCode.Timeout, "no endpoint answered in time", TransactionStates.Idle);
+        const { reason } = last.result;
+        return { answer, endpoint: last.endpoint, transaction: undefined, attempts, waitedMs, cause: reason };
     }
     const reason = last?.result.kind === "notRun" ? last.result.reason : NotRunReason.Unreachable;
-    return refused(reason, RETRY_AFTER_MS, last, attempts);
+    return refused(reason, RETRY_AFTER_MS, progress);
 }
 
-function refused(reason: NotRunReason, retryAfterMs: number, last: Tried | undefined, attempts: number): Served {
+function refused(reason: NotRunReason, retryAfterMs: number, { last, attempts, waitedMs }: Progress): Served {
     const text = `not run (${reason}); retry in ${retryAfterMs} ms`;
     const answer = failed(NOT_RUN_CODES[reason], text, TransactionStates.Idle);
-    return { answer, endpoint: last?.endpoint, transaction: undefined, attempts, cause: reason };
+    return { answer, endpoint: last?.endpoint, transaction: undefined, attempts, waitedMs, cause: reason };
 }
 
 /** A read-only transaction that only the leader may run is a plain one that writes nothing. */
@@ -202,10 +225,10 @@
     return transaction === undefined && writes(statement);
 }
 
-function unknownOutcome(endpoint: string, attempts: number, reason: string): Served {
+function unknownOutcome({ attempts, waitedMs }: Progress, endpoint: string, reason: string): Served {
     const text = `the write was sent and not answered (${reason})`;
     const answer = failed(ErrorCode.Unknown, text, TransactionStates.Idle);
-    return { answer, endpoint, transaction: undefined, attempts, cause: reason };
+    return { answer, endpoint, transaction: undefined, attempts, waitedMs, cause: reason };
 }
 
 function errorOf({ completion }: Answer): string | undefined {
--- a/packages/gateway/tests/relay.test.ts
+++ b/packages/gateway/tests/relay.test.ts
@@ -20,13 +20,13 @@
 });
 
 afterEach(() => {
-    holder.gateway.close();
-    other.gateway.close();
+    holder.gateway.close("the test ends");
+    other.gateway.close("the test ends");
     vi.useRealTimers();
 });
 
 function transactionsAtHolder(): number {
-    const uses = holder.gateway.groups.get("orders")?.status() ?? [];
+    const uses = holder.gateway.groups.get("orders")?.condition().endpoints ?? [];
     return uses.reduce((sum, use) => sum + use.transactions, 0);
 }
 
@@ -63,7 +63,7 @@
     await pass(400);
     const answer = await cutOff.connect("confirm").ask(write("1"));
     expect(answer.completion).toEqual({ kind: "done", signature: "signed by a" });
-    cutOff.gateway.close();
+    cutOff.gateway.close("the test ends");
 });
 
 // Guards against a promise that nothing ran when the relaying host died with the write.
@@ -110,5 +110,5 @@
     peers.set("far", far.gateway);
     const answer = await far.connect("confirm").ask(write("1"));
     expect(answer.completion).toMatchObject({ kind: "error", code: ErrorCode.Busy });
-    far.gateway.close();
+    far.gateway.close("the test ends");
 });
--- a/packages/gateway/tests/sessions.test.ts
+++ b/packages/gateway/tests/sessions.test.ts
@@ -10,7 +10,7 @@
 });
 
 afterEach(() => {
-    it.gateway.close();
+    it.gateway.close("the test ends");
     vi.useRealTimers();
 });
 
@@ -90,7 +90,7 @@
     const busy = it.connect("confirm");
     await busy.ask(begin);
     await busy.ask(read("1"));
-    it.gateway.shed(true);
+    it.gateway.shed("the host stops");
     expect(idle.isClosed).toBe(true);
     expect(busy.isClosed).toBe(false);
     await busy.ask(rollback);
--- a/packages/gateway/tests/transactions.test.ts
+++ b/packages/gateway/tests/transactions.test.ts
@@ -10,7 +10,7 @@
 });
 
 afterEach(() => {
-    it.gateway.close();
+    it.gateway.close("the test ends");
     vi.useRealTimers();
 });
 
@@ -118,7 +118,11 @@
     await asked;
     await caller.ask(rollback);
     await pass(1_000);
-    expect(it.gateway.groups.get("orders")?.status().map(endpoint => endpoint.transactions)).toEqual([0, 0, 0]);
+    expect(it.gateway.groups.get("orders")?.condition().endpoints.map(endpoint => endpoint.transactions)).toEqual([
+        0,
+        0,
+        0,
+    ]);
 });
 
 // Guards against connections that wait for ever for the answer to a rollback (trouble-3).
--- a/packages/gateway/tests/world.ts
+++ b/packages/gateway/tests/world.ts
@@ -13,6 +13,7 @@
         consistency: Consistency.Primary,
         maxStalenessMs: 0,
         timeoutMs: 800,
+        targetMs: 100,
         priority: 1,
     },
     {
@@ -21,6 +22,7 @@
         consistency: Consistency.BoundedStaleness,
         maxStalenessMs: 1_500,
         timeoutMs: 1_200,
+        targetMs: 100,
         priority: 2,
     },
     {
@@ -29,6 +31,7 @@
         consistency: Consistency.Session,
         maxStalenessMs: 2_500,
         timeoutMs: 800,
+        targetMs: 100,
         priority: 2,
     },
 ];
--- a/packages/gateway/tests/writes.test.ts
+++ b/packages/gateway/tests/writes.test.ts
@@ -10,7 +10,7 @@
 });
 
 afterEach(() => {
-    it.gateway.close();
+    it.gateway.close("the test ends");
     vi.useRealTimers();
 });
 
--- a/packages/telemetry/src/index.ts
+++ b/packages/telemetry/src/index.ts
@@ -1,9 +1,14 @@
+export { BoundedLog } from "./bounded-log.js";
 export * from "./burn-page.js";
 export * from "./burn-text.js";
 export * from "./burn.js";
 export { LineBudget, LINES_PER_SECOND } from "./line-budget.js";
 export { LineWriter } from "./line-writer.js";
+export * from "./log-event.js";
 export * from "./log.js";
+export * from "./metric.js";
+export * from "./metrics-page.js";
 export * from "./metrics.js";
+export { createProcessLog, type ProcessLog } from "./process-log.js";
 export * from "./service-count.js";
 export * from "./service-history.js";
--- a/packages/testing/src/reference/pages.ts
+++ b/packages/testing/src/reference/pages.ts
@@ -48,7 +48,7 @@
         type,
         unit,
         tags.map(code).join(", "),
-        `${isUsed(name, sources, "metrics.ts") ? "" : UNUSED}${meaning}`,
+        `${isUsed(name, sources, "metric.ts") ? "" : UNUSED}${meaning}`,
     ]);
     const text = "Sent over StatsD when a host has `statsdAddress`. Every metric also has the tags `host` and "
         + "`data_centre`.";
@@ -59,7 +59,7 @@
     const rows = Object.entries(LOG_EVENTS).map(([name, { level, meaning }]) => [
         code(name),
         level,
-        `${isUsed(name, sources, "log.ts") ? "" : UNUSED}${meaning}`,
+        `${isUsed(name, sources, "log-event.ts") ? "" : UNUSED}${meaning}`,
     ]);
     const text = "One JSON line each on standard error, with `time`, `level`, `host`, `event` and the event's fields.";
     return `${text}\n\n${markdownTable(["event", "level", "meaning"], rows)}`;
