--- a/packages/cli/src/commands.ts
+++ b/packages/cli/src/commands.ts
@@ -1,5 +1,6 @@
 import type { ArgsDef, CommandDef } from "citty";
 import { ExitCode } from "./exit-code.js";
+import { explainFromLogs } from "./explain-command.js";
 import type { HostAccess } from "./host-client.js";
 import { makeKeys } from "./keys-command.js";
 import type { Output } from "./output.js";
@@ -8,6 +9,9 @@
 import { VERSION } from "./version.js";
 import { showBurn, showHistory, showStatus } from "./watch-commands.js";
 
+/** Name of a positional argument that may be given more than once. */
+export const REPEATED_ARGUMENT = "words";
+
 const DEFAULT_ADDRESS = "127.0.0.1:6434";
 const KEY_DAYS = "365";
 
@@ -48,6 +52,7 @@
                 subCommands: { burn: burnCommand(output, exit) },
             },
             keys: keysCommand(output, exit),
+            explain: explainCommand(output, exit),
         },
     };
 }
@@ -149,6 +154,28 @@
     });
 }
 
+function explainCommand(output: Output, exit: (code: ExitCode) => void): CommandDef {
+    return command({
+        name: "explain",
+        description: "Explain a request by its id from log files: explain ID FILE...",
+        args: {
+            [REPEATED_ARGUMENT]: {
+                type: "positional",
+                description: "id of a request, unless an option selects something else, and log files",
+                required: true,
+            },
+            endpoint: { type: "string", description: "explain what happened to an endpoint instead" },
+            configuration: { type: "string", description: "explain a configuration by its number instead" },
+            ...JSON_ARG,
+        },
+        run: async args => {
+            const words = Array.isArray(args["_"]) ? args["_"].map(String) : [];
+            const options = { words, endpoint: optional(args, "endpoint"), json: args["json"] === true };
+            exit(await explainFromLogs({ ...options, configuration: optional(args, "configuration") }, output));
+        },
+    });
+}
+
 type Values = Readonly<Record<string, unknown>>;
 
 function command(definition: {
@@ -166,6 +193,11 @@
     return { address: text(args, "host"), token: typeof token === "string" ? token : undefined };
 }
 
+function optional(args: Values, name: string): string | undefined {
+    const value = args[name];
+    return typeof value === "string" ? value : undefined;
+}
+
 function text(args: Values, name: string): string {
     const value = args[name];
     return typeof value === "string" ? value : "";
--- a/packages/cli/src/program.ts
+++ b/packages/cli/src/program.ts
@@ -1,5 +1,5 @@
 import { type ArgsDef, type CommandDef, renderUsage, runCommand } from "citty";
-import { buildCommands } from "./commands.js";
+import { buildCommands, REPEATED_ARGUMENT } from "./commands.js";
 import { ExitCode } from "./exit-code.js";
 import type { Output } from "./output.js";
 import { VERSION } from "./version.js";
@@ -74,7 +74,7 @@
             }
         }
     }
-    if (positionals > expected) {
+    if (positionals > expected && !Object.hasOwn(definitions, REPEATED_ARGUMENT)) {
         return "too many arguments";
     }
     return positionals < expected ? "an argument is missing" : findMissingFlag(definitions, words);
--- a/packages/cli/tests/program.test.ts
+++ b/packages/cli/tests/program.test.ts
@@ -61,3 +61,54 @@
         expect(out).toContain(`databases.orders.roaming = "strict"  // default`);
     });
 });
+
+describe("explain", () => {
+    const line = JSON.stringify({
+        time: "2026-01-01T00:00:00.000Z",
+        level: "warn",
+        host: "entry-1",
+        run: "a1",
+        sequence: 1,
+        uptimeMs: 5_000,
+        event: "requestRefused",
+        requestId: "r1",
+        cause: "lagging",
+        code: "lagging",
+        endpoint: "b",
+    });
+
+    async function logFile(text: string): Promise<string> {
+        const file = join(await mkdtemp(join(tmpdir(), "medlarledge-explain-")), "entry-1.log");
+        await writeFile(file, text);
+        return file;
+    }
+
+    it("tells the cause of a request, and names a broken line", async () => {
+        const file = await logFile(`{"time":"20\n${line}\n`);
+        const { code, out, error } = await run("explain", "r1", file);
+        expect(code).toBe(ExitCode.Done);
+        expect(out).toContain("Cause: the log of endpoint b had not reached the position that the read demanded");
+        expect(error).toContain(`${file}:1: the line is not complete JSON`);
+    });
+
+    it("prints JSON for programs", async () => {
+        const { out } = await run("explain", "r1", await logFile(line), "--json");
+        expect(JSON.parse(out)).toMatchObject({ subject: { kind: "request", id: "r1" }, lines: [{ host: "entry-1" }] });
+    });
+
+    it.each([
+        [["explain", "r1"], /at least one log file/],
+        [["explain", "log", "--configuration", "x"], /needs a number/],
+        [["explain", "r1", "/no/such/file"], /no such file/],
+    ])("answers %j with a message", async (words, pattern) => {
+        const { code, error } = await run(...words);
+        expect(code).toBe(ExitCode.Usage);
+        expect(error).toMatch(pattern);
+    });
+
+    it("fails when no line names the request", async () => {
+        const { code, out } = await run("explain", "r2", await logFile(line));
+        expect(code).toBe(ExitCode.Failed);
+        expect(out).toContain("no line of these files tells about it");
+    });
+});
