Open relay links on demand, without pings while nobody depends on them

Cause: a grown entry host is linked to some 70 others for relaying; each link was pinged by both sides every 200 ms and its dialer polled every 100 ms, and the order of relays was hashed anew for each choice. Links to hosts that run nothing for this one are no longer monitored, idle ones are closed, dialers are told of a lost link, one timer checks all groups, and relays are part of the cached plan.

--- a/packages/fleet/src/connection-share.ts
+++ b/packages/fleet/src/connection-share.ts
@@ -10,8 +10,9 @@
 /** Connections of one holder when not all hosts hold some: enough for transactions to pause on a few of them. */
 const HOLDER_SHARE = 5;
 
-/** Connections that each host of an endpoint's holders may open. */
+/** How the connections of one endpoint are divided. */
 export interface ConnectionPlan {
+    /** Connections that each holder may open. */
     readonly share: number;
     /** Hosts that hold connections, best first; in the endpoint's data centre where there are any. */
     readonly holders: readonly string[];
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -4,7 +4,7 @@
 import { type Clock, type MeshEvent, PeerMesh } from "@medlarledge/runtime";
 import type { Acceptance, Caller, EndpointConnector } from "@medlarledge/statements";
 import type { Log, Meter } from "@medlarledge/telemetry";
-import { type ConnectionPlan, connectionPlan, holdersFor } from "./connection-share.js";
+import { connectionPlan, holdersFor } from "./connection-share.js";
 import { GatewayReporter } from "./gateway-reporter.js";
 import { LoopDelay, measureGroups } from "./gauges.js";
 import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
@@ -54,6 +54,14 @@
     readonly graceMs: number;
 }
 
+/** What the division of an endpoint's connections means for this host. */
+interface OwnPlan {
+    /** Connections that this host may hold. */
+    readonly share: number;
+    /** Other hosts that hold some, in the order in which this one asks them. */
+    readonly relays: readonly string[];
+}
+
 type MessageOf<K extends Message["kind"]> = Extract<Message, { kind: K; }>;
 type Handlers = { readonly [K in Message["kind"]]?: (message: MessageOf<K>, from: Host) => void; };
 
@@ -76,7 +84,7 @@
     #listTerm = 0;
     #entries: readonly Host[] = [];
     /** Plans by endpoint, valid until the hosts or the configuration change. */
-    readonly #plans = new Map<string, ConnectionPlan>();
+    readonly #plans = new Map<string, OwnPlan>();
     #wantedAt = Number.NEGATIVE_INFINITY;
     #offered = 0;
     #timer: NodeJS.Timeout | undefined;
@@ -105,7 +113,14 @@
         this.#loopDelay = new LoopDelay(options.meter, TICK_MS);
         this.#seeds = options.seeds;
         const { self, clock, log, connector, random, meter } = options;
-        this.#mesh = new PeerMesh({ self, identity: undefined, clock, log, timing: FLEET_LINK_TIMING });
+        this.#mesh = new PeerMesh({
+            self,
+            identity: undefined,
+            clock,
+            log,
+            timing: FLEET_LINK_TIMING,
+            isMonitored: host => host.control || this.#gateway.relaysWith(host.id),
+        });
         this.#links = new HostLinks(this.#mesh, self.id);
         this.#gateway = new Gateway({
             hostId: `${self.id}/${self.incarnation}`,
@@ -113,7 +128,7 @@
             connector,
             clock,
             share: (record, routing) => this.#share(record, routing),
-            relays: (record, routing) => holdersFor(self.id, record.id, this.#plan(record, routing)),
+            relays: (record, routing) => this.#plan(record, routing).relays,
             links: {
                 open: (host, timeoutMs) => this.#links.open(host, timeoutMs),
                 send: (host, message) => this.#links.send(host, message),
@@ -201,6 +216,8 @@
     #tick(): void {
         const now = this.#options.clock.now();
         this.#loopDelay.tick(now);
+        this.#gateway.check();
+        this.#links.closeIdle(id => this.#gateway.relaysWith(id), now);
         for (const [name, group] of this.#gateway.groups) {
             const state = group.primaryState();
             const report = state === undefined ? undefined : this.#reporter.report(name, state, now);
@@ -317,22 +334,22 @@
 
     /** Connections that this host may hold to an endpoint now. */
     #share(record: EndpointRecord, routing: Routing): number {
-        const { share, holders } = this.#plan(record, routing);
-        if (holders.length > 0 && !holders.includes(this.#options.self.id)) {
-            return 0;
-        }
+        const { share } = this.#plan(record, routing);
         const isFresh = this.#options.clock.now() - this.#startedAt < FRESH_MS;
-        return isFresh ? Math.max(1, Math.floor(share * FRESH_PART)) : share;
+        return isFresh ? Math.min(share, Math.max(1, Math.floor(share * FRESH_PART))) : share;
     }
 
-    #plan(record: EndpointRecord, routing: Routing): ConnectionPlan {
+    #plan(record: EndpointRecord, routing: Routing): OwnPlan {
         const known = this.#plans.get(record.id);
         if (known !== undefined) {
             return known;
         }
+        const { id } = this.#options.self;
         const plan = connectionPlan(record, routing.groups.get(record.group)?.connections ?? 0, this.#entries);
-        this.#plans.set(record.id, plan);
-        return plan;
+        const isHolder = plan.holders.length === 0 || plan.holders.includes(id);
+        const own = { share: isHolder ? plan.share : 0, relays: holdersFor(id, record.id, plan) };
+        this.#plans.set(record.id, own);
+        return own;
     }
 
     #offeredBy(host: Host, number: number): void {
--- a/packages/fleet/src/host-links.ts
+++ b/packages/fleet/src/host-links.ts
@@ -4,6 +4,9 @@
 /** A cut must show while most of it is still to come; cuts of some seconds are the usual ones. */
 export const FLEET_LINK_TIMING: LinkTiming = { pingMs: 200, silenceMs: 800, connectMs: 250, redialMs: 100 };
 
+/** A link that was opened for messages is closed after this time without any; opening one takes some round trips. */
+const IDLE_LINK_MS = 30_000;
+
 /**
  * Keeps links to other processes. A process is named by the address of its listener for peers, so that a seed address is
  * all that is needed to reach it.
@@ -12,7 +15,7 @@
     readonly #mesh: PeerMesh;
     readonly #self: string;
     #wanted = new Set<string>();
-    /** Hosts dialed for a message; the links stay as long as both sides live. */
+    /** Hosts that were dialed for a message. */
     readonly #extra = new Set<string>();
     readonly #waiters = new Map<string, Set<(isOpen: boolean) => void>>();
 
@@ -25,7 +28,7 @@
     keep(ids: Iterable<string>): void {
         const wanted = new Set([...ids].filter(id => id !== this.#self));
         for (const id of this.#wanted) {
-            if (!wanted.has(id) && !this.#extra.has(id)) {
+            if (!wanted.has(id)) {
                 this.#mesh.release(id);
             }
         }
@@ -49,11 +52,24 @@
             const timer = setTimeout(() => waiter(false), timeoutMs);
             const waiters = this.#waiters.get(id) ?? new Set();
             this.#waiters.set(id, waiters.add(waiter));
-            this.#mesh.keepConnected(id, id);
+            this.#mesh.connectOnce(id, id);
             this.#extra.add(id);
         });
     }
 
+    /** Closes links that were opened for messages and have carried none for a while. */
+    closeIdle(isInUse: (id: string) => boolean, now: number): void {
+        for (const id of this.#extra) {
+            const isIdle = !isInUse(id) && !this.isHeard(id, IDLE_LINK_MS, now);
+            if (isIdle || this.#wanted.has(id)) {
+                this.#extra.delete(id);
+            }
+            if (isIdle && !this.#wanted.has(id)) {
+                this.#mesh.forget(id);
+            }
+        }
+    }
+
     /** A link was opened, by either side. */
     opened(id: string): void {
         for (const waiter of [...this.#waiters.get(id) ?? []]) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -100,6 +100,18 @@
         }
     }
 
+    /** True while orders or transactions run at another entry host for this one, or here for it. */
+    relaysWith(host: string): boolean {
+        return this.#relay.uses(host) || this.#relayServer.uses(host);
+    }
+
+    /** Checks on the endpoints of all groups; to be called about every 50 ms. */
+    check(): void {
+        for (const group of this.#groups.values()) {
+            group.check();
+        }
+    }
+
     /** The link to another entry host is lost. */
     disconnected(host: string): void {
         this.#relay.disconnected(host);
--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -19,8 +19,8 @@
 import type { RelayClient } from "./relay-client.js";
 import type { Route } from "./route.js";
 
-/** Interval of the checks for quiet and unreachable endpoints. */
-const CHECK_MS = 50;
+/** An endpoint that answered within this time need not be asked whether it answers. */
+const JUST_ANSWERED_MS = 50;
 
 export interface GroupOptions {
     readonly name: string;
@@ -48,14 +48,12 @@
     readonly #belief = new PrimaryBelief();
     readonly #freshness = new Freshness();
     readonly #waiting = new Set<() => void>();
-    readonly #timer: NodeJS.Timeout;
     readonly #leader = new Availability();
     readonly #any = new Availability();
     #orderedAt: number | undefined;
 
     constructor(options: GroupOptions) {
         this.#options = options;
-        this.#timer = setInterval(() => this.#check(), CHECK_MS);
     }
 
     get name(): string {
@@ -123,7 +121,7 @@
     /** Asks an endpoint whether it answers, unless it just has. */
     async checkPrimary(id: string): Promise<void> {
         const endpoint = this.#endpoints.get(id);
-        if (endpoint?.isQuiet(CHECK_MS, this.#options.clock.now()) === true) {
+        if (endpoint?.isQuiet(JUST_ANSWERED_MS, this.#options.clock.now()) === true) {
             await this.#probe(endpoint);
         }
     }
@@ -136,7 +134,7 @@
 
     probeRemote(): void {
         for (const endpoint of this.#remote()) {
-            if (endpoint.isReachable && endpoint.isQuiet(CHECK_MS, this.#options.clock.now())) {
+            if (endpoint.isReachable && endpoint.isQuiet(JUST_ANSWERED_MS, this.#options.clock.now())) {
                 void this.#probe(endpoint);
             }
         }
@@ -225,7 +223,6 @@
     }
 
     close(): void {
-        clearInterval(this.#timer);
         for (const [id, endpoint] of this.#endpoints) {
             this.#remove(id, endpoint);
         }
@@ -363,7 +360,7 @@
     }
 
     /** Probes endpoints that owe answers but are quiet, and tries unreachable ones again. */
-    #check(): void {
+    check(): void {
         const now = this.#options.clock.now();
         this.#noteUsable(now);
         for (const endpoint of this.#endpoints.values()) {
--- a/packages/gateway/src/relay-client.ts
+++ b/packages/gateway/src/relay-client.ts
@@ -89,6 +89,12 @@
         }
     }
 
+    /** True while answers are outstanding at a host or transactions run there. */
+    uses(host: string): boolean {
+        return [...this.#outstanding.values()].some(outstanding => outstanding.host === host)
+            || [...this.#transactions.values()].includes(host);
+    }
+
     /** The link to a host is lost, and with it the transactions and answers behind it. */
     disconnected(host: string): void {
         for (const [id, outstanding] of [...this.#outstanding]) {
--- a/packages/gateway/src/relay-server.ts
+++ b/packages/gateway/src/relay-server.ts
@@ -14,6 +14,8 @@
     readonly #send: (to: string, result: RelayResult) => void;
     /** Transactions of other hosts that run here, by their names. */
     readonly #transactions = new Map<string, Kept>();
+    /** Orders that run here, by the host that sent them. */
+    readonly #running = new Map<string, number>();
 
     constructor(
         group: (name: string) => Group | undefined,
@@ -23,11 +25,19 @@
         this.#send = send;
     }
 
+    /** True while orders or transactions of a host run here. */
+    uses(host: string): boolean {
+        return (this.#running.get(host) ?? 0) > 0
+            || [...this.#transactions.values()].some(transaction => transaction.host === host);
+    }
+
     async ordered(from: string, { id, order }: RelayOrder): Promise<void> {
+        this.#running.set(from, (this.#running.get(from) ?? 0) + 1);
         const group = this.#group(order.group);
         const result: OrderResult = group === undefined
             ? { kind: "notRun", reason: NotRunReason.Unreachable, position: undefined }
             : await group.runHere(order);
+        this.#running.set(from, (this.#running.get(from) ?? 1) - 1);
         if (order.transaction !== undefined) {
             const isOpen = result.kind === "answered" && result.answer.state === "open";
             if (isOpen) {
@@ -47,6 +57,7 @@
 
     /** A host is gone: its callers' transactions are rolled back. */
     disconnected(host: string): void {
+        this.#running.delete(host);
         for (const [transaction, kept] of [...this.#transactions]) {
             if (kept.host === host) {
                 this.ended({ kind: "relayEnd", ...kept, transaction });
--- a/packages/gateway/tests/world.ts
+++ b/packages/gateway/tests/world.ts
@@ -119,6 +119,7 @@
         listener: event => events.push(event),
     });
     peers.set(host, gateway);
+    setInterval(() => gateway.check(), 50);
     let sequence = 0;
     const announce: World["announce"] = (changes = {}) => {
         sequence += 1;
--- a/packages/runtime/src/peer-dialer.ts
+++ b/packages/runtime/src/peer-dialer.ts
@@ -12,12 +12,15 @@
     readonly address: string;
     /** An attempt that takes longer is given up. */
     readonly connectMs: number;
-    readonly redialMs: number;
+    /** Longest pause between two attempts; undefined to attempt only once. */
+    readonly redialMs: number | undefined;
     readonly material: () => IdentityMaterial | undefined;
     /** True while any link to the host is open, whoever dialed it. */
     readonly connected: () => boolean;
     readonly opened: (socket: WebSocket, certifiedId: string | undefined) => PeerLink;
     readonly failed: (reason: string) => void;
+    /** The only attempt failed, or its link is lost. */
+    readonly finished: () => void;
 }
 
 /** Keeps one outgoing connection to a process. */
@@ -38,8 +41,8 @@
     }
 
     dial(): void {
-        if (this.#options.connected()) {
-            this.#later();
+        if (this.#closed || this.#options.connected()) {
+            // Should that link be lost, this dialer is told.
             return;
         }
         const material = this.#options.material();
@@ -69,6 +72,13 @@
         }
     }
 
+    /** The link to the host, whoever dialed it, was lost. */
+    lost(): void {
+        if (this.#link === undefined) {
+            this.#later();
+        }
+    }
+
     close(): void {
         this.#closed = true;
         clearTimeout(this.#timer);
@@ -98,11 +108,17 @@
     }
 
     #later(): void {
+        const { redialMs, finished } = this.#options;
         if (this.#closed) {
             return;
         }
+        if (redialMs === undefined) {
+            this.close();
+            finished();
+            return;
+        }
         clearTimeout(this.#timer);
         this.#timer = setTimeout(() => this.dial(), this.#delayMs);
-        this.#delayMs = Math.min(this.#delayMs * 2, this.#options.redialMs);
+        this.#delayMs = Math.min(this.#delayMs * 2, redialMs);
     }
 }
--- a/packages/runtime/src/peer-link.ts
+++ b/packages/runtime/src/peer-link.ts
@@ -16,6 +16,12 @@
 
 export const LINK_TIMING: LinkTiming = { pingMs: 500, silenceMs: 1_500, connectMs: 600, redialMs: 400 };
 
+/** Checks come only once per ping interval, so half of it is the earliest that one sees. */
+const DIALER_PING_PART = 0.5;
+
+/** The pings of the side that dialed show both sides that the link works; the other one only asks when they stay away. */
+const ACCEPTOR_PING_PART = 1.5;
+
 /** Bytes that may wait in a link; a peer that reads more slowly is disconnected rather than buffered for. */
 const MAX_BUFFERED_BYTES = 32 * 1024 * 1024;
 
@@ -43,6 +49,8 @@
     readonly dialed: boolean;
     #peer: Host | undefined;
     #lastHeardAt: number;
+    /** Until then nobody depended on the link, so its silence says nothing. */
+    #unmonitoredUntil = Number.NEGATIVE_INFINITY;
     #failure: LinkFailure | undefined;
     bytesSent = 0;
     bytesReceived = 0;
@@ -103,16 +111,23 @@
         this.#socket.send(bytes);
     }
 
-    /** Sends a ping to a silent peer and closes a link that has been silent for too long. */
-    check(now: number): void {
-        const silentMs = now - this.#lastHeardAt;
+    /**
+     * Sends a ping to a silent peer and closes a link that has been silent for too long.
+     * @param isMonitored false while nobody depends on the link: its silence is then of no interest
+     */
+    check(now: number, isMonitored: boolean): void {
+        if (!isMonitored && this.#peer !== undefined) {
+            this.#unmonitoredUntil = now;
+            return;
+        }
+        const silentMs = now - Math.max(this.#lastHeardAt, this.#unmonitoredUntil);
         if (silentMs > this.#timing.silenceMs) {
             this.#fail({ kind: "silent" });
             return;
         }
         const isOpen = this.#failure === undefined && this.#socket.readyState === this.#socket.OPEN;
-        // Half of the interval: the check itself comes only once per interval.
-        if (isOpen && silentMs > this.#timing.pingMs / 2) {
+        const patience = this.dialed ? DIALER_PING_PART : ACCEPTOR_PING_PART;
+        if (isOpen && silentMs > this.#timing.pingMs * patience) {
             this.#socket.ping();
         }
     }
--- a/packages/runtime/src/peer-mesh.ts
+++ b/packages/runtime/src/peer-mesh.ts
@@ -27,6 +27,8 @@
     readonly log: Log;
     /** `LINK_TIMING` when undefined. */
     readonly timing?: LinkTiming;
+    /** Whether this process depends on the link to a host, so that its silence matters; always when undefined. */
+    readonly isMonitored?: (host: Host) => boolean;
 }
 
 /** Bytes and messages of all links so far. */
@@ -100,12 +102,24 @@
         if (this.#closed || id === this.#options.self.id || this.#dialers.get(id)?.address === address) {
             return;
         }
+        this.#dial(id, address, this.#timing.redialMs);
+    }
+
+    /** Connects to a process once, unless there is a link or an attempt already. */
+    connectOnce(id: string, address: string): void {
+        if (!this.#closed && id !== this.#options.self.id && !this.#links.has(id) && !this.#dialers.has(id)) {
+            this.#dial(id, address, undefined);
+        }
+    }
+
+    #dial(id: string, address: string, redialMs: number | undefined): void {
         this.#dialers.get(id)?.close();
         const dialer = new PeerDialer({
             id,
             address,
             connectMs: this.#timing.connectMs,
-            redialMs: this.#timing.redialMs,
+            redialMs,
+            finished: () => this.#dialers.delete(id),
             material: () => this.#material,
             connected: () => this.#links.has(id),
             opened: (socket, certifiedId) => this.#open(socket, certifiedId, true),
@@ -229,6 +243,7 @@
             this.#links.delete(host.id);
             this.#options.log.event("peerDisconnected", { peer: host.id, ...failure });
             this.#events.push({ kind: "disconnected", host });
+            this.#dialers.get(host.id)?.lost();
         }
         this.#dialers.forEach(dialer => dialer.ended(link));
     }
@@ -241,7 +256,8 @@
             // This process stood still; what arrived meanwhile is read before the next check.
             return;
         }
-        this.#all.forEach(link => link.check(now));
+        const { isMonitored } = this.#options;
+        this.#all.forEach(link => link.check(now, link.peer === undefined || isMonitored?.(link.peer) !== false));
     }
 
     #rereadIdentity(): void {
--- a/packages/runtime/tests/peer-mesh.test.ts
+++ b/packages/runtime/tests/peer-mesh.test.ts
@@ -1,20 +1,22 @@
 import { createAuthority, issueHostKeys, type KeyPair } from "@medlarledge/daemon";
-import type { Host } from "@medlarledge/protocol";
+import { encodeMessage, type Host, PROTOCOL_VERSION } from "@medlarledge/protocol";
 import { type Log, type LogFields, SILENT_LOG } from "@medlarledge/telemetry";
 import { mkdtemp, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { afterEach, describe, expect, it } from "vitest";
-import { WebSocket } from "ws";
+import { WebSocket, WebSocketServer } from "ws";
 import { SYSTEM_CLOCK } from "../src/clock.js";
 import type { IdentityFiles } from "../src/peer-identity.js";
-import { type MeshEvent, PeerMesh } from "../src/peer-mesh.js";
+import { type MeshEvent, type MeshOptions, PeerMesh } from "../src/peer-mesh.js";
 import { freePort } from "./free-port.js";
 
 const DAY_MS = 86_400_000;
 const meshes: PeerMesh[] = [];
+const servers: WebSocketServer[] = [];
 
 afterEach(async () => {
+    servers.splice(0).forEach(server => server.close());
     await Promise.all(meshes.splice(0).map(mesh => mesh.close()));
 });
 
@@ -95,22 +97,31 @@
     readonly events: MeshEvent[];
 }
 
-async function start(id: string, files: IdentityFiles | undefined, log: Log = SILENT_LOG): Promise<Running> {
-    const host: Host = {
+async function start(
+    id: string,
+    files: IdentityFiles | undefined,
+    log: Log = SILENT_LOG,
+    options: Pick<MeshOptions, "timing" | "isMonitored"> = {},
+): Promise<Running> {
+    const host = hostAt(id, `127.0.0.1:${await freePort()}`);
+    const mesh = new PeerMesh({ self: host, identity: files, clock: SYSTEM_CLOCK, log, ...options });
+    meshes.push(mesh);
+    const events: MeshEvent[] = [];
+    void mesh.events.observe(event => void events.push(event));
+    expect(await mesh.listen()).toBeUndefined();
+    return { host, mesh, events };
+}
+
+function hostAt(id: string, peerAddress: string): Host {
+    return {
         id,
         incarnation: `${id}-1`,
         dataCentre: "mechelen",
-        peerAddress: `127.0.0.1:${await freePort()}`,
+        peerAddress,
         httpAddress: "127.0.0.1:1",
         callerAddress: "127.0.0.1:1",
         control: false,
     };
-    const mesh = new PeerMesh({ self: host, identity: files, clock: SYSTEM_CLOCK, log });
-    meshes.push(mesh);
-    const events: MeshEvent[] = [];
-    void mesh.events.observe(event => void events.push(event));
-    expect(await mesh.listen()).toBeUndefined();
-    return { host, mesh, events };
 }
 
 async function identity(authority: KeyPair, id: string, wallClock = Date.now()): Promise<IdentityFiles> {
@@ -137,3 +148,72 @@
     from.mesh.send(to.host.id, { kind: "revoked", database: "orders", term: 1 });
     return to.events.length > before || to.events.some(event => event.kind === "message");
 }
+
+const QUICK = { pingMs: 20, silenceMs: 80, connectMs: 200, redialMs: 20 } as const;
+
+/** Answers the handshake of a link and then nothing more, like a host behind a link that fell silent. */
+async function silentPeer(): Promise<string> {
+    const port = await freePort();
+    const server = new WebSocketServer({ host: "127.0.0.1", port, autoPong: false });
+    servers.push(server);
+    const host = hostAt("silent", `127.0.0.1:${port}`);
+    server.on("connection", socket => {
+        socket.send(encodeMessage({ kind: "hello", protocol: PROTOCOL_VERSION, host }));
+    });
+    await new Promise(resolve => server.once("listening", resolve));
+    return host.peerAddress;
+}
+
+describe("the silence of a link", () => {
+    it("closes a link that this process depends on", async () => {
+        const it = await start("a1", undefined, SILENT_LOG, { timing: QUICK });
+        it.mesh.keepConnected("silent", await silentPeer());
+        await until(it, event => event.kind === "connected");
+        await until(it, event => event.kind === "disconnected");
+    });
+
+    // Guards against thousands of pings a second between hosts that have nothing to say to each other.
+    it("is of no interest while nobody depends on the link, and counts from when somebody does", async () => {
+        let isMonitored = false;
+        const it = await start("a1", undefined, SILENT_LOG, { timing: QUICK, isMonitored: () => isMonitored });
+        it.mesh.connectOnce("silent", await silentPeer());
+        await until(it, event => event.kind === "connected");
+        await pause(4 * QUICK.silenceMs);
+        expect(it.mesh.isConnected("silent")).toBe(true);
+        isMonitored = true;
+        const since = performance.now();
+        await until(it, event => event.kind === "disconnected");
+        expect(performance.now() - since).toBeGreaterThan(QUICK.silenceMs / 2);
+    });
+});
+
+describe("a lost link", () => {
+    // Guards against a link that the other side had dialed and that nobody dials again.
+    it("is dialed again by the side that wants it, whoever had dialed it", async () => {
+        const left = await start("a1", undefined, SILENT_LOG, { timing: QUICK });
+        const right = await start("b1", undefined, SILENT_LOG, { timing: QUICK });
+        right.mesh.connectOnce("a1", left.host.peerAddress);
+        await until(left, event => event.kind === "connected");
+        left.mesh.keepConnected("b1", right.host.peerAddress);
+        right.mesh.forget("a1");
+        await until(left, event => event.kind === "disconnected");
+        await expect.poll(() => left.mesh.isConnected("b1")).toBe(true);
+    });
+
+    it("is not dialed again when it was wanted once only", async () => {
+        const left = await start("a1", undefined, SILENT_LOG, { timing: QUICK });
+        const right = await start("b1", undefined, SILENT_LOG, { timing: QUICK });
+        right.mesh.connectOnce("a1", left.host.peerAddress);
+        await until(left, event => event.kind === "connected");
+        left.mesh.forget("b1");
+        await until(right, event => event.kind === "disconnected");
+        await pause(5 * QUICK.redialMs);
+        expect(right.mesh.isConnected("a1")).toBe(false);
+        right.mesh.connectOnce("a1", left.host.peerAddress);
+        await expect.poll(() => right.mesh.isConnected("a1")).toBe(true);
+    });
+});
+
+function pause(delayMs: number): Promise<void> {
+    return new Promise(resolve => setTimeout(resolve, delayMs));
+}
