Take no later answer for that of a statement whose answer was lost

Cause: behind a read on a primary route a rollback is sent in the same write. When the endpoint loses the read's answer, the rollback's answer was passed on: a success without rows and signature. Ruled out: the callers' state, since the transaction before had ended. A completed statement without a signature now counts as unanswered and its connection is closed; reads are repeated, writes are reported as unknown. The test in reads.test.ts fails without the change.

--- a/packages/explain/src/cause.ts
+++ b/packages/explain/src/cause.ts
@@ -14,6 +14,7 @@
     transactionLost: (line, lines) => `the connection that held the transaction closed; ${reachOf(line, lines)}`,
     timeout: (line, lines) => `${endpointOf(line)} did not answer in time; ${reachOf(line, lines)}`,
     connectionLost: (line, lines) => `the connection closed before the answer; ${reachOf(line, lines)}`,
+    answerLost: line => `${endpointOf(line)} answered a later command instead`,
     relayLost: line => `the link to the host that ran the statement on ${endpointOf(line)} was lost`,
     late: explainLate,
     repeated: line => `served at attempt ${String(line.fields["attempts"])}; the lines before tell why others failed`,
--- a/packages/gateway/src/order-run.ts
+++ b/packages/gateway/src/order-run.ts
@@ -28,7 +28,7 @@
     if (opening.kind === "bare" || opening.kind === "continued") {
         const after = opening.kind === "bare" ? opening.after : undefined;
         const reply = await connection.ask([...before, { ...forwarded, after }], before.length);
-        return resultOf(reply, leads(order));
+        return resultOf(connection, reply, leads(order));
     }
     // The statement waits for the begin: behind a refused begin it would run outside of any transaction.
     const begun = await connection.ask([...before, beginOf(opening)], before.length);
@@ -38,9 +38,9 @@
     }
     const command = { ...forwarded, after: undefined };
     if (opening.kind === "transaction") {
-        return resultOf(await connection.ask([command], 0), !opening.readOnly);
+        return resultOf(connection, await connection.ask([command], 0), !opening.readOnly);
     }
-    const result = resultOf(await connection.ask([command, { kind: "rollback" }], 0), true);
+    const result = resultOf(connection, await connection.ask([command, { kind: "rollback" }], 0), true);
     return result.kind === "answered" ? { ...result, answer: outsideTransaction(result.answer) } : result;
 }
 
@@ -73,12 +73,17 @@
     return { kind: "notRun", reason: NOT_RUN[completion.code] ?? NotRunReason.Busy, position };
 }
 
-function resultOf(reply: Reply, leadsWhenDone: boolean): OrderResult {
+function resultOf(connection: PooledConnection, reply: Reply, leadsWhenDone: boolean): OrderResult {
     if (reply.kind === "lost") {
         return { kind: "unknown", reason: UnknownReason.ConnectionLost };
     }
     const { answer } = reply;
     const { completion } = answer;
+    if (completion.kind === "done" && completion.signature === undefined) {
+        // Endpoints sign what they run, so this answers a later command and the statement's own answer is lost.
+        connection.close("an answer was lost");
+        return { kind: "unknown", reason: UnknownReason.AnswerLost };
+    }
     if (completion.kind === "error" && isPromise(completion.code) && completion.code !== ErrorCode.Aborted) {
         const reason = NOT_RUN[completion.code] ?? NotRunReason.Busy;
         return { kind: "notRun", reason, position: answer.position };
--- a/packages/gateway/tests/reads.test.ts
+++ b/packages/gateway/tests/reads.test.ts
@@ -109,3 +109,12 @@
     expect(answer.completion).toMatchObject({ kind: "error", code: ErrorCode.Busy });
     expect(it.endpoints.ran).toEqual([]);
 });
+
+// Guards against a success without rows: the answer to the rollback behind a lost answer is not that of the read.
+test("an answer that was lost is not replaced by the next one on the connection", async () => {
+    const caller = it.connect("confirm");
+    it.endpoints.get("a").losesAnswers = 1;
+    const answer = await caller.ask(read("1"));
+    expect(answer.completion).toEqual({ kind: "done", signature: "signed by a" });
+    expect(answer.rows).toEqual(["row"]);
+});
--- a/packages/statements/src/order.ts
+++ b/packages/statements/src/order.ts
@@ -55,6 +55,8 @@
 /** Why it is not known whether an ordered statement ran. */
 export const UnknownReason = {
     ConnectionLost: "connectionLost",
+    /** The endpoint answered a later command instead. */
+    AnswerLost: "answerLost",
     Timeout: "timeout",
     /** The process that ran it is gone. */
     RelayLost: "relayLost",
