--- a/eslint.config.js
+++ b/eslint.config.js
@@ -1,7 +1,7 @@
 import tseslint from "typescript-eslint";
 
 export default tseslint.config(
-    { ignores: ["dist/", "target/", "node_modules/", "**/*.mjs", "eslint.config.js"] },
+    { ignores: ["dist/", "target/", "node_modules/", "**/*.mjs", "**/*.cjs", "eslint.config.js"] },
     ...tseslint.configs.strictTypeChecked,
     {
         languageOptions: { parserOptions: { projectService: true, tsconfigRootDir: import.meta.dirname } },
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -34,6 +34,8 @@
 
 export interface ControlHostOptions {
     readonly self: Host;
+    /** Where to listen for other hosts when it is not the address of `self`. */
+    readonly listenHost?: string;
     /** Name for people and for the platform. */
     readonly name: string;
     readonly dataFolder: string;
@@ -92,7 +94,14 @@
         this.#seeds = options.seeds;
         this.#loopDelay = new LoopDelay(options.meter, TICK_MS);
         const { self, clock, log, connector, authority, name, dataFolder, founders, configurations } = options;
-        this.#mesh = new PeerMesh({ self, identity: undefined, clock, log, timing: FLEET_LINK_TIMING });
+        this.#mesh = new PeerMesh({
+            self,
+            identity: undefined,
+            clock,
+            log,
+            listenHost: options.listenHost,
+            timing: FLEET_LINK_TIMING,
+        });
         this.#links = new HostLinks(this.#mesh, self.id);
         this.#client = new LeaderClient(request => this.#toLeader(request));
         this.#lastKnown = new LastKnown(
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -43,6 +43,8 @@
 
 export interface EntryHostOptions {
     readonly self: Host;
+    /** Where to listen for other hosts when it is not the address of `self`. */
+    readonly listenHost?: string;
     readonly seeds: readonly string[];
     readonly clock: Clock;
     readonly log: Log;
@@ -118,6 +120,7 @@
             identity: undefined,
             clock,
             log,
+            listenHost: options.listenHost,
             timing: FLEET_LINK_TIMING,
             isMonitored: host => host.control || this.#gateway.relaysWith(host.id),
         });
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -2,6 +2,7 @@
 export * from "./classifier.js";
 export * from "./endpoint-health.js";
 export * from "./primary-positions.js";
+export { Random } from "./random.js";
 export * from "./rendezvous.js";
 export * from "./replica-positions.js";
 export * from "./retry-budget.js";
--- a/packages/runtime/src/peer-mesh.ts
+++ b/packages/runtime/src/peer-mesh.ts
@@ -25,6 +25,8 @@
     readonly identity: IdentityFiles | undefined;
     readonly clock: Clock;
     readonly log: Log;
+    /** Where to listen when it is not the address of `self`, for example behind a forwarder. */
+    readonly listenHost?: string;
     /** `LINK_TIMING` when undefined. */
     readonly timing?: LinkTiming;
     /** Whether this process depends on the link to a host, so that its silence matters; always when undefined. */
@@ -93,7 +95,7 @@
         const { host, port } = parseAddress(this.#options.self.peerAddress);
         return new Promise(resolve => {
             server.once("error", error => resolve(error.message));
-            server.listen(port, host, () => resolve(undefined));
+            server.listen(port, this.#options.listenHost ?? host, () => resolve(undefined));
         });
     }
 
