Let no field of a log line replace the line's own host and sequence

Cause: announcements were logged with all fields of the record, so their lines named the endpoint's address as host and the announcement's number as sequence; explain could not order them. The type of the fields now forbids these names.

--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -13,6 +13,7 @@
 import { type Clock, LeaderClient, type MeshEvent, PeerMesh } from "@medlarledge/runtime";
 import type { EndpointConnector } from "@medlarledge/statements";
 import type { Log, LogEvent, LogFields, Meter } from "@medlarledge/telemetry";
+import { announcedFields } from "./announced-fields.js";
 import { LoopDelay } from "./gauges.js";
 import { type ConfigurationRead, GroupMember } from "./group-member.js";
 import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
@@ -182,7 +183,7 @@
 
     announce(record: EndpointRecord): void {
         if (this.#directory.merge(record) === "changed") {
-            this.#options.log.event("endpointAnnounced", { ...record });
+            this.#options.log.event("endpointAnnounced", announcedFields(record));
             this.#spread([record], this.#links.connected());
             this.#remember();
         }
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -4,6 +4,7 @@
 import { type Clock, type MeshEvent, PeerMesh } from "@medlarledge/runtime";
 import type { Acceptance, Caller, EndpointConnector } from "@medlarledge/statements";
 import type { Log, Meter } from "@medlarledge/telemetry";
+import { announcedFields } from "./announced-fields.js";
 import { connectionPlan, holdersFor } from "./connection-share.js";
 import { GatewayReporter } from "./gateway-reporter.js";
 import { LoopDelay, measureGroups } from "./gauges.js";
@@ -280,7 +281,7 @@
             if (this.#directory.merge(record) === "changed") {
                 groups.add(record.group);
                 groups.add(former ?? record.group);
-                this.#options.log.event("endpointAnnounced", { ...record });
+                this.#options.log.event("endpointAnnounced", announcedFields(record));
             }
         }
         for (const group of groups) {
--- a/packages/telemetry/src/log.ts
+++ b/packages/telemetry/src/log.ts
@@ -2,8 +2,8 @@
 import { Logger } from "tslog";
 import { LOG_EVENTS, LOG_LEVELS, type LogEvent, type LogLevel } from "./log-event.js";
 
-/** Fields of a log line; values must be representable in JSON. */
-export type LogFields = Readonly<Record<string, unknown>>;
+/** Fields of a log line; values must be representable in JSON. No field may be named like one that every line has. */
+export type LogFields = Readonly<Record<string, unknown>> & { readonly [Name in keyof LineHead]?: never; };
 
 /** Writes one JSON line for each event. */
 export interface Log {
@@ -50,5 +50,7 @@
 
 function formatLine(head: LineHead, record: Readonly<Record<string, unknown>>): string {
     const fields = Object.entries(record).filter(([name]) => !RECORD_FIELDS.has(name));
-    return JSON.stringify({ ...head, event: record["event"], ...Object.fromEntries(fields) });
+    const line = { ...head, event: record["event"] };
+    // The head goes first in the line, and no field replaces a part of it.
+    return JSON.stringify({ ...line, ...Object.fromEntries(fields), ...line });
 }
