Take connections from resting transactions, and wait for no single holder

Cause, by the pattern idle_tx of the grown deployments: with 25 connections for 79 hosts an endpoint's four holders have five each, and callers that rest inside transactions kept them for up to 3 s. An order waited its whole patience of 480 ms at one holder, and a holder without a free connection was left out for 500 ms, so that hosts took the primary for unreachable. Changes: while orders wait and no connection can be opened, the transaction that rests the longest is rolled back once it has rested for 150 ms; its caller is told that nothing is kept. An order waits 60 ms for a connection where others may have one, then goes on to them. Ruled out: a limit on open transactions, which would refuse busy callers too. Tests in transactions.test.ts and relay.test.ts fail without the change.

--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -9,6 +9,7 @@
     type OrderResult,
     UnknownReason,
 } from "@medlarledge/statements";
+import { KeptTransactions } from "./kept-transactions.js";
 import { runOrder } from "./order-run.js";
 import { type ConnectionEvents, PooledConnection } from "./pooled-connection.js";
 import { WaitQueue } from "./wait-queue.js";
@@ -25,6 +26,12 @@
 /** Time for the answers that are outstanding when a connection is given back; ending a transaction needs no slot. */
 const RETURN_TIMEOUT_MS = 500;
 
+/**
+ * While others wait for a connection, a transaction whose caller has sent nothing for this long is rolled back. Callers
+ * pause for up to 20 ms between statements, and operations have at least 600 ms.
+ */
+const MOST_REST_MS = 150;
+
 const ROLLBACK = { kind: "rollback" } as const;
 
 /** How the endpoint answered, for judging whether it can be used. */
@@ -35,6 +42,17 @@
     connectFailed(failure: ConnectFailure, startedAt: number): void;
     /** The endpoint or the network closed a connection. */
     closed(reason: string): void;
+    /** A resting transaction was rolled back, since its connection is needed. */
+    evicted(eviction: Eviction): void;
+}
+
+export interface Eviction {
+    readonly transaction: string;
+    /** The last request in it. */
+    readonly requestId: string;
+    readonly restedMs: number;
+    /** Orders that wait for a connection. */
+    readonly waiting: number;
 }
 
 export interface EndpointPoolOptions {
@@ -72,12 +90,13 @@
     /** When each idle connection was last needed. */
     readonly #idleSince = new Map<PooledConnection, number>();
     readonly #lent = new Set<PooledConnection>();
-    readonly #transactions = new Map<string, PooledConnection>();
+    readonly #transactions = new KeptTransactions();
     readonly #waiting = new WaitQueue<Waiting>();
     readonly #connectionEvents: ConnectionEvents;
     #opening = 0;
     #pausedUntil = 0;
     #expiryTimer: NodeJS.Timeout | undefined;
+    #evictionTimer: NodeJS.Timeout | undefined;
     #closed = false;
 
     constructor(options: EndpointPoolOptions) {
@@ -121,10 +140,13 @@
     /** Runs an order; it waits for a connection as long as the order's patience lasts. */
     async run(order: Order): Promise<OrderResult> {
         if (order.opening.kind === "continued") {
-            const connection = this.#transactions.get(order.transaction ?? "");
-            return connection === undefined
-                ? { kind: "notRun", reason: NotRunReason.TransactionLost, position: undefined }
-                : this.#runOn(connection, order);
+            const transaction = order.transaction ?? "";
+            const connection = this.#transactions.connectionOf(transaction);
+            if (connection === undefined) {
+                return { kind: "notRun", reason: NotRunReason.TransactionLost, position: undefined };
+            }
+            this.#transactions.runs(transaction);
+            return this.#runOn(connection, order);
         }
         const connection = await this.#acquire(order);
         if (connection === undefined) {
@@ -154,7 +176,7 @@
 
     /** Rolls a caller's transaction back and frees its connection. */
     endTransaction(transaction: string): void {
-        const connection = this.#transactions.get(transaction);
+        const connection = this.#transactions.connectionOf(transaction);
         this.#transactions.delete(transaction);
         if (connection === undefined || connection.isClosed) {
             return;
@@ -188,6 +210,7 @@
     close(): void {
         this.#closed = true;
         clearTimeout(this.#expiryTimer);
+        clearTimeout(this.#evictionTimer);
         this.#refuse(this.#waiting.clear());
         for (const connection of [...this.#idle]) {
             connection.close("the endpoint leaves");
@@ -227,13 +250,15 @@
     }
 
     /** A transaction keeps its connection from its first statement to its end. */
-    #keep(connection: PooledConnection, { opening, transaction, statement }: Order, result: OrderResult): void {
+    #keep(connection: PooledConnection, order: Order, result: OrderResult): void {
+        const { opening, transaction, statement, requestId } = order;
         if (transaction === undefined || connection.isClosed) {
             return;
         }
         const open = result.kind === "answered" && result.answer.state === "open" && statement.kind !== "commit";
         if (open) {
-            this.#transactions.set(transaction, connection);
+            this.#transactions.rests(transaction, connection, requestId, this.#options.clock.now());
+            this.#evictWhenNeeded();
             return;
         }
         this.#transactions.delete(transaction);
@@ -258,7 +283,7 @@
 
     /** Gives a connection without outstanding answers to the next one that waits. */
     #settle(connection: PooledConnection): void {
-        const isKept = this.#lent.has(connection) || [...this.#transactions.values()].includes(connection);
+        const isKept = this.#lent.has(connection) || this.#transactions.isKept(connection);
         if (isKept || connection.isClosed || this.#idle.includes(connection)) {
             return;
         }
@@ -295,6 +320,26 @@
             void this.#open();
         }
         this.#scheduleExpiry();
+        this.#evictWhenNeeded();
+    }
+
+    /** While orders wait and no connection can be opened, takes one from the transaction that rests the longest. */
+    #evictWhenNeeded(): void {
+        clearTimeout(this.#evictionTimer);
+        const resting = this.#transactions.longestResting();
+        const isNeeded = this.#waiting.size > this.#opening && this.size >= this.#options.limit();
+        if (resting === undefined || !isNeeded) {
+            return;
+        }
+        const restedMs = this.#options.clock.now() - resting.restsSince;
+        if (restedMs < MOST_REST_MS) {
+            this.#evictionTimer = setTimeout(() => this.#evictWhenNeeded(), Math.ceil(MOST_REST_MS - restedMs));
+            return;
+        }
+        const { key, requestId, connection } = resting;
+        this.#transactions.delete(key);
+        this.#options.events.evicted({ transaction: key, requestId, restedMs, waiting: this.#waiting.size });
+        this.#rollBack(connection);
     }
 
     /** Prefers a connection with the session's values, which saves a reset. */
@@ -344,11 +389,7 @@
         if (at >= 0) {
             this.#idle.splice(at, 1);
         }
-        for (const [transaction, kept] of this.#transactions) {
-            if (kept === connection) {
-                this.#transactions.delete(transaction);
-            }
-        }
+        this.#transactions.deleteOn(connection);
         this.#options.events.closed(reason);
         this.#serve();
     }
--- a/packages/gateway/src/group-endpoint.ts
+++ b/packages/gateway/src/group-endpoint.ts
@@ -8,7 +8,7 @@
     UnknownReason,
 } from "@medlarledge/statements";
 import { EndpointLoad } from "./endpoint-load.js";
-import { EndpointPool, type ProbeResult } from "./endpoint-pool.js";
+import { EndpointPool, type Eviction, type ProbeResult } from "./endpoint-pool.js";
 import { EndpointReach, Reach } from "./endpoint-reach.js";
 import type { EndpointCondition } from "./group-condition.js";
 
@@ -42,6 +42,8 @@
     /** Connections that this process may hold to the endpoint. */
     readonly share: (record: EndpointRecord) => number;
     readonly reachChanged: (change: ReachChange) => void;
+    /** A caller's resting transaction was rolled back. */
+    readonly evicted: (endpoint: string, eviction: Eviction) => void;
 }
 
 /** One endpoint of a group as one process uses it: its connections, its load, and whether it answers. */
@@ -69,6 +71,7 @@
                 connected: () => this.#answered(),
                 connectFailed: (failure, startedAt) => this.#connectFailed(failure, startedAt),
                 closed: () => this.#pool.warm(WARM_CONNECTIONS),
+                evicted: eviction => options.evicted(this.#record.id, eviction),
             },
         });
     }
--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -10,13 +10,14 @@
 import { Availability } from "./availability.js";
 import type { ElapsedClock } from "./elapsed-clock.js";
 import { type Candidate, chooseForRead, type ReadChoice } from "./endpoint-choice.js";
+import type { Eviction } from "./endpoint-pool.js";
 import { Freshness } from "./freshness.js";
 import type { GatewayListener } from "./gateway-event.js";
 import type { GroupCondition } from "./group-condition.js";
 import { GroupEndpoint, type ReachChange } from "./group-endpoint.js";
 import type { Outage } from "./outlook.js";
 import { PrimaryBelief } from "./primary-belief.js";
-import type { RelayClient } from "./relay-client.js";
+import { FULL_POOL_MS, type RelayClient } from "./relay-client.js";
 import type { Route } from "./route.js";
 
 /** An endpoint that answered within this time need not be asked whether it answers. */
@@ -264,7 +265,8 @@
     #add(record: EndpointRecord): GroupEndpoint {
         const { connector, clock, share } = this.#options;
         const reachChanged = (change: ReachChange): void => this.#reachChanged(change);
-        const endpoint = new GroupEndpoint(record, { connector, clock, share, reachChanged });
+        const evicted = (id: string, eviction: Eviction): void => this.#evicted(id, eviction);
+        const endpoint = new GroupEndpoint(record, { connector, clock, share, reachChanged, evicted });
         this.#endpoints.set(record.id, endpoint);
         return endpoint;
     }
@@ -286,13 +288,16 @@
         const isOwn = order.opening.kind === "continued"
             ? endpoint.pool.holds(order.transaction ?? "")
             : endpoint.isDirect;
-        if (isOwn) {
-            const own = await this.#runOn(endpoint, order);
-            if (!needsConnection(own) || !this.#options.relay.canReach(this.name, order.endpoint)) {
-                return own;
-            }
+        if (!isOwn) {
+            return this.#relay(order);
+        }
+        if (order.opening.kind === "continued" || !this.#options.relay.canReach(this.name, order.endpoint)) {
+            return this.#runOn(endpoint, order);
         }
-        return this.#relay(order);
+        const startedAt = this.#options.clock.now();
+        const own = await this.#runOn(endpoint, { ...order, patienceMs: Math.min(order.patienceMs, FULL_POOL_MS) });
+        const leftMs = order.patienceMs - (this.#options.clock.now() - startedAt);
+        return needsConnection(own) && leftMs > 0 ? this.#relay({ ...order, patienceMs: leftMs }) : own;
     }
 
     async #runOn(endpoint: GroupEndpoint, order: Order): Promise<OrderResult> {
@@ -363,6 +368,11 @@
         }
     }
 
+    #evicted(endpoint: string, { transaction, requestId, restedMs, waiting }: Eviction): void {
+        const cause = `it rested for ${Math.round(restedMs)} ms while ${waiting} orders waited for a connection`;
+        this.#options.listener({ kind: "aborted", group: this.name, endpoint, transaction, requestId, cause });
+    }
+
     #reachChanged(change: ReachChange): void {
         this.#options.listener({ kind: "reach", group: this.name, ...change });
         this.#changed();
--- a/packages/gateway/src/relay-client.ts
+++ b/packages/gateway/src/relay-client.ts
@@ -11,6 +11,12 @@
 /** A host to which no link could be opened is asked again after this time, for any endpoint. */
 const LINK_AGAIN_MS = 500;
 
+/**
+ * An order waits this long for a connection of a host while others may have a free one; statements of both users take
+ * 3 to 30 ms.
+ */
+export const FULL_POOL_MS = 60;
+
 /** Longest wait for the link to a host; opening one takes some ms. */
 const LINK_MS = 150;
 
@@ -67,18 +73,18 @@
         const { clock } = this.#options;
         const giveUpAt = clock.now() + order.patienceMs;
         let last: Relayed = notRun(NotRunReason.Unreachable);
-        for (const host of this.#candidates(order.group, order.endpoint).slice(0, MAX_HOSTS)) {
-            if (this.#isUnlinked(host)) {
-                continue;
-            }
-            if (clock.now() >= giveUpAt) {
+        const hosts = this.#candidates(order.group, order.endpoint).slice(0, MAX_HOSTS);
+        for (const [index, host] of hosts.entries()) {
+            const leftMs = giveUpAt - clock.now();
+            if (leftMs <= 0) {
                 return last;
             }
-            last = await this.#runAt(host, order);
+            const patienceMs = index === hosts.length - 1 ? leftMs : Math.min(leftMs, FULL_POOL_MS);
+            last = await this.#runAt(host, { ...order, patienceMs });
             if (!this.#isOfHost(last)) {
                 return last;
             }
-            this.#failedAt.set(keyOf(host, order.endpoint), this.#options.clock.now());
+            this.#noteRefusal(host, order.endpoint, last.result);
         }
         return last;
     }
@@ -170,6 +176,13 @@
         }
     }
 
+    /** A host without a free connection will have one soon; one that does not reach the endpoint is left out for a while. */
+    #noteRefusal(host: string, endpoint: string, result: OrderResult): void {
+        if (result.kind === "notRun" && result.reason === NotRunReason.Unreachable) {
+            this.#failedAt.set(keyOf(host, endpoint), this.#options.clock.now());
+        }
+    }
+
     /** The host could not run the order, another one may. */
     #isOfHost({ result }: Relayed): boolean {
         return result.kind === "notRun"
--- a/packages/gateway/tests/relay.test.ts
+++ b/packages/gateway/tests/relay.test.ts
@@ -133,6 +133,25 @@
     cutOff.gateway.close("the test ends");
 });
 
+// Guards against orders that wait for one full holder while another one has free connections (burst, idle_tx).
+test("an order goes on to the next holder when the first one has no free connection", async () => {
+    const full = world({ endpoints, peers, host: "holder-full", share: 1 });
+    await pass(50);
+    await full.connect("confirm").ask(begin);
+    const resting = full.connect("confirm");
+    await resting.ask(begin);
+    await resting.ask(write("1"));
+    const startedAt = performance.now();
+    const answers = ["2", "3", "4"].map(item => other.connect("confirm").send(write(item)));
+    const waited = full.connect("confirm").send(write("5"));
+    await pass(120);
+    for (const answer of [...answers, waited]) {
+        expect((await answer).completion.kind).toBe("done");
+    }
+    expect(performance.now() - startedAt).toBeLessThanOrEqual(130);
+    full.gateway.close("the test ends");
+});
+
 /** Hosts that are listed and cannot be reached. */
 function unlinkedHosts(count: number): Map<string, Gateway> {
     return new Map(Array.from({ length: count }, (_, index) => [`far-${index}`, other.gateway]));
--- a/packages/gateway/tests/transactions.test.ts
+++ b/packages/gateway/tests/transactions.test.ts
@@ -148,3 +148,51 @@
     expect((await caller.ask(commit)).completion).toMatchObject({ code: ErrorCode.Aborted });
     await expectFreeConnections();
 });
+
+// Guards against confirmations that wait behind callers resting inside transactions (idle_tx on the grown deployments).
+test("a resting transaction gives its connection up when an order waits for one", async () => {
+    const resting = [it.connect("confirm"), it.connect("confirm")];
+    for (const caller of resting) {
+        await caller.ask(begin);
+        await caller.ask(write("1"));
+    }
+    const startedAt = performance.now();
+    const answer = await it.connect("confirm").ask(write("2"));
+    expect(answer.completion.kind).toBe("done");
+    expect(performance.now() - startedAt).toBeLessThanOrEqual(260);
+    expect(it.events.filter(event => event.kind === "aborted")).toHaveLength(1);
+    expect((await resting[0]?.ask(write("3")))?.completion).toMatchObject({ code: ErrorCode.Aborted });
+    await resting[0]?.ask(rollback);
+    expect((await resting[1]?.ask(commit))?.completion.kind).toBe("done");
+});
+
+// Guards against transactions that are rolled back although nobody needs their connections.
+test("a resting transaction stays open while connections are free", async () => {
+    const caller = it.connect("confirm");
+    await caller.ask(begin);
+    await caller.ask(write("1"));
+    await it.connect("confirm").ask(write("2"));
+    await pass(1_000);
+    expect((await caller.ask(commit)).completion.kind).toBe("done");
+});
+
+// Guards against transactions of busy callers that are rolled back because a pool is short of connections.
+test("a transaction whose caller sends statement after statement is not rolled back for others", async () => {
+    const busy = [it.connect("confirm"), it.connect("confirm")];
+    for (const caller of busy) {
+        await caller.ask(begin);
+        await caller.ask(write("1"));
+    }
+    const waiting = it.connect("confirm").send(write("2"));
+    for (let step = 0; step < 20; step++) {
+        for (const caller of busy) {
+            expect((await caller.ask(write("3"))).completion.kind).toBe("done");
+        }
+        await pass(10);
+    }
+    for (const caller of busy) {
+        expect((await caller.ask(commit)).completion.kind).toBe("done");
+    }
+    await pass(100);
+    expect((await waiting).completion.kind).toBe("done");
+});
