Try overdue reads again, and replace connections whose answers are overdue

Ruled out: noticing the loss by the answer to a later command, since the endpoint answers nothing more on that connection. Changes: a read that has no answer after five average times, 150 ms at least, is tried elsewhere, for at most a fifth of the reads; up to two connections of a pool that wait that long no longer count against its limit. Writes go on waiting for their answers. The tests fail without the change, but for the bound on repeated reads.

--- a/packages/explain/src/cause.ts
+++ b/packages/explain/src/cause.ts
@@ -15,6 +15,7 @@
     timeout: (line, lines) => `${endpointOf(line)} did not answer in time; ${reachOf(line, lines)}`,
     connectionLost: (line, lines) => `the connection closed before the answer; ${reachOf(line, lines)}`,
     answerLost: line => `${endpointOf(line)} answered a later command instead`,
+    overdue: line => `${endpointOf(line)} did not answer in several times the usual time`,
     relayLost: line => `the link to the host that ran the statement on ${endpointOf(line)} was lost`,
     late: explainLate,
     repeated: line => `served at attempt ${String(line.fields["attempts"])}; the lines before tell why others failed`,
--- a/packages/gateway/src/endpoint-load.ts
+++ b/packages/gateway/src/endpoint-load.ts
@@ -7,6 +7,15 @@
 /** Without answers the average returns to the assumed time, halving the distance in this time. */
 const FORGET_HALF_MS = 2_000;
 
+/**
+ * An order without an answer after this many average times is overdue: its answer may be lost. The longest statements
+ * of both users take five times the mean.
+ */
+const OVERDUE_FACTOR = 5;
+
+/** No order is overdue before this time, whatever the average is. */
+const LEAST_OVERDUE_MS = 150;
+
 /** Orders of this process that run or wait at one endpoint, and how long they take. */
 export class EndpointLoad {
     #running = 0;
@@ -37,6 +46,11 @@
         return FIRST_MS + (this.#averageMs - FIRST_MS) * kept;
     }
 
+    /** Time after which an order is overdue. */
+    overdueMs(now: number): number {
+        return Math.max(LEAST_OVERDUE_MS, OVERDUE_FACTOR * this.averageMs(now));
+    }
+
     /** Expected time until one more order would be answered. */
     expectedMs(slots: number, now: number): number {
         return this.averageMs(now) * (1 + this.#running / Math.max(1, slots));
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -32,6 +32,12 @@
  */
 const MOST_REST_MS = 150;
 
+/**
+ * Connections that wait for an overdue answer and are replaced before it comes; endpoints have a few to spare beyond all
+ * shares, and refuse what is too much.
+ */
+const MOST_REPLACED = 2;
+
 const ROLLBACK = { kind: "rollback" } as const;
 
 /** How the endpoint answered, for judging whether it can be used. */
@@ -61,6 +67,8 @@
     readonly clock: Clock;
     /** Connections that this process may hold. */
     readonly limit: () => number;
+    /** Time after which an order is overdue. */
+    readonly overdueMs: () => number;
     readonly events: PoolEvents;
 }
 
@@ -89,7 +97,8 @@
     readonly #idle: PooledConnection[] = [];
     /** When each idle connection was last needed. */
     readonly #idleSince = new Map<PooledConnection, number>();
-    readonly #lent = new Set<PooledConnection>();
+    /** Connections in use, and since when. */
+    readonly #lent = new Map<PooledConnection, number>();
     readonly #transactions = new KeptTransactions();
     readonly #waiting = new WaitQueue<Waiting>();
     readonly #connectionEvents: ConnectionEvents;
@@ -113,6 +122,13 @@
         return this.#all.size + this.#opening;
     }
 
+    /** Connections that count against the limit. */
+    get #counted(): number {
+        const overdueSince = this.#options.clock.now() - this.#options.overdueMs();
+        const overdue = [...this.#lent.values()].filter(since => since < overdueSince).length;
+        return this.size - Math.min(MOST_REPLACED, overdue);
+    }
+
     get idle(): number {
         return this.#idle.length;
     }
@@ -199,6 +215,13 @@
         }
     }
 
+    /** Opens connections in place of those whose answers are overdue, if orders wait. */
+    replaceOverdue(): void {
+        if (this.#waiting.size > 0) {
+            this.#serve();
+        }
+    }
+
     /** Opens connections until `count` are there or being opened. */
     warm(count: number): void {
         while (this.size < Math.min(count, this.#options.limit()) && this.#mayOpen()) {
@@ -218,7 +241,7 @@
     }
 
     async #runOn(connection: PooledConnection, order: Order): Promise<OrderResult> {
-        this.#lent.add(connection);
+        this.#lent.set(connection, this.#options.clock.now());
         const result = await this.#limited(connection, order);
         this.#keep(connection, order, result);
         this.#giveBack(connection);
@@ -287,7 +310,7 @@
         if (isKept || connection.isClosed || this.#idle.includes(connection)) {
             return;
         }
-        if (!connection.isClean || this.#closed || this.size > this.#options.limit()) {
+        if (!connection.isClean || this.#closed || this.#counted > this.#options.limit()) {
             connection.close("not needed any more");
             return;
         }
@@ -316,7 +339,7 @@
             }
             next.granted(this.#takeIdle(next.need));
         }
-        if (this.#waiting.size > this.#opening && this.size < this.#options.limit() && this.#mayOpen()) {
+        if (this.#waiting.size > this.#opening && this.#counted < this.#options.limit() && this.#mayOpen()) {
             void this.#open();
         }
         this.#scheduleExpiry();
@@ -327,7 +350,7 @@
     #evictWhenNeeded(): void {
         clearTimeout(this.#evictionTimer);
         const resting = this.#transactions.longestResting();
-        const isNeeded = this.#waiting.size > this.#opening && this.size >= this.#options.limit();
+        const isNeeded = this.#waiting.size > this.#opening && this.#counted >= this.#options.limit();
         if (resting === undefined || !isNeeded) {
             return;
         }
@@ -348,7 +371,7 @@
         const [connection] = this.#idle.splice(fitting < 0 ? this.#idle.length - 1 : fitting, 1);
         if (connection !== undefined) {
             this.#idleSince.delete(connection);
-            this.#lent.add(connection);
+            this.#lent.set(connection, this.#options.clock.now());
         }
         return connection;
     }
--- a/packages/gateway/src/group-endpoint.ts
+++ b/packages/gateway/src/group-endpoint.ts
@@ -53,7 +53,7 @@
     readonly #reach = new EndpointReach();
     readonly #load = new EndpointLoad();
     /** Gives up reads that wait for this endpoint, so that they go elsewhere. */
-    readonly #abandon = new Set<() => void>();
+    readonly #abandon = new Set<(reason: UnknownReason) => void>();
     #record: EndpointRecord;
     #isProbed = false;
 
@@ -66,6 +66,7 @@
             connector: options.connector,
             clock: options.clock,
             limit: () => this.share,
+            overdueMs: () => this.#load.overdueMs(options.clock.now()),
             events: {
                 answered: () => this.#answered(),
                 connected: () => this.#answered(),
@@ -138,23 +139,42 @@
         const startedAt = clock.now();
         this.#load.started();
         const result = await run();
-        this.#load.ended(result.kind === "notRun" ? undefined : clock.now() - startedAt, clock.now());
+        const now = clock.now();
+        this.#load.ended(this.#tookMs(result, now - startedAt, now), now);
         return result;
     }
 
+    /** Time that the order tells of the endpoint. A lost answer tells no more than that it is overdue. */
+    #tookMs(result: OrderResult, tookMs: number, now: number): number | undefined {
+        switch (result.kind) {
+            case "notRun":
+                return undefined;
+            case "answered":
+                return tookMs;
+            case "unknown":
+                return Math.min(tookMs, this.#load.overdueMs(now));
+        }
+    }
+
     /**
-     * Gives an order up as soon as the endpoint is found unreachable.
+     * Gives an order up as soon as the endpoint is found unreachable, or when it is overdue and may be repeated.
      * @param ended called when the order that was given up has ended
      */
-    abandonable(running: Promise<OrderResult>, ended: () => void): Promise<OrderResult> {
+    abandonable(
+        running: Promise<OrderResult>,
+        { mayRepeat, ended }: { readonly mayRepeat: () => boolean; readonly ended: () => void; },
+    ): Promise<OrderResult> {
         return new Promise(resolve => {
             let isAbandoned = false;
-            const abandon = (): void => {
+            const abandon = (reason: UnknownReason): void => {
                 isAbandoned = true;
-                resolve({ kind: "unknown", reason: UnknownReason.Timeout });
+                resolve({ kind: "unknown", reason });
             };
+            const overdueMs = this.#load.overdueMs(this.#options.clock.now());
+            const timer = setTimeout(() => mayRepeat() && abandon(UnknownReason.Overdue), overdueMs);
             this.#abandon.add(abandon);
             void running.then(result => {
+                clearTimeout(timer);
                 this.#abandon.delete(abandon);
                 resolve(result);
                 if (isAbandoned) {
@@ -176,6 +196,7 @@
     /** Closes what is not needed and tries an unreachable endpoint again. Returns true when a probe is due. */
     maintain(isActive: boolean, now: number): boolean {
         this.#pool.trim(WARM_CONNECTIONS);
+        this.#pool.replaceOverdue();
         if (this.isReachable && isActive) {
             this.warm();
         }
@@ -230,7 +251,7 @@
         if (this.#reach.failed(reach, this.#options.clock.now())) {
             this.#changed(former, this.#quietMs(), cause);
             for (const abandon of [...this.#abandon]) {
-                abandon();
+                abandon(UnknownReason.Timeout);
             }
         }
     }
--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -1,4 +1,5 @@
 import { type EndpointRecord, EndpointState, type LeaderKnowledge, type PrimaryOrder } from "@medlarledge/protocol";
+import { RETRY_OPTIONS, RetryBudget } from "@medlarledge/routing";
 import type { Clock } from "@medlarledge/runtime";
 import {
     type EndpointConnector,
@@ -23,6 +24,14 @@
 /** An endpoint that answered within this time need not be asked whether it answers. */
 const JUST_ANSWERED_MS = 50;
 
+/**
+ * Overdue orders that may be repeated. Endpoints lose up to a fifth of their answers when they fail in part, and a host
+ * with few callers has few attempts in a window.
+ */
+const OVERDUE_REPEATS = { share: 0.2, least: 3 } as const;
+
+const MAX_SEED = 2 ** 31;
+
 export interface GroupOptions {
     readonly name: string;
     readonly dataCentre: string;
@@ -51,10 +60,16 @@
     readonly #waiting = new Set<() => void>();
     readonly #leader = new Availability();
     readonly #any = new Availability();
+    readonly #repeats: RetryBudget;
     #orderedAt: number | undefined;
 
     constructor(options: GroupOptions) {
         this.#options = options;
+        this.#repeats = new RetryBudget({
+            ...RETRY_OPTIONS,
+            ...OVERDUE_REPEATS,
+            seed: Math.floor(options.random() * MAX_SEED),
+        });
     }
 
     get name(): string {
@@ -180,19 +195,31 @@
         if (endpoint === undefined) {
             return { kind: "notRun", reason: NotRunReason.Unreachable, position: undefined };
         }
+        if (repeatable) {
+            this.#repeats.attempted(this.#options.clock.now());
+        }
         return endpoint.measure(() => {
             const running = this.#runAnywhere(endpoint, order);
-            const { transaction } = order;
             return repeatable
-                ? endpoint.abandonable(running, () => {
-                    if (transaction !== undefined) {
-                        this.endTransaction(order.endpoint, transaction);
-                    }
+                ? endpoint.abandonable(running, {
+                    mayRepeat: () => this.#mayRepeat(order.endpoint),
+                    ended: () => this.#endAbandoned(order),
                 })
                 : running;
         });
     }
 
+    /** Repeating overdue orders must not multiply the load of endpoints that are slow because they have too much. */
+    #mayRepeat(endpoint: string): boolean {
+        return this.#repeats.retry(endpoint, 1, this.#options.clock.now()) !== undefined;
+    }
+
+    #endAbandoned({ endpoint, transaction }: Order): void {
+        if (transaction !== undefined) {
+            this.endTransaction(endpoint, transaction);
+        }
+    }
+
     /** Runs an order of another host, over a connection of this one. */
     async runHere(order: Order): Promise<OrderResult> {
         const endpoint = this.#endpoints.get(order.endpoint);
--- a/packages/gateway/src/statement-server.ts
+++ b/packages/gateway/src/statement-server.ts
@@ -10,6 +10,7 @@
     type OrderedStatement,
     type OrderResult,
     TransactionStates,
+    UnknownReason,
 } from "@medlarledge/statements";
 import type { Group } from "./group.js";
 import { NOT_RUN_CODES } from "./not-run.js";
@@ -136,7 +137,10 @@
             return unknownOutcome(progress, endpoint, result.reason);
         }
         this.#retried(request, endpoint, result.reason, attempts);
-        await pauseBefore(result, progress.tried, endpoint);
+        const isOnlyLeader = attempt.opening.kind === "proven";
+        if (!(isOnlyLeader && result.kind === "unknown" && result.reason === UnknownReason.Overdue)) {
+            await pauseBefore(result, progress.tried, endpoint);
+        }
         return undefined;
     }
 
--- a/packages/gateway/tests/reads.test.ts
+++ b/packages/gateway/tests/reads.test.ts
@@ -118,3 +118,28 @@
     expect(answer.completion).toEqual({ kind: "done", signature: "signed by a" });
     expect(answer.rows).toEqual(["row"]);
 });
+
+// Guards against reads that wait for lost answers until their callers give up (answer_lost, trouble-3).
+test("a read whose answer does not come is tried elsewhere while its caller still waits", async () => {
+    const caller = it.connect("stock");
+    await caller.ask(read("1"));
+    for (const id of ["b", "c"]) {
+        it.endpoints.get(id).losesAnswers = 1;
+    }
+    const startedAt = performance.now();
+    expect((await caller.ask(read("2"))).completion.kind).toBe("done");
+    expect(performance.now() - startedAt).toBeLessThanOrEqual(400);
+});
+
+// Guards against repeated reads that double the load of endpoints which are slow because they have too much.
+test("at most a fifth of the reads is repeated when all endpoints are slow", async () => {
+    for (const endpoint of it.endpoints.endpoints.values()) {
+        endpoint.serviceMs = 400;
+    }
+    const callers = Array.from({ length: 20 }, () => it.connect("stock"));
+    const answers = callers.map(caller => caller.send(read("1")));
+    await pass(1_300);
+    await Promise.all(answers);
+    const repeated = it.events.filter(event => event.kind === "retried" && event.cause === "overdue");
+    expect(repeated.length).toBeLessThanOrEqual(4);
+});
--- a/packages/gateway/tests/writes.test.ts
+++ b/packages/gateway/tests/writes.test.ts
@@ -87,3 +87,18 @@
     expect((await caller.ask(write("3"))).completion.kind).toBe("done");
     expect(it.endpoints.ran.at(-1)?.endpoint).toBe("b");
 });
+
+// Guards against orders that wait behind lost answers until these time out (answer_lost on a primary, trouble-3).
+test("connections that wait for overdue answers are replaced while orders wait", async () => {
+    const narrow = world({ share: 1, endpoints: it.endpoints, host: "narrow" });
+    await pass(50);
+    it.endpoints.get("a").losesAnswers = 1;
+    const lost = narrow.connect("confirm").send(write("1"));
+    await pass(20);
+    const startedAt = performance.now();
+    expect((await narrow.connect("confirm").ask(write("2"))).completion.kind).toBe("done");
+    expect(performance.now() - startedAt).toBeLessThanOrEqual(260);
+    await pass(800);
+    expect((await lost).completion).toMatchObject({ code: ErrorCode.Unknown });
+    narrow.gateway.close("the test ends");
+});
--- a/packages/statements/src/order.ts
+++ b/packages/statements/src/order.ts
@@ -58,6 +58,8 @@
     /** The endpoint answered a later command instead. */
     AnswerLost: "answerLost",
     Timeout: "timeout",
+    /** No answer came in several times the usual time; a read is tried again then. */
+    Overdue: "overdue",
     /** The process that ran it is gone. */
     RelayLost: "relayLost",
 } as const;
