Ask lagging replicas again, so that they get reads once they caught up

The lag of a replica is learned from its answers; a replica that was expected to lag more than a read allows was never asked again. Ruled out: leaked connections and lost knowledge of the leader (its age was 171 ms). Change: such a replica is asked again after 400 ms; one that still lags refuses within a round trip. The new test fails without it.

--- a/packages/gateway/src/freshness.ts
+++ b/packages/gateway/src/freshness.ts
@@ -6,6 +6,12 @@
 /** A replica of an older term is asked again after this time: its READY tells when it follows the new one. */
 const TERM_TRIAL_MS = 100;
 
+/**
+ * A replica that is expected to lag is asked again after this time. Only its answers tell that it has caught up, and one
+ * that lags refuses a read within a round trip.
+ */
+const LAG_TRIAL_MS = 400;
+
 interface Seen {
     readonly position: LogPosition;
     readonly at: number;
@@ -81,7 +87,8 @@
         if (seen === undefined || compareLogPositions(seen.position, required) >= 0) {
             return true;
         }
-        if (seen.position.term < required.term) {
+        const isOldTerm = seen.position.term < required.term;
+        if (isOldTerm || now - seen.at >= LAG_TRIAL_MS) {
             return now - seen.at >= TERM_TRIAL_MS;
         }
         const passedAt = this.#leader.passedAt(required.number) ?? now;
--- /dev/null
+++ b/packages/gateway/tests/freshness.test.ts
@@ -0,0 +1,37 @@
+import { expect, test } from "vitest";
+import { Freshness } from "../src/freshness.js";
+import { Consistency, type Route } from "../src/route.js";
+
+const ROUTE: Route = {
+    database: "report",
+    group: "orders",
+    consistency: Consistency.Session,
+    maxStalenessMs: 2_500,
+    timeoutMs: 800,
+    targetMs: 100,
+    priority: 2,
+};
+
+/** A leader that commits every 10 ms, and a replica that was seen 6 s behind it at `now`. */
+function laggingReplica(now: number): Freshness {
+    const freshness = new Freshness();
+    for (let at = 0; at <= now; at += 10) {
+        freshness.leaderAt({ term: 1, number: at / 10 }, at, at + 1);
+    }
+    freshness.endpointAt("b", { term: 1, number: (now - 6_000) / 10 }, now, now + 1);
+    return freshness;
+}
+
+// Guards against replicas that get no reads for the rest of the day after they lagged for some seconds, so that their
+// primary is overloaded (replica_lag on the grown deployments).
+test("a replica that lagged is asked again after a while", () => {
+    const freshness = laggingReplica(10_000);
+    const required = freshness.required(ROUTE, undefined, 10_010);
+    expect(required).toBeDefined();
+    const mayHold = (now: number): boolean => required !== undefined && freshness.mayHold("b", required, now);
+    expect(mayHold(10_010)).toBe(false);
+    expect(mayHold(10_300)).toBe(false);
+    expect(mayHold(10_401)).toBe(true);
+    freshness.endpointAt("b", { term: 1, number: 450 }, 10_401, 10_402);
+    expect(mayHold(10_410)).toBe(false);
+});
