Refuse orders whose wait for a connection would outlast their patience

The wait is known in advance: those of the same or a higher priority before an order, each for the average time of an order, over the connections of the pool. Orders that would wait longer are refused at once, and a statement for the leader is refused when every holder expects that. The test in writes.test.ts fails without the change. Ruled out: a shorter queue for all, which refuses in short bursts what could be served.

--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -67,6 +67,8 @@
     readonly clock: Clock;
     /** Connections that this process may hold. */
     readonly limit: () => number;
+    /** Time that an order takes at the endpoint on average. */
+    readonly averageMs: () => number;
     /** Time after which an order is overdue. */
     readonly overdueMs: () => number;
     readonly events: PoolEvents;
@@ -325,12 +327,21 @@
                 resolve(undefined);
                 return;
             }
+            if (this.#expectedWaitMs(need) > need.patienceMs) {
+                resolve(undefined);
+                return;
+            }
             const giveUpAt = this.#options.clock.now() + need.patienceMs;
             this.#waiting.push({ item: { need, granted: resolve }, priority: need.priority, giveUpAt });
             this.#serve();
         });
     }
 
+    /** Time until those before have had a connection, each for an average order. */
+    #expectedWaitMs({ priority }: Need): number {
+        return this.#waiting.ahead(priority) * this.#options.averageMs() / this.#options.limit();
+    }
+
     #serve(): void {
         while (this.#idle.length > 0) {
             const next = this.#waiting.shift();
--- a/packages/gateway/src/group-endpoint.ts
+++ b/packages/gateway/src/group-endpoint.ts
@@ -66,6 +66,7 @@
             connector: options.connector,
             clock: options.clock,
             limit: () => this.share,
+            averageMs: () => this.#load.averageMs(options.clock.now()),
             overdueMs: () => this.#load.overdueMs(options.clock.now()),
             events: {
                 answered: () => this.#answered(),
--- a/packages/gateway/src/statement-server.ts
+++ b/packages/gateway/src/statement-server.ts
@@ -136,8 +136,12 @@
         if (result.kind === "unknown" && mayChangeData(request)) {
             return unknownOutcome(progress, endpoint, result.reason);
         }
+        const isOnlyLeader = attempt.opening.kind === "proven" || needsLeader(request);
+        if (isOnlyLeader && result.reason === NotRunReason.NoConnection) {
+            // All who hold connections to the leader were asked, and each expects a longer wait than there is time for.
+            return refused(NotRunReason.NoConnection, RETRY_AFTER_MS, progress);
+        }
         this.#retried(request, endpoint, result.reason, attempts);
-        const isOnlyLeader = attempt.opening.kind === "proven";
         if (!(isOnlyLeader && result.kind === "unknown" && result.reason === UnknownReason.Overdue)) {
             await pauseBefore(result, progress.tried, endpoint);
         }
--- a/packages/gateway/src/wait-queue.ts
+++ b/packages/gateway/src/wait-queue.ts
@@ -19,6 +19,11 @@
         this.#waiters.splice(behind < 0 ? this.#waiters.length : behind, 0, waiter);
     }
 
+    /** How many would be served before one of this priority. */
+    ahead(priority: number): number {
+        return this.#waiters.filter(waiter => waiter.priority <= priority).length;
+    }
+
     /** The next one that has not given up. */
     shift(): Item | undefined {
         return this.#waiters.shift()?.item;
--- a/packages/gateway/tests/writes.test.ts
+++ b/packages/gateway/tests/writes.test.ts
@@ -102,3 +102,22 @@
     expect((await lost).completion).toMatchObject({ code: ErrorCode.Unknown });
     narrow.gateway.close("the test ends");
 });
+
+// Guards against orders held in a queue whose end comes too late for them (burst on the grown deployments).
+test("orders that would wait too long for a connection are refused at once, the others are served", async () => {
+    it.endpoints.get("a").serviceMs = 50;
+    const narrow = world({ share: 1, endpoints: it.endpoints, host: "narrow" });
+    for (let round = 0; round < 20; round++) {
+        await narrow.connect("confirm").ask(write("0"));
+    }
+    const answers = Array.from({ length: 40 }, () => narrow.connect("confirm").send(write("1")));
+    let early = 0;
+    answers.forEach(answer => void answer.then(({ completion }) => (early += completion.kind === "error" ? 1 : 0)));
+    await pass(5);
+    expect(early).toBeGreaterThanOrEqual(25);
+    await pass(1_000);
+    const completions = (await Promise.all(answers)).map(answer => answer.completion.kind);
+    expect(completions.filter(kind => kind === "done").length).toBeGreaterThanOrEqual(8);
+    expect(early).toBe(completions.filter(kind => kind === "error").length);
+    narrow.gateway.close("the test ends");
+});
