Let hosts without connections follow an ordered primary

They kept to the endpoint that they last saw lead and cannot probe another one. Ruled out: the promotion itself (accepted after 22 ms, in effect 600 ms later). Change: when the proved endpoint cannot be used, such a host sends orders to the candidates, the ordered one first; an endpoint that does not lead refuses them. The new test in relay.test.ts fails without it.

--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -103,12 +103,12 @@
     /** The endpoint to send to what only a leader may do; undefined while none is known that can be reached. */
     primary(): string | undefined {
         const { proved } = this.#belief;
-        if (proved !== undefined) {
-            return this.#canUse(proved) ? proved : undefined;
+        if (proved !== undefined && this.#canUse(proved)) {
+            return proved;
         }
         // Without a connection of its own, this host finds out by what the candidates answer to orders.
-        const [candidate] = this.#belief.candidates(this.#options.clock.now());
-        return candidate !== undefined && this.#isRemote(candidate) && this.#canUse(candidate) ? candidate : undefined;
+        return this.#belief.candidates(this.#options.clock.now())
+            .find(id => id !== proved && this.#isRemote(id) && this.#canUse(id));
     }
 
     /** The endpoint last seen to lead, the term, and whether it can be reached; undefined before any was seen. */
--- a/packages/gateway/tests/relay.test.ts
+++ b/packages/gateway/tests/relay.test.ts
@@ -2,7 +2,7 @@
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
 import type { Gateway } from "../src/index.js";
 import { FakeEndpoints } from "./fake-endpoints.js";
-import { begin, commit, IDS, pass, read, rollback, type World, world, write } from "./world.js";
+import { announced, begin, commit, IDS, pass, read, rollback, type World, world, write } from "./world.js";
 
 let endpoints: FakeEndpoints;
 let peers: Map<string, Gateway>;
@@ -104,6 +104,24 @@
     expect(transactionsAtHolder()).toBe(0);
 });
 
+// Guards against a group that hosts without connections take for leaderless, since the endpoint that they saw lead is gone
+// and they cannot ask another one themselves (srv_crash of a primary on the grown deployments, trouble-1).
+test("a host without connections finds the primary that control ordered after the former one is gone", async () => {
+    const caller = other.connect("confirm");
+    expect((await caller.ask(write("1"))).completion.kind).toBe("done");
+    endpoints.get("a").crash();
+    endpoints.promote("b");
+    for (const { gateway } of [holder, other]) {
+        gateway.ordered({ group: "orders", endpoint: "b", fence: 1 });
+    }
+    await pass(400);
+    for (const { gateway } of [holder, other]) {
+        gateway.updateGroup("orders", ["b", "c"].map(id => announced(id)));
+    }
+    await pass(2_000);
+    expect((await caller.ask(write("2"))).completion).toEqual({ kind: "done", signature: "signed by b" });
+});
+
 // Guards against orders that wander from host to host.
 test("a host without connections relays nothing for others", async () => {
     const far = world({ endpoints, peers: new Map([["other", other.gateway]]), host: "far", share: 0 });
--- a/packages/gateway/tests/world.ts
+++ b/packages/gateway/tests/world.ts
@@ -168,6 +168,11 @@
     };
 }
 
+/** How an endpoint that does not claim to lead describes itself. */
+export function announced(id: string): EndpointRecord {
+    return record(id, 100, false);
+}
+
 function record(id: string, sequence: number, leads: boolean): EndpointRecord {
     return {
         id,
