--- a/scripts/check.mjs
+++ b/scripts/check.mjs
@@ -19,6 +19,8 @@
         "--reporter=json",
         `--outputFile.json=${reportFile}`,
     ]],
+    // The real programs under a short series of faults; longer series with fresh seeds are run by hand.
+    ["soak", process.execPath, ["scripts/soak.mjs", "--seeds", "7", "--seconds", "8", "--network", "100"]],
 ];
 
 let failed = false;
