Try reads elsewhere that their endpoint failed, and avoid that endpoint

Cause: an endpoint that fails part of its requests while its health check is good (srv_grey, errors) answered reads with an error that was passed on; its average time stayed low, so it went on getting reads. Ruled out: taking such an endpoint out altogether, since it serves the other part and may be the primary. Change: a read, or the first statement of a transaction, that fails is tried on another endpoint within the budget of repeated reads (a fifth); a failure counts as an overdue answer in the endpoint's average time. Writes are not repeated. The tests in reads.test.ts and transactions.test.ts fail without the change.

--- a/packages/gateway/src/group-endpoint.ts
+++ b/packages/gateway/src/group-endpoint.ts
@@ -3,6 +3,7 @@
 import {
     type ConnectFailure,
     type EndpointConnector,
+    isEndpointFault,
     type Order,
     type OrderResult,
     UnknownReason,
@@ -145,13 +146,19 @@
         return result;
     }
 
-    /** Time that the order tells of the endpoint. A lost answer tells no more than that it is overdue. */
+    /**
+     * Time that the order tells of the endpoint. A lost answer tells no more than that it is overdue; a failure costs its
+     * caller as much.
+     */
     #tookMs(result: OrderResult, tookMs: number, now: number): number | undefined {
         switch (result.kind) {
             case "notRun":
                 return undefined;
-            case "answered":
-                return tookMs;
+            case "answered": {
+                const { completion } = result.answer;
+                const isFault = completion.kind === "error" && isEndpointFault(completion.code);
+                return isFault ? Math.max(tookMs, this.#load.overdueMs(now)) : tookMs;
+            }
             case "unknown":
                 return Math.min(tookMs, this.#load.overdueMs(now));
         }
--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -25,10 +25,10 @@
 const JUST_ANSWERED_MS = 50;
 
 /**
- * Overdue orders that may be repeated. Endpoints lose up to a fifth of their answers when they fail in part, and a host
- * with few callers has few attempts in a window.
+ * Reads that may be repeated because their answer is overdue or a failure. Endpoints lose up to a fifth of their answers
+ * when they fail in part, and a host with few callers has few attempts in a window.
  */
-const OVERDUE_REPEATS = { share: 0.2, least: 3 } as const;
+const READ_REPEATS = { share: 0.2, least: 3 } as const;
 
 const MAX_SEED = 2 ** 31;
 
@@ -67,7 +67,7 @@
         this.#options = options;
         this.#repeats = new RetryBudget({
             ...RETRY_OPTIONS,
-            ...OVERDUE_REPEATS,
+            ...READ_REPEATS,
             seed: Math.floor(options.random() * MAX_SEED),
         });
     }
@@ -202,15 +202,15 @@
             const running = this.#runAnywhere(endpoint, order);
             return repeatable
                 ? endpoint.abandonable(running, {
-                    mayRepeat: () => this.#mayRepeat(order.endpoint),
+                    mayRepeat: () => this.mayRepeat(order.endpoint),
                     ended: () => this.#endAbandoned(order),
                 })
                 : running;
         });
     }
 
-    /** Repeating overdue orders must not multiply the load of endpoints that are slow because they have too much. */
-    #mayRepeat(endpoint: string): boolean {
+    /** Repeating reads must not multiply the load of endpoints that are slow or fail because they have too much. */
+    mayRepeat(endpoint: string): boolean {
         return this.#repeats.retry(endpoint, 1, this.#options.clock.now()) !== undefined;
     }
 
--- a/packages/gateway/src/statement-server.ts
+++ b/packages/gateway/src/statement-server.ts
@@ -3,6 +3,7 @@
     type Answer,
     ErrorCode,
     failed,
+    isEndpointFault,
     type LogPosition,
     NotRunReason,
     type Opening,
@@ -131,6 +132,11 @@
         progress.last = { endpoint, result };
         if (result.kind === "answered") {
             const { answer } = result;
+            if (isFault(answer) && !mayChangeData(request) && group.mayRepeat(endpoint)) {
+                this.#retried(request, endpoint, errorOf(answer) ?? "", attempts);
+                progress.tried.add(endpoint);
+                return undefined;
+            }
             return { answer, ...attempt, attempts, waitedMs, cause: errorOf(answer) };
         }
         if (result.kind === "unknown" && mayChangeData(request)) {
@@ -240,6 +246,10 @@
     return { answer, endpoint, transaction: undefined, attempts, waitedMs, cause: reason };
 }
 
+function isFault({ completion }: Answer): boolean {
+    return completion.kind === "error" && isEndpointFault(completion.code);
+}
+
 function errorOf({ completion }: Answer): string | undefined {
     return completion.kind === "error" ? completion.code : undefined;
 }
--- a/packages/gateway/tests/fake-endpoints.ts
+++ b/packages/gateway/tests/fake-endpoints.ts
@@ -33,6 +33,8 @@
     isFrozen = false;
     /** Statements that it refuses as busy. */
     busy = 0;
+    /** Statements that it runs and answers with a failure. */
+    failing = 0;
     /** Statements that it runs without answering. */
     losesAnswers = 0;
     /** Ends of transactions that it does not answer. */
@@ -243,6 +245,10 @@
             this.#endpoint.busy -= 1;
             return error(ErrorCode.Busy);
         }
+        if (this.#endpoint.failing > 0) {
+            this.#endpoint.failing -= 1;
+            return error(ErrorCode.Failed);
+        }
         const writes = statement.kind === "write" || (statement.kind === "execute" && statement.writes);
         const lostLead = !this.#endpoint.leads && (inTransaction ? this.#isPlain : writes);
         if (lostLead && !(statement.kind === "commit" && !this.#wrote)) {
--- a/packages/gateway/tests/reads.test.ts
+++ b/packages/gateway/tests/reads.test.ts
@@ -143,3 +143,25 @@
     const repeated = it.events.filter(event => event.kind === "retried" && event.cause === "overdue");
     expect(repeated.length).toBeLessThanOrEqual(4);
 });
+
+// Guards against reads that fail although another endpoint would serve them (srv_grey: errors with a good health check).
+test("a read that its endpoint fails is tried elsewhere, and the next reads avoid that endpoint", async () => {
+    const caller = it.connect("stock");
+    await caller.ask(read("1"));
+    const first = it.endpoints.ran.at(-1)?.endpoint ?? "";
+    it.endpoints.get(first).failing = 100;
+    const answers = [];
+    for (let round = 0; round < 20; round++) {
+        answers.push(await caller.ask(read("2")));
+    }
+    expect(answers.filter(answer => answer.completion.kind !== "done")).toEqual([]);
+    expect(it.events.filter(event => event.kind === "retried").length).toBeLessThanOrEqual(3);
+});
+
+// Guards against writes that run twice, because a failed one was repeated.
+test("a write that its endpoint fails is not repeated", async () => {
+    it.endpoints.get("a").failing = 1;
+    const answer = await it.connect("confirm").ask(write("1"));
+    expect(answer.completion).toMatchObject({ kind: "error", code: ErrorCode.Failed });
+    expect(it.events.filter(event => event.kind === "retried")).toEqual([]);
+});
--- a/packages/gateway/tests/transactions.test.ts
+++ b/packages/gateway/tests/transactions.test.ts
@@ -196,3 +196,16 @@
     await pass(100);
     expect((await waiting).completion.kind).toBe("done");
 });
+
+// Guards against statements that run behind a failed first attempt, in a transaction that has failed.
+test("a transaction whose first statement fails begins anew elsewhere or on a clean connection", async () => {
+    const caller = it.connect("stock");
+    await caller.ask(read("1"));
+    it.endpoints.get(it.endpoints.ran.at(-1)?.endpoint ?? "").failing = 1;
+    await caller.ask(beginReadOnly);
+    expect((await caller.ask(read("2"))).completion.kind).toBe("done");
+    expect((await caller.ask(read("3"))).completion.kind).toBe("done");
+    expect((await caller.ask(commit)).completion.kind).toBe("done");
+    const places = new Set(it.endpoints.ran.filter(ran => ran.inTransaction).map(ran => ran.endpoint));
+    expect(places.size).toBe(1);
+});
--- a/packages/statements/src/error-code.ts
+++ b/packages/statements/src/error-code.ts
@@ -43,3 +43,10 @@
 export function isPromise(code: ErrorCode): boolean {
     return PROMISES.has(code);
 }
+
+const FAULTS: ReadonlySet<ErrorCode> = new Set([ErrorCode.Failed, ErrorCode.Timeout]);
+
+/** True for codes by which an endpoint says that it ran a statement and failed: another one may succeed. */
+export function isEndpointFault(code: ErrorCode): boolean {
+    return FAULTS.has(code);
+}
--- a/packages/statements/src/index.ts
+++ b/packages/statements/src/index.ts
@@ -10,7 +10,7 @@
     EndpointConnection,
     EndpointConnector,
 } from "./endpoint-connection.js";
-export { ErrorCode, isPromise } from "./error-code.js";
+export { ErrorCode, isEndpointFault, isPromise } from "./error-code.js";
 export type { LogPosition } from "./log-position.js";
 export { compareLogPositions, laterLogPosition } from "./log-position.js";
 export type { Opening, Order, OrderedStatement, OrderResult } from "./order.js";
