Split the stock of connections off the pool of an endpoint

ConnectionStock opens, lends and closes connections; EndpointPool runs orders over them and keeps callers' transactions.

--- a/packages/gateway/src/group-endpoint.ts
+++ b/packages/gateway/src/group-endpoint.ts
@@ -203,8 +203,7 @@
 
     /** Closes what is not needed and tries an unreachable endpoint again. Returns true when a probe is due. */
     maintain(isActive: boolean, now: number): boolean {
-        this.#pool.trim(WARM_CONNECTIONS);
-        this.#pool.replaceOverdue();
+        this.#pool.maintain(WARM_CONNECTIONS);
         if (this.isReachable && isActive) {
             this.warm();
         }
