Split what a group knows and how it runs orders off the group

GroupKnowledge holds what is learned of the leader and positions, GroupOrders runs orders over own connections and those of other hosts; Group keeps the endpoints and chooses among them. Moved code, no change of behaviour.

--- a/packages/gateway/src/caller-session.ts
+++ b/packages/gateway/src/caller-session.ts
@@ -249,7 +249,7 @@
         statement: Order["statement"],
         now: number,
     ): Promise<Answer> {
-        const result = await transaction.group.run(this.#order(request, transaction, statement), false);
+        const result = await transaction.group.orders.run(this.#order(request, transaction, statement), false);
         const answer = this.#answerOf(result, transaction, statement);
         const { endpoint, key, route, group } = transaction;
         const outcome = { answer, endpoint, attempts: 1, waitedMs: 0, cause: causeOf(result) };
@@ -386,7 +386,7 @@
 
     #rollBack({ group, endpoint, key }: Transaction): void {
         if (endpoint !== undefined) {
-            group.endTransaction(endpoint, key);
+            group.orders.endTransaction(endpoint, key);
         }
     }
 
--- a/packages/gateway/src/relay-server.ts
+++ b/packages/gateway/src/relay-server.ts
@@ -36,7 +36,7 @@
         const group = this.#group(order.group);
         const result: OrderResult = group === undefined
             ? { kind: "notRun", reason: NotRunReason.Unreachable, position: undefined }
-            : await group.runHere(order);
+            : await group.orders.runHere(order);
         this.#running.set(from, (this.#running.get(from) ?? 1) - 1);
         if (order.transaction !== undefined) {
             const isOpen = result.kind === "answered" && result.answer.state === "open";
@@ -47,12 +47,12 @@
                 this.#transactions.delete(order.transaction);
             }
         }
-        this.#send(from, { kind: "relayResult", id, result, leader: group?.leaderKnowledge() });
+        this.#send(from, { kind: "relayResult", id, result, leader: group?.knowledge.leaderKnowledge() });
     }
 
     ended({ group, endpoint, transaction }: RelayEnd): void {
         this.#transactions.delete(transaction);
-        this.#group(group)?.endHere(endpoint, transaction);
+        this.#group(group)?.orders.endHere(endpoint, transaction);
     }
 
     /** A host is gone: its callers' transactions are rolled back. */
--- a/packages/gateway/src/statement-server.ts
+++ b/packages/gateway/src/statement-server.ts
@@ -128,11 +128,14 @@
         const { attempts, waitedMs } = progress;
         const attempt = { ...place, transaction: attemptKey(request, attempts) };
         const { endpoint } = attempt;
-        const result = await group.run(this.#order(request, attempt, progress.giveUpAt), !mayChangeData(request));
+        const result = await group.orders.run(
+            this.#order(request, attempt, progress.giveUpAt),
+            !mayChangeData(request),
+        );
         progress.last = { endpoint, result };
         if (result.kind === "answered") {
             const { answer } = result;
-            if (isFault(answer) && !mayChangeData(request) && group.mayRepeat(endpoint)) {
+            if (isFault(answer) && !mayChangeData(request) && group.orders.mayRepeat(endpoint)) {
                 this.#retried(request, endpoint, errorOf(answer) ?? "", attempts);
                 progress.tried.add(endpoint);
                 return undefined;
