Count entry hosts among the contacts that show a host is not cut off

A host without connections of its own knew two control hosts elsewhere and nothing else, and both were cut off. Change: entry hosts of other data centres that were heard just now count as contacts; while all contacts are lost, links are monitored and every 150 ms another entry host elsewhere is tried. The new test fails without the change.

--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -9,7 +9,7 @@
 import { GatewayReporter } from "./gateway-reporter.js";
 import { LoopDelay, measureGroups } from "./gauges.js";
 import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
-import { Isolation } from "./isolation.js";
+import { Isolation, remoteContacts } from "./isolation.js";
 import type { ConfigurationReader } from "./ports.js";
 import { PrimaryReporter } from "./primary-reporter.js";
 
@@ -28,6 +28,9 @@
 /** A control host that has not been heard for this long, two pings, is no contact. */
 const HEARD_MS = 450;
 
+/** Longest wait for a link that shows whether another data centre can be reached; opening one takes some ms. */
+const CONTACT_MS = 150;
+
 /** Longest wait of a new caller for the first configuration; callers give up after two seconds. */
 const ACCEPT_MS = 1_500;
 
@@ -89,6 +92,7 @@
     /** Plans by endpoint, valid until the hosts or the configuration change. */
     readonly #plans = new Map<string, OwnPlan>();
     #wantedAt = Number.NEGATIVE_INFINITY;
+    #soughtAt = Number.NEGATIVE_INFINITY;
     #offered = 0;
     #timer: NodeJS.Timeout | undefined;
     #isStopping = false;
@@ -123,7 +127,7 @@
             log,
             listenHost: options.listenHost,
             timing: FLEET_LINK_TIMING,
-            isMonitored: host => host.control || this.#gateway.relaysWith(host.id),
+            isMonitored: host => host.control || this.#isolation.isSuspected || this.#gateway.relaysWith(host.id),
         });
         this.#links = new HostLinks(this.#mesh, self.id);
         this.#gateway = new Gateway({
@@ -240,21 +244,40 @@
         if (endpoints.unreachable > 0 && endpoints.reachable > 0) {
             this.#gateway.probeRemote();
         }
-        const remote = [...this.#controlPlaces].filter(([, place]) => place !== this.#options.self.dataCentre);
-        const linked = remote.filter(([id]) => this.#links.isHeard(id, HEARD_MS, now)).length;
-        const contacts = {
-            reachable: endpoints.reachable + linked,
-            unreachable: endpoints.unreachable + remote.length - linked,
-        };
+        const { dataCentre } = this.#options.self;
+        const remote = [...this.#controlPlaces].filter(([, place]) => place !== dataCentre);
+        const contacts = remoteContacts({
+            endpoints,
+            controlHeard: remote.map(([id]) => this.#links.isHeard(id, HEARD_MS, now)),
+            entriesHeard: this.#links.entriesHeard(dataCentre, HEARD_MS, now),
+        });
         if (this.#isolation.update(contacts, now)) {
             const { isIsolated } = this.#isolation;
             this.#options.log.event("isolationChanged", { isIsolated, ...contacts });
         }
+        if (this.#isolation.isSuspected) {
+            this.#seekContact(now);
+        }
         // Callers that come back before the platform has noticed would only return to this host or its neighbours.
         const isLong = this.#isolation.isolatedFor(now) >= LEAVE_ROTATION_MS;
         this.#gateway.shed(this.#isShedding ? STOPPING : isLong ? ISOLATED : undefined);
     }
 
+    /** Opens a link to some entry host of another data centre: if that works, this host is not cut off. */
+    #seekContact(now: number): void {
+        if (now - this.#soughtAt < CONTACT_MS) {
+            return;
+        }
+        this.#soughtAt = now;
+        const { self, random } = this.#options;
+        const linked = new Set(this.#links.connected().map(host => host.id));
+        const others = this.#entries.filter(host => host.dataCentre !== self.dataCentre && !linked.has(host.id));
+        const contact = others[Math.floor(random() * others.length)];
+        if (contact !== undefined) {
+            void this.#links.open(contact.id, CONTACT_MS);
+        }
+    }
+
     #meshEvent(event: MeshEvent): void {
         if (event.kind === "message") {
             const handler = this.#handlers[event.message.kind] as
--- a/packages/fleet/src/host-links.ts
+++ b/packages/fleet/src/host-links.ts
@@ -82,6 +82,13 @@
         return now - (this.#mesh.lastHeardAt(id) ?? Number.NEGATIVE_INFINITY) <= withinMs;
     }
 
+    /** Entry hosts of other data centres that were heard within this time. */
+    entriesHeard(ownDataCentre: string, withinMs: number, now: number): number {
+        return this.#mesh.connected().filter(host =>
+            !host.control && host.dataCentre !== ownDataCentre && this.isHeard(host.id, withinMs, now)
+        ).length;
+    }
+
     connected(): readonly Host[] {
         return this.#mesh.connected();
     }
--- a/packages/fleet/src/isolation.ts
+++ b/packages/fleet/src/isolation.ts
@@ -10,6 +10,24 @@
     readonly unreachable: number;
 }
 
+/** What a host knows of its contacts in other data centres. */
+export interface ContactReport {
+    /** Endpoints to which this host holds connections. */
+    readonly endpoints: RemoteContacts;
+    /** For each control host, whether it was heard just now. */
+    readonly controlHeard: readonly boolean[];
+    /** Entry hosts that were heard just now. Their silence says nothing, since idle links are not pinged. */
+    readonly entriesHeard: number;
+}
+
+export function remoteContacts({ endpoints, controlHeard, entriesHeard }: ContactReport): RemoteContacts {
+    const heard = controlHeard.filter(Boolean).length;
+    return {
+        reachable: endpoints.reachable + heard + entriesHeard,
+        unreachable: endpoints.unreachable + controlHeard.length - heard,
+    };
+}
+
 /**
  * Whether this host is cut off from all other data centres. It then serves little, and its callers are better served by
  * hosts elsewhere, which they can still reach.
@@ -22,6 +40,11 @@
         return this.#isIsolated;
     }
 
+    /** All contacts are lost, for however short a time: others should be tried before that means anything. */
+    get isSuspected(): boolean {
+        return this.#lostSince !== undefined;
+    }
+
     /** Time since this host has taken itself for cut off, in ms; 0 while it does not. */
     isolatedFor(now: number): number {
         return this.#isIsolated && this.#lostSince !== undefined ? now - this.#lostSince : 0;
--- a/packages/fleet/tests/isolation.test.ts
+++ b/packages/fleet/tests/isolation.test.ts
@@ -1,5 +1,5 @@
 import { expect, test } from "vitest";
-import { Isolation } from "../src/isolation.js";
+import { Isolation, remoteContacts } from "../src/isolation.js";
 
 // Guards against callers that stay with the hosts of a data centre that is cut off (zone_cut, 5 s).
 test("a host that has lost all contacts elsewhere is isolated until the first one is back", () => {
@@ -29,3 +29,20 @@
     expect(isolation.update({ reachable: 0, unreachable: 3 }, 200)).toBe(false);
     expect(isolation.isIsolated).toBe(false);
 });
+
+// Guards against two thirds of all hosts that turn their callers away because they lost the few control hosts that they
+// are linked to, although all other hosts can be reached (primary_cut and core_cut on the grown deployments, scale-1).
+test("a host that hears entry hosts of other data centres is not cut off", () => {
+    const isolation = new Isolation();
+    const endpoints = { reachable: 0, unreachable: 0 };
+    const lost = remoteContacts({ endpoints, controlHeard: [false, false], entriesHeard: 0 });
+    const heard = remoteContacts({ endpoints, controlHeard: [false, false], entriesHeard: 1 });
+    isolation.update(lost, 0);
+    expect(isolation.isSuspected).toBe(true);
+    isolation.update(heard, 50);
+    expect(isolation.isSuspected).toBe(false);
+    expect(isolation.update(heard, 5_000)).toBe(false);
+    expect(isolation.isIsolated).toBe(false);
+    isolation.update(lost, 5_050);
+    expect(isolation.update(lost, 5_250)).toBe(true);
+});
