Move decisions about endpoints and waits to the routing package

Cause: choosing endpoints, judging their reach and load, believing in a primary, and deciding who waits were pure modules of packages/gateway, next to code that owns sockets. A reader looked for them in packages/routing.

Change: seven modules and one test moved without a change of behaviour. The type Candidate of endpoint-choice clashed with the one of the PostgreSQL router and is now ReadTarget.

--- a/packages/gateway/src/connection-stock.ts
+++ b/packages/gateway/src/connection-stock.ts
@@ -1,7 +1,7 @@
+import { WaitQueue } from "@medlarledge/routing";
 import { type Clock, PatientTimer } from "@medlarledge/runtime";
 import type { ConnectFailure, EndpointAddress, EndpointConnector, Order } from "@medlarledge/statements";
 import { type ConnectionEvents, PooledConnection } from "./pooled-connection.js";
-import { WaitQueue } from "./wait-queue.js";
 
 /** Time for a new connection. Endpoints take 12 ms when they have a free slot; a busy one takes longer. */
 const CONNECT_TIMEOUT_MS = 500;
--- a/packages/gateway/src/gateway-event.ts
+++ b/packages/gateway/src/gateway-event.ts
@@ -1,5 +1,5 @@
+import type { Reach } from "@medlarledge/routing";
 import type { ErrorCode, Statement } from "@medlarledge/statements";
-import type { Reach } from "./endpoint-reach.js";
 import type { GroupCondition } from "./group-condition.js";
 
 /** A request that was answered. */
--- a/packages/gateway/src/group-condition.ts
+++ b/packages/gateway/src/group-condition.ts
@@ -1,4 +1,4 @@
-import type { Reach } from "./endpoint-reach.js";
+import type { Reach } from "@medlarledge/routing";
 
 /** How one process sees and uses an endpoint. */
 export interface EndpointCondition {
--- a/packages/gateway/src/group-endpoint.ts
+++ b/packages/gateway/src/group-endpoint.ts
@@ -1,4 +1,5 @@
 import type { EndpointRecord } from "@medlarledge/protocol";
+import { EndpointLoad, EndpointReach, Reach } from "@medlarledge/routing";
 import type { Clock } from "@medlarledge/runtime";
 import {
     type ConnectFailure,
@@ -8,9 +9,7 @@
     type OrderResult,
     UnknownReason,
 } from "@medlarledge/statements";
-import { EndpointLoad } from "./endpoint-load.js";
 import { EndpointPool, type Eviction, type ProbeResult } from "./endpoint-pool.js";
-import { EndpointReach, Reach } from "./endpoint-reach.js";
 import type { EndpointCondition } from "./group-condition.js";
 
 /** Connections kept open to each endpoint, so that the first request does not wait for one. */
--- a/packages/gateway/src/group-knowledge.ts
+++ b/packages/gateway/src/group-knowledge.ts
@@ -1,11 +1,11 @@
 import type { EndpointRecord, LeaderKnowledge, PrimaryOrder } from "@medlarledge/protocol";
+import { PrimaryBelief, type Proof } from "@medlarledge/routing";
 import type { Clock } from "@medlarledge/runtime";
 import { type LogPosition, NotRunReason, type OrderResult } from "@medlarledge/statements";
 import type { ElapsedClock } from "./elapsed-clock.js";
 import type { ProbeResult } from "./endpoint-pool.js";
 import { Freshness } from "./freshness.js";
 import type { GatewayListener } from "./gateway-event.js";
-import { PrimaryBelief, type Proof } from "./primary-belief.js";
 import type { Route } from "./route.js";
 
 export interface GroupKnowledgeOptions {
--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -1,16 +1,14 @@
 import { type EndpointRecord, EndpointState, type PrimaryOrder } from "@medlarledge/protocol";
+import { Availability, chooseForRead, type Outage, type ReadChoice, type ReadTarget } from "@medlarledge/routing";
 import type { Clock } from "@medlarledge/runtime";
 import type { EndpointConnector, LogPosition } from "@medlarledge/statements";
-import { Availability } from "./availability.js";
 import type { ElapsedClock } from "./elapsed-clock.js";
-import { type Candidate, chooseForRead, type ReadChoice } from "./endpoint-choice.js";
 import type { Eviction } from "./endpoint-pool.js";
 import type { GatewayListener } from "./gateway-event.js";
 import type { GroupCondition } from "./group-condition.js";
 import { GroupEndpoint, type ReachChange } from "./group-endpoint.js";
 import { GroupKnowledge } from "./group-knowledge.js";
 import { GroupOrders } from "./group-orders.js";
-import type { Outage } from "./outlook.js";
 import type { RelayClient } from "./relay-client.js";
 import type { Route } from "./route.js";
 
@@ -162,16 +160,16 @@
         const now = clock.now();
         const required = this.knowledge.required(route, floor);
         const primary = this.primary();
-        const candidates = [...this.#endpoints]
+        const targets = [...this.#endpoints]
             .filter(([id, endpoint]) => this.#isUsable(endpoint) && !tried.has(id))
-            .map(([id, endpoint]): Candidate => ({
+            .map(([id, endpoint]): ReadTarget => ({
                 id,
                 isPrimary: id === primary,
                 isNear: endpoint.isDirect && endpoint.record.dataCentre === dataCentre,
                 expectedMs: endpoint.expectedMs(now),
                 mayHold: required === undefined || this.knowledge.mayHold(id, required),
             }));
-        return chooseForRead({ required, candidates, random: random() });
+        return chooseForRead({ required, targets, random: random() });
     }
 
     /** Resolves when something changed that may let a request be served, at the latest after `timeoutMs`. */
--- a/packages/gateway/src/statement-server.ts
+++ b/packages/gateway/src/statement-server.ts
@@ -1,3 +1,4 @@
+import { outlook } from "@medlarledge/routing";
 import type { Clock } from "@medlarledge/runtime";
 import {
     type Answer,
@@ -15,7 +16,6 @@
 } from "@medlarledge/statements";
 import type { Group } from "./group.js";
 import { NOT_RUN_CODES } from "./not-run.js";
-import { outlook } from "./outlook.js";
 import type { Outcome } from "./request-report.js";
 import type { Route } from "./route.js";
 import { writes } from "./session-image.js";
--- a/packages/gateway/src/endpoint-choice.ts
+++ b/packages/routing/src/endpoint-choice.ts
@@ -7,7 +7,7 @@
 const PRIMARY_FACTOR = 2;
 
 /** One endpoint as the choice sees it. */
-export interface Candidate {
+export interface ReadTarget {
     readonly id: string;
     readonly isPrimary: boolean;
     readonly isNear: boolean;
@@ -21,7 +21,7 @@
     /** Undefined when only the leader can prove that the read is fresh. */
     readonly required: LogPosition | undefined;
     /** Usable endpoints that have not failed this request. */
-    readonly candidates: readonly Candidate[];
+    readonly targets: readonly ReadTarget[];
     /** Ties are broken by it: a number from 0 up to but not including 1. */
     readonly random: number;
 }
@@ -31,19 +31,19 @@
     readonly opening: Extract<Opening, { kind: "bare" | "proven"; }>;
 }
 
-/** Chooses where a read runs; undefined when no candidate can serve it. */
-export function chooseForRead({ required, candidates, random }: ReadQuestion): ReadChoice | undefined {
+/** Chooses where a read runs; undefined when no target can serve it. */
+export function chooseForRead({ required, targets, random }: ReadQuestion): ReadChoice | undefined {
     if (required === undefined) {
-        const primary = candidates.find(candidate => candidate.isPrimary);
+        const primary = targets.find(target => target.isPrimary);
         return primary === undefined ? undefined : { endpoint: primary.id, opening: { kind: "proven" } };
     }
-    const fitting = candidates.filter(candidate => candidate.mayHold || candidate.isPrimary);
+    const fitting = targets.filter(target => target.mayHold || target.isPrimary);
     const start = Math.floor(random * fitting.length);
     const turned = [...fitting.slice(start), ...fitting.slice(0, start)];
     const [best] = turned.sort((left, right) => costOf(left) - costOf(right));
     return best === undefined ? undefined : { endpoint: best.id, opening: { kind: "bare", after: required } };
 }
 
-function costOf({ expectedMs, isPrimary, isNear }: Candidate): number {
+function costOf({ expectedMs, isPrimary, isNear }: ReadTarget): number {
     return expectedMs * (isPrimary ? PRIMARY_FACTOR : 1) + (isNear ? 0 : FAR_MS);
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,6 +1,12 @@
 export * from "./admission.js";
+export * from "./availability.js";
 export * from "./classifier.js";
+export * from "./endpoint-choice.js";
 export * from "./endpoint-health.js";
+export * from "./endpoint-load.js";
+export * from "./endpoint-reach.js";
+export * from "./outlook.js";
+export * from "./primary-belief.js";
 export * from "./primary-positions.js";
 export { Random } from "./random.js";
 export * from "./rendezvous.js";
@@ -14,3 +20,4 @@
 export * from "./slot-options.js";
 export * from "./spread.js";
 export * from "./statement-kind.js";
+export * from "./wait-queue.js";
