Split connection plans and the watch for contacts off the entry host

Change: ConnectionPlans holds the plans by endpoint and the half share of a new process, ContactWatch the contacts and the isolation. No change of behaviour; the half share gets a test.

--- /dev/null
+++ b/packages/fleet/src/connection-plans.ts
@@ -0,0 +1,72 @@
+import type { Routing } from "@medlarledge/gateway";
+import type { EndpointRecord, Host } from "@medlarledge/protocol";
+import { connectionPlan, type Relays, relaysFor } from "./connection-share.js";
+
+/**
+ * After a power loss endpoints still count the connections of the former process, for up to 3 s; a new process takes
+ * only few at first, so that all new processes get some of those that are left.
+ */
+const FRESH_MS = 2_000;
+const FRESH_PART = 0.5;
+
+/** What the division of an endpoint's connections means for one host. */
+interface OwnPlan {
+    /** Connections that the host may hold. */
+    readonly share: number;
+    /** Other hosts that hold some. */
+    readonly relays: Relays;
+}
+
+/** What the division of all endpoints' connections means for one host. */
+export class ConnectionPlans {
+    readonly #self: Host;
+    readonly #startedAt: number;
+    /** By endpoint, valid until the hosts or the configuration change. */
+    readonly #plans = new Map<string, OwnPlan>();
+    #entries: readonly Host[] = [];
+
+    constructor(self: Host, startedAt: number) {
+        this.#self = self;
+        this.#startedAt = startedAt;
+    }
+
+    /** The entry hosts among which connections are divided. */
+    get entries(): readonly Host[] {
+        return this.#entries;
+    }
+
+    hostsChanged(entries: readonly Host[]): void {
+        this.#entries = entries;
+        this.#plans.clear();
+    }
+
+    configurationChanged(): void {
+        this.#plans.clear();
+    }
+
+    /** Connections that this host may hold to an endpoint now. */
+    share(record: EndpointRecord, routing: Routing, now: number): number {
+        const { share } = this.#plan(record, routing);
+        const isFresh = now - this.#startedAt < FRESH_MS;
+        return isFresh ? Math.min(share, Math.max(1, Math.floor(share * FRESH_PART))) : share;
+    }
+
+    /** Hosts that may run orders for an endpoint; a host that is cut off reaches only those near it. */
+    relays(record: EndpointRecord, routing: Routing, isIsolated: boolean): readonly string[] {
+        const { all, near } = this.#plan(record, routing).relays;
+        return isIsolated ? near : all;
+    }
+
+    #plan(record: EndpointRecord, routing: Routing): OwnPlan {
+        const known = this.#plans.get(record.id);
+        if (known !== undefined) {
+            return known;
+        }
+        const plan = connectionPlan(record, routing.groups.get(record.group)?.connections ?? 0, this.#entries);
+        const isHolder = plan.holders.length === 0 || plan.holders.includes(this.#self.id);
+        const relays = relaysFor(this.#self, record.id, plan, this.#entries);
+        const own = { share: isHolder ? plan.share : 0, relays };
+        this.#plans.set(record.id, own);
+        return own;
+    }
+}
--- /dev/null
+++ b/packages/fleet/src/contact-watch.ts
@@ -0,0 +1,102 @@
+import type { Gateway } from "@medlarledge/gateway";
+import type { Host } from "@medlarledge/protocol";
+import type { Log } from "@medlarledge/telemetry";
+import type { HostLinks } from "./host-links.js";
+import { Isolation, remoteContacts } from "./isolation.js";
+
+/** A control host that has not been heard for this long, two pings, is no contact. */
+const HEARD_MS = 450;
+
+/** Longest wait for a link that shows whether another data centre can be reached; opening one takes some ms. */
+const CONTACT_MS = 150;
+
+export interface ContactWatchOptions {
+    readonly self: Host;
+    readonly gateway: () => Gateway;
+    readonly links: () => HostLinks;
+    /** All entry hosts. */
+    readonly entries: () => readonly Host[];
+    readonly log: Log;
+    readonly random: () => number;
+}
+
+/** Watches whether one entry host still reaches other data centres, and looks for contacts when it seems not to. */
+export class ContactWatch {
+    readonly #options: ContactWatchOptions;
+    readonly #isolation = new Isolation();
+    /** Data centres of the control hosts that this host has been linked to. */
+    readonly #controlPlaces = new Map<string, string>();
+    #soughtAt = Number.NEGATIVE_INFINITY;
+
+    constructor(options: ContactWatchOptions) {
+        this.#options = options;
+    }
+
+    get isIsolated(): boolean {
+        return this.#isolation.isIsolated;
+    }
+
+    /** All contacts are lost, for however short a time. */
+    get isSuspected(): boolean {
+        return this.#isolation.isSuspected;
+    }
+
+    /** Time since this host has taken itself for cut off, in ms; 0 while it does not. */
+    isolatedFor(now: number): number {
+        return this.#isolation.isolatedFor(now);
+    }
+
+    /** A control host was linked. */
+    controlLinked({ id, dataCentre }: Host): void {
+        this.#controlPlaces.set(id, dataCentre);
+    }
+
+    /** Forgets control hosts that are none any more. */
+    keepControl(control: readonly string[]): void {
+        for (const id of this.#controlPlaces.keys()) {
+            if (!control.includes(id)) {
+                this.#controlPlaces.delete(id);
+            }
+        }
+    }
+
+    /** Judges anew; to be called about every 50 ms. */
+    update(now: number): void {
+        const { self, log } = this.#options;
+        const gateway = this.#options.gateway();
+        const links = this.#options.links();
+        const endpoints = gateway.remoteReach();
+        if (endpoints.unreachable > 0 && endpoints.reachable > 0) {
+            gateway.probeRemote();
+        }
+        const remote = [...this.#controlPlaces].filter(([, place]) => place !== self.dataCentre);
+        const contacts = remoteContacts({
+            endpoints,
+            controlHeard: remote.map(([id]) => links.isHeard(id, HEARD_MS, now)),
+            entriesHeard: links.entriesHeard(self.dataCentre, HEARD_MS, now),
+        });
+        if (this.#isolation.update(contacts, now)) {
+            const { isIsolated } = this.#isolation;
+            log.event("isolationChanged", { isIsolated, ...contacts });
+        }
+        if (this.#isolation.isSuspected) {
+            this.#seekContact(now);
+        }
+    }
+
+    /** Opens a link to some entry host of another data centre: if that works, this host is not cut off. */
+    #seekContact(now: number): void {
+        if (now - this.#soughtAt < CONTACT_MS) {
+            return;
+        }
+        this.#soughtAt = now;
+        const { self, entries, random } = this.#options;
+        const links = this.#options.links();
+        const linked = new Set(links.connected().map(host => host.id));
+        const others = entries().filter(host => host.dataCentre !== self.dataCentre && !linked.has(host.id));
+        const contact = others[Math.floor(random() * others.length)];
+        if (contact !== undefined) {
+            void links.open(contact.id, CONTACT_MS);
+        }
+    }
+}
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -1,15 +1,15 @@
 import { Directory } from "@medlarledge/directory";
-import { Gateway, type Routing } from "@medlarledge/gateway";
+import { Gateway } from "@medlarledge/gateway";
 import type { EndpointRecord, Host, Message, PrimaryOrder } from "@medlarledge/protocol";
 import { type Clock, type MeshEvent, PeerMesh } from "@medlarledge/runtime";
 import type { Acceptance, Caller, EndpointConnector } from "@medlarledge/statements";
 import type { Log, Meter } from "@medlarledge/telemetry";
 import { announcedFields } from "./announced-fields.js";
-import { connectionPlan, type Relays, relaysFor } from "./connection-share.js";
+import { ConnectionPlans } from "./connection-plans.js";
+import { ContactWatch } from "./contact-watch.js";
 import { GatewayReporter } from "./gateway-reporter.js";
 import { LoopDelay, measureGroups } from "./gauges.js";
 import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
-import { Isolation, remoteContacts } from "./isolation.js";
 import type { ConfigurationReader } from "./ports.js";
 import { PrimaryReporter } from "./primary-reporter.js";
 
@@ -25,22 +25,9 @@
 /** Time after a stop for the platform to send callers elsewhere: two missed probes, a second apart, and some slack. */
 const LEAVE_ROTATION_MS = 2_300;
 
-/** A control host that has not been heard for this long, two pings, is no contact. */
-const HEARD_MS = 450;
-
-/** Longest wait for a link that shows whether another data centre can be reached; opening one takes some ms. */
-const CONTACT_MS = 150;
-
 /** Longest wait of a new caller for the first configuration; callers give up after two seconds. */
 const ACCEPT_MS = 1_500;
 
-/**
- * After a power loss endpoints still count the connections of the former process, for up to 3 s; a new process takes
- * only few at first, so that all new processes get some of those that are left.
- */
-const FRESH_MS = 2_000;
-const FRESH_PART = 0.5;
-
 /** Why callers' connections are closed. */
 const STOPPING = "this host stops";
 const ISOLATED = "this host is cut off from the other data centres";
@@ -60,14 +47,6 @@
     readonly graceMs: number;
 }
 
-/** What the division of an endpoint's connections means for this host. */
-interface OwnPlan {
-    /** Connections that this host may hold. */
-    readonly share: number;
-    /** Other hosts that hold some. */
-    readonly relays: Relays;
-}
-
 type MessageOf<K extends Message["kind"]> = Extract<Message, { kind: K; }>;
 type Handlers = { readonly [K in Message["kind"]]?: (message: MessageOf<K>, from: Host) => void; };
 
@@ -79,20 +58,14 @@
     readonly #gateway: Gateway;
     readonly #directory = new Directory();
     readonly #reporter = new PrimaryReporter();
-    readonly #isolation = new Isolation();
-    /** Data centres of the control hosts that this host has been linked to. */
-    readonly #controlPlaces = new Map<string, string>();
+    readonly #contacts: ContactWatch;
     readonly #loopDelay: LoopDelay;
-    readonly #startedAt: number;
+    readonly #plans: ConnectionPlans;
     #seeds: readonly string[];
     #control: readonly string[] = [];
     #leader: string | undefined;
     #listTerm = 0;
-    #entries: readonly Host[] = [];
-    /** Plans by endpoint, valid until the hosts or the configuration change. */
-    readonly #plans = new Map<string, OwnPlan>();
     #wantedAt = Number.NEGATIVE_INFINITY;
-    #soughtAt = Number.NEGATIVE_INFINITY;
     #offered = 0;
     #timer: NodeJS.Timeout | undefined;
     #isStopping = false;
@@ -116,7 +89,15 @@
 
     constructor(options: EntryHostOptions) {
         this.#options = options;
-        this.#startedAt = options.clock.now();
+        this.#plans = new ConnectionPlans(options.self, options.clock.now());
+        this.#contacts = new ContactWatch({
+            self: options.self,
+            gateway: () => this.#gateway,
+            links: () => this.#links,
+            entries: () => this.#plans.entries,
+            log: options.log,
+            random: options.random,
+        });
         this.#loopDelay = new LoopDelay(options.meter, TICK_MS);
         this.#seeds = options.seeds;
         const { self, clock, log, connector, random, meter } = options;
@@ -127,7 +108,7 @@
             log,
             listenHost: options.listenHost,
             timing: FLEET_LINK_TIMING,
-            isMonitored: host => host.control || this.#isolation.isSuspected || this.#gateway.relaysWith(host.id),
+            isMonitored: host => host.control || this.#contacts.isSuspected || this.#gateway.relaysWith(host.id),
         });
         this.#links = new HostLinks(this.#mesh, self.id);
         this.#gateway = new Gateway({
@@ -135,8 +116,8 @@
             dataCentre: self.dataCentre,
             connector,
             clock,
-            share: (record, routing) => this.#share(record, routing),
-            relays: (record, routing) => this.#relays(record, routing),
+            share: (record, routing) => this.#plans.share(record, routing, clock.now()),
+            relays: (record, routing) => this.#plans.relays(record, routing, this.#contacts.isIsolated),
             links: {
                 open: (host, timeoutMs) => this.#links.open(host, timeoutMs),
                 send: (host, message) => this.#links.send(host, message),
@@ -149,7 +130,7 @@
 
     /** Takes callers: a configuration is in force, and this host neither stops nor is cut off. */
     get isReady(): boolean {
-        return !this.#isStopping && !this.#isolation.isIsolated && this.#gateway.routing.number > 0;
+        return !this.#isStopping && !this.#contacts.isIsolated && this.#gateway.routing.number > 0;
     }
 
     get callers(): number {
@@ -233,51 +214,19 @@
                 this.#links.sendAll(this.#connectedControl(), report);
             }
         }
-        this.#judgeIsolation(now);
+        this.#leaveWhenIsolated(now);
         if (this.#offered > this.#gateway.routing.number && now - this.#wantedAt >= CONFIGURATION_MS) {
             this.#want(this.#connectedControl()[Math.floor(this.#options.random() * this.#connectedControl().length)]);
         }
     }
 
-    #judgeIsolation(now: number): void {
-        const endpoints = this.#gateway.remoteReach();
-        if (endpoints.unreachable > 0 && endpoints.reachable > 0) {
-            this.#gateway.probeRemote();
-        }
-        const { dataCentre } = this.#options.self;
-        const remote = [...this.#controlPlaces].filter(([, place]) => place !== dataCentre);
-        const contacts = remoteContacts({
-            endpoints,
-            controlHeard: remote.map(([id]) => this.#links.isHeard(id, HEARD_MS, now)),
-            entriesHeard: this.#links.entriesHeard(dataCentre, HEARD_MS, now),
-        });
-        if (this.#isolation.update(contacts, now)) {
-            const { isIsolated } = this.#isolation;
-            this.#options.log.event("isolationChanged", { isIsolated, ...contacts });
-        }
-        if (this.#isolation.isSuspected) {
-            this.#seekContact(now);
-        }
+    #leaveWhenIsolated(now: number): void {
+        this.#contacts.update(now);
         // Callers that come back before the platform has noticed would only return to this host or its neighbours.
-        const isLong = this.#isolation.isolatedFor(now) >= LEAVE_ROTATION_MS;
+        const isLong = this.#contacts.isolatedFor(now) >= LEAVE_ROTATION_MS;
         this.#gateway.shed(this.#isShedding ? STOPPING : isLong ? ISOLATED : undefined);
     }
 
-    /** Opens a link to some entry host of another data centre: if that works, this host is not cut off. */
-    #seekContact(now: number): void {
-        if (now - this.#soughtAt < CONTACT_MS) {
-            return;
-        }
-        this.#soughtAt = now;
-        const { self, random } = this.#options;
-        const linked = new Set(this.#links.connected().map(host => host.id));
-        const others = this.#entries.filter(host => host.dataCentre !== self.dataCentre && !linked.has(host.id));
-        const contact = others[Math.floor(random() * others.length)];
-        if (contact !== undefined) {
-            void this.#links.open(contact.id, CONTACT_MS);
-        }
-    }
-
     #meshEvent(event: MeshEvent): void {
         if (event.kind === "message") {
             const handler = this.#handlers[event.message.kind] as
@@ -288,7 +237,7 @@
         else if (event.kind === "connected") {
             this.#links.opened(event.host.id);
             if (event.host.control) {
-                this.#controlPlaces.set(event.host.id, event.host.dataCentre);
+                this.#contacts.controlLinked(event.host);
                 this.#reporter.clear();
             }
         }
@@ -328,15 +277,10 @@
         this.#listTerm = term;
         this.#control = control;
         this.#leader = leader ?? this.#leader;
-        for (const id of this.#controlPlaces.keys()) {
-            if (!control.includes(id)) {
-                this.#controlPlaces.delete(id);
-            }
-        }
-        this.#entries = entries ?? this.#entries;
-        const counts = { control: control.length, entries: this.#entries.length };
+        this.#contacts.keepControl(control);
+        this.#plans.hostsChanged(entries ?? this.#plans.entries);
+        const counts = { control: control.length, entries: this.#plans.entries.length };
         this.#options.log.event("hostsChanged", { term, leader: this.#leader, ...counts });
-        this.#plans.clear();
         this.#keepLinks();
     }
 
@@ -359,33 +303,6 @@
         return this.#links.connected().filter(host => host.control);
     }
 
-    /** Connections that this host may hold to an endpoint now. */
-    #share(record: EndpointRecord, routing: Routing): number {
-        const { share } = this.#plan(record, routing);
-        const isFresh = this.#options.clock.now() - this.#startedAt < FRESH_MS;
-        return isFresh ? Math.min(share, Math.max(1, Math.floor(share * FRESH_PART))) : share;
-    }
-
-    /** Hosts that may run orders for an endpoint; a host that is cut off reaches only those near it. */
-    #relays(record: EndpointRecord, routing: Routing): readonly string[] {
-        const { all, near } = this.#plan(record, routing).relays;
-        return this.#isolation.isIsolated ? near : all;
-    }
-
-    #plan(record: EndpointRecord, routing: Routing): OwnPlan {
-        const known = this.#plans.get(record.id);
-        if (known !== undefined) {
-            return known;
-        }
-        const { self } = this.#options;
-        const plan = connectionPlan(record, routing.groups.get(record.group)?.connections ?? 0, this.#entries);
-        const isHolder = plan.holders.length === 0 || plan.holders.includes(self.id);
-        const relays = relaysFor(self, record.id, plan, this.#entries);
-        const own = { share: isHolder ? plan.share : 0, relays };
-        this.#plans.set(record.id, own);
-        return own;
-    }
-
     #offeredBy(host: Host, number: number): void {
         this.#offered = Math.max(this.#offered, number);
         const isOverdue = this.#options.clock.now() - this.#wantedAt >= CONFIGURATION_MS;
@@ -404,7 +321,7 @@
     #configure({ change }: MessageOf<"configurationUpdate">): void {
         this.#wantedAt = Number.NEGATIVE_INFINITY;
         if (this.#gateway.configure(this.#options.configurations.routing(change))) {
-            this.#plans.clear();
+            this.#plans.configurationChanged();
             this.#setConfigured();
             this.#options.log.event("configurationInForce", { number: change.number });
         }
--- a/packages/fleet/tests/connection-share.test.ts
+++ b/packages/fleet/tests/connection-share.test.ts
@@ -1,5 +1,6 @@
 import { type EndpointRecord, EndpointRole, EndpointState, type Host } from "@medlarledge/protocol";
 import { expect, test } from "vitest";
+import { ConnectionPlans } from "../src/connection-plans.js";
 import { connectionPlan, relaysFor } from "../src/connection-share.js";
 
 function endpoint(id: string, dataCentre: string): EndpointRecord {
@@ -80,3 +81,26 @@
     expect([...all].sort()).toEqual(["h1", "h2", "h3", "h4", "h5"]);
     expect(near).toEqual(["h3"]);
 });
+
+// Guards against new processes that find all connections taken after a power loss, while endpoints still count those of
+// the former ones (herd_kill with power).
+test("a new process takes half of its share at first", () => {
+    const [self] = hosts(6);
+    if (self === undefined) {
+        throw new Error("no host");
+    }
+    const plans = new ConnectionPlans(self, 1_000);
+    plans.hostsChanged(hosts(3));
+    const routing = {
+        number: 1,
+        routes: new Map(),
+        groups: new Map([["orders", { connections: 26 }]]),
+        transactionIdleMs: 3_000,
+    };
+    expect(plans.share(endpoint("e", "d1"), routing, 1_100)).toBe(4);
+    expect(plans.share(endpoint("e", "d1"), routing, 3_000)).toBe(8);
+    plans.hostsChanged(hosts(6));
+    expect(plans.share(endpoint("e", "d1"), routing, 3_000)).toBe(4);
+    expect(plans.relays(endpoint("e", "d1"), routing, false)).toHaveLength(5);
+    expect(plans.relays(endpoint("e", "d1"), routing, true)).toEqual(["h3"]);
+});
