Try links to other hosts beside the orders, not as part of them

A third of the entry hosts reaches neither one primary nor the hosts that hold connections to others. Their requests tried a link for up to 150 ms, up to three times, every 500 ms, and each trial made the outage look new: refusals after 200 to 720 ms, many after their callers' deadline.

Ruled out: relaying through control hosts (cut as well from second 9.7), and leaving rotation (a host cannot tell a cut from the death of the others, and with all others dead nobody would be left).

Change: a host that could not be linked is left out of orders; its link is tried every 500 ms beside them. A request that has tried an endpoint is refused at once too when the outlook says so.

--- a/packages/gateway/src/relay-client.ts
+++ b/packages/gateway/src/relay-client.ts
@@ -8,7 +8,7 @@
 /** Hosts that one order is offered to at most. */
 const MAX_HOSTS = 3;
 
-/** A host to which no link could be opened is asked again after this time, for any endpoint. */
+/** A link that could not be opened is tried again after this time. */
 const LINK_AGAIN_MS = 500;
 
 /**
@@ -52,7 +52,7 @@
     /** Where the callers' transactions run, by their names. */
     readonly #transactions = new Map<string, string>();
     readonly #failedAt = new Map<string, number>();
-    /** When a link to a host could last not be opened. */
+    /** Hosts to which no link could be opened, and when one was last tried. */
     readonly #unlinkedAt = new Map<string, number>();
     #lastId = 0;
 
@@ -189,15 +189,35 @@
             && (result.reason === NotRunReason.Unreachable || result.reason === NotRunReason.NoConnection);
     }
 
+    /** Hosts to offer an order to, best first. */
     #candidates(group: string, endpoint: string): readonly string[] {
         const now = this.#options.clock.now();
-        return this.#options.hosts(group, endpoint).filter(host =>
-            now - (this.#failedAt.get(keyOf(host, endpoint)) ?? -Infinity) >= ASK_AGAIN_MS && !this.#isUnlinked(host)
+        const hosts = this.#options.hosts(group, endpoint);
+        this.#tryLinks(hosts, now);
+        return hosts.filter(host =>
+            now - (this.#failedAt.get(keyOf(host, endpoint)) ?? -Infinity) >= ASK_AGAIN_MS
+            && !this.#unlinkedAt.has(host)
         );
     }
 
-    #isUnlinked(host: string): boolean {
-        return this.#options.clock.now() - (this.#unlinkedAt.get(host) ?? -Infinity) < LINK_AGAIN_MS;
+    /** Tries again to link hosts that could not be linked. Orders do not wait for it, and leave these hosts out. */
+    #tryLinks(hosts: readonly string[], now: number): void {
+        if (this.#unlinkedAt.size === 0) {
+            return;
+        }
+        for (const host of hosts) {
+            const triedAt = this.#unlinkedAt.get(host);
+            if (triedAt !== undefined && now - triedAt >= LINK_AGAIN_MS) {
+                this.#unlinkedAt.set(host, now);
+                void this.#tryLink(host);
+            }
+        }
+    }
+
+    async #tryLink(host: string): Promise<void> {
+        if (await this.#options.links.open(host, LINK_MS)) {
+            this.#unlinkedAt.delete(host);
+        }
     }
 
     #finish(id: number, { timer }: Outstanding): void {
--- a/packages/gateway/src/statement-server.ts
+++ b/packages/gateway/src/statement-server.ts
@@ -120,7 +120,7 @@
         const now = this.#clock.now();
         const onlyLeader = needsLeader(request) || group.provesByLeader(request.route, request.floor);
         const prospect = outlook(group.outage(onlyLeader), { waitedMs: progress.waitedMs, giveUpAt, now });
-        if (prospect.kind === "refuse" && tried.size === 0) {
+        if (prospect.kind === "refuse") {
             return refused(NotRunReason.Unreachable, prospect.retryAfterMs, progress);
         }
         tried.clear();
--- a/packages/gateway/tests/relay.test.ts
+++ b/packages/gateway/tests/relay.test.ts
@@ -151,6 +151,32 @@
     cutOff.gateway.close("the test ends");
 });
 
+// Guards against callers that pay for the same trials of links again and again (primary_cut with split).
+test("once no other host could be linked for long, requests are refused at once", async () => {
+    const cutOff = world({ endpoints, peers: unlinkedHosts(3), host: "cut-off", linkMs: 150 });
+    await pass(50);
+    cutOff.cut.add("a");
+    for (const connection of [...endpoints.get("a").connections]) {
+        connection.drop("cut");
+    }
+    await pass(400);
+    const waitedMs: number[] = [];
+    const promotionIsOverdueAt = performance.now() + 1_500;
+    for (let step = 0; step < 200; step++) {
+        const startedAt = performance.now();
+        void cutOff.connect("confirm").send(read("1")).then(() => {
+            if (startedAt > promotionIsOverdueAt) {
+                waitedMs.push(performance.now() - startedAt);
+            }
+        });
+        await pass(20);
+    }
+    await pass(1_000);
+    expect(waitedMs.length).toBeGreaterThan(100);
+    expect(Math.max(...waitedMs)).toBeLessThanOrEqual(10);
+    cutOff.gateway.close("the test ends");
+});
+
 // Guards against orders that wait for one full holder while another one has free connections (burst, idle_tx).
 test("an order goes on to the next holder when the first one has no free connection", async () => {
     const full = world({ endpoints, peers, host: "holder-full", share: 1 });
--- /dev/null
+++ b/packages/routing/tests/availability.test.ts
@@ -0,0 +1,27 @@
+import { expect, test } from "vitest";
+import { Availability } from "../src/index.js";
+
+// Guards against an outage that seems to begin anew with each trial, so that requests wait for its end again and again
+// (primary_cut with split on the grown deployments).
+test("a trial that fails does not make an outage younger", () => {
+    const availability = new Availability();
+    availability.note(true, 0);
+    availability.note(false, 1_000);
+    for (let now = 1_500; now < 5_000; now += 500) {
+        availability.note(true, now);
+        expect(availability.lostAt).toBeUndefined();
+        availability.note(false, now + 150);
+        expect(availability.lostAt).toBe(1_000);
+    }
+});
+
+// Guards against a new outage that is taken for the end of an old one.
+test("an outage after some time of service is a new one", () => {
+    const availability = new Availability();
+    expect(availability.lostAt).toBeUndefined();
+    availability.note(true, 0);
+    availability.note(false, 1_000);
+    availability.note(true, 2_000);
+    availability.note(false, 2_600);
+    expect(availability.lostAt).toBe(2_600);
+});
