Let reads wait for a replica that follows closely

Cause: since a read is refused at once when the leader's connections are taken and nothing else can serve it, a session's read right after its own write was refused as well, although a replica would have held the write some tens of ms later.

Ruled out: waiting for every replica (those that lag for seconds were what held callers until they gave up).

Measured: the new test gets a refusal before and the rows after.

--- a/packages/gateway/src/freshness.ts
+++ b/packages/gateway/src/freshness.ts
@@ -106,6 +106,11 @@
         return passedAt + (this.#replicas.of(endpoint)?.lagMs ?? 0) <= now;
     }
 
+    /** Whether an endpoint was far behind its leader when it last answered. */
+    lags(endpoint: string): boolean {
+        return this.#seen.get(endpoint)?.laggingSince !== undefined;
+    }
+
     #isLagging({ term, number }: LogPosition, seenAt: number): boolean {
         const leftAt = term === this.#term ? this.#leader.passedAt(number + 1) : undefined;
         return leftAt !== undefined && seenAt - leftAt >= LAGGING_MS;
--- a/packages/gateway/src/group-knowledge.ts
+++ b/packages/gateway/src/group-knowledge.ts
@@ -73,6 +73,11 @@
         return this.#freshness.mayHold(endpoint, required, this.#options.elapsed.now());
     }
 
+    /** Whether an endpoint was far behind its leader when it last answered. */
+    lags(endpoint: string): boolean {
+        return this.#freshness.lags(endpoint);
+    }
+
     /** What this process knows of the leader's position, for processes that know less. */
     leaderKnowledge(): LeaderKnowledge | undefined {
         return this.#freshness.leaderKnowledge(this.#options.elapsed.now());
--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -172,6 +172,14 @@
         return chooseForRead({ required, targets, random: random() });
     }
 
+    /** A usable endpoint besides the leader follows closely: it will soon hold what a read demands now. */
+    hasCloseReplica(): boolean {
+        const primary = this.primary();
+        return [...this.#endpoints].some(([id, endpoint]) =>
+            id !== primary && this.#isUsable(endpoint) && !this.knowledge.lags(id)
+        );
+    }
+
     /** Resolves when something changed that may let a request be served, at the latest after `timeoutMs`. */
     change(timeoutMs: number): Promise<void> {
         return new Promise(resolve => {
--- a/packages/gateway/src/statement-server.ts
+++ b/packages/gateway/src/statement-server.ts
@@ -157,7 +157,9 @@
             return unknownOutcome(progress, endpoint, result.reason);
         }
         const isOnlyLeader = attempt.opening.kind === "proven" || needsLeader(request);
-        if (result.reason === NotRunReason.NoConnection && !hasOther(request, group, progress.tried, endpoint)) {
+        const isLast = isOnlyLeader
+            || (!group.hasCloseReplica() && !hasOther(request, group, progress.tried, endpoint));
+        if (result.reason === NotRunReason.NoConnection && isLast) {
             // Those who hold connections to the last choice were asked, and expect a longer wait than there is time for.
             return refused(NotRunReason.NoConnection, RETRY_AFTER_MS, progress);
         }
--- a/packages/gateway/tests/reads.test.ts
+++ b/packages/gateway/tests/reads.test.ts
@@ -199,6 +199,28 @@
     expect(Math.max(...refusedMs)).toBeLessThan(400);
 });
 
+// Guards against a refusal of a session's read although a replica is about to hold the session's own write.
+test("a read waits for a replica that follows closely while the leader's connections are taken", async () => {
+    it.gateway.close("the test has a world of its own");
+    it = world({ share: 1 });
+    const caller = it.connect("report");
+    await caller.ask(write("1"));
+    await caller.ask(read("1"));
+    it.endpoints.get("a").serviceMs = 60;
+    for (let number = 0; number < 30; number++) {
+        void it.connect("report").send(write("2"));
+    }
+    await pass(220);
+    const startedAt = performance.now();
+    const answer = caller.send(read("1"));
+    await pass(30);
+    it.endpoints.replicate();
+    await pass(300);
+    expect((await answer).completion.kind).toBe("done");
+    expect(it.endpoints.ran.find(ran => ran.requestId === "report-3")?.endpoint).not.toBe("a");
+    expect(performance.now() - startedAt).toBeLessThanOrEqual(400);
+});
+
 function pause(ms: number): Promise<void> {
     return new Promise(resolve => setTimeout(resolve, ms));
 }
