Use a primary only under a lease where a former primary goes on committing

Change: promotion orders are committed to the control group's log and confirmed by every entry host, or waited for until its lease has ended, before the platform gets them; a host sends to and acknowledges from only the endpoint of the newest order, under a valid lease.

--- a/packages/control/src/apply-result.ts
+++ b/packages/control/src/apply-result.ts
@@ -42,6 +42,7 @@
     | { readonly kind: "endpointLeft"; } & (Done | Refused)
     | { readonly kind: "beginTerm"; readonly current: Term; } & (Done | Refused)
     | { readonly kind: "startTerm"; readonly current: Term; } & (Done | Refused)
+    | { readonly kind: "orderPromotion"; } & Done
     | { readonly kind: "changeConfiguration"; readonly result: ChangeResult; }
     | { readonly kind: "openLeadership"; };
 
--- a/packages/control/src/command.ts
+++ b/packages/control/src/command.ts
@@ -1,4 +1,4 @@
-import type { ConfigurationChange, Endpoint, Host, Position, Term } from "@medlarledge/protocol";
+import type { ConfigurationChange, Endpoint, Host, Position, PromotionOrder, Term } from "@medlarledge/protocol";
 import { Packr } from "msgpackr";
 
 /** Commands of the replicated log. Property names are part of the stored encoding. */
@@ -30,6 +30,8 @@
         readonly timeline: number;
         readonly start: Position;
     }
+    /** Recorded before the order is given, so that every later leader knows which endpoint may be the primary. */
+    | { readonly kind: "orderPromotion"; readonly order: PromotionOrder; }
     | { readonly kind: "changeConfiguration"; readonly change: ConfigurationChange; readonly at: number; }
     /**
      * Proposed first by every new leader, which grants no leases and makes no decisions until it is applied: only then
@@ -45,6 +47,7 @@
     endpointLeft: true,
     beginTerm: true,
     startTerm: true,
+    orderPromotion: true,
     changeConfiguration: true,
     openLeadership: true,
 } as const satisfies Record<ControlCommand["kind"], true>;
--- a/packages/control/src/host-lease.ts
+++ b/packages/control/src/host-lease.ts
@@ -84,8 +84,12 @@
         }
         // A term that no received view shows as started may have been superseded without a revocation.
         const isCurrent = term <= (this.#started.get(database) ?? -1) && term > (this.#revoked.get(database) ?? -1);
-        // The margin covers a pause between this check and the return of the write system call.
-        return isCurrent && now + this.#options.driftMarginMs <= this.#validUntil;
+        return isCurrent && this.isValid(now);
+    }
+
+    /** True while the lease is valid. The margin covers a pause between this check and the end of a system call. */
+    isValid(now: number): boolean {
+        return now + this.#options.driftMarginMs <= this.#validUntil;
     }
 
     /** End of the lease on this host's monotonic clock, in ms; negative infinity without a lease. */
--- a/packages/control/src/primary-monitor.ts
+++ b/packages/control/src/primary-monitor.ts
@@ -39,6 +39,8 @@
     /** An entry host reported on the primary that it uses. */
     | { readonly kind: "report"; readonly from: string; readonly report: MonitorReport; }
     | { readonly kind: "reading"; readonly endpoint: string; readonly reading: MonitorProbeResult | undefined; }
+    /** The order is sent to the platform now; before, it was announced to the hosts. */
+    | { readonly kind: "sent"; readonly fence: number; }
     /** The platform's answer to an order; `unknown` when none came. */
     | { readonly kind: "ordered"; readonly fence: number; readonly outcome: "accepted" | "refused" | "unknown"; };
 
@@ -59,6 +61,11 @@
     readonly endpoints: readonly EndpointRecord[];
     /** Entry hosts that are connected. */
     readonly entries: readonly string[];
+    /**
+     * The endpoint of the newest promotion order, which alone is used as the primary; undefined before the first order,
+     * or where endpoints themselves stop being the primary when another one is promoted.
+     */
+    readonly orderedPrimary: string | undefined;
     /** Returns the next fencing token; each call returns a higher one. */
     readonly nextFencingToken: () => number;
 }
@@ -124,6 +131,9 @@
             case "reading":
                 this.#probeResults.set(event.endpoint, event.reading);
                 break;
+            case "sent":
+                this.#handleOrderSent(event, now);
+                break;
             case "ordered":
                 this.#handleOrderAnswer(event, now);
                 break;
@@ -138,7 +148,8 @@
     primary(view: MonitorView): string | undefined {
         const newestReport = [...this.#reports.values()].sort((left, right) => right.term - left.term)[0];
         const announcedPrimaries = view.endpoints.filter(record => record.role === EndpointRole.Primary);
-        const promoted = announcedPrimaries.find(record => record.id === this.#lastPrimary);
+        const promoted = announcedPrimaries.find(({ id }) => id === view.orderedPrimary)
+            ?? announcedPrimaries.find(({ id }) => id === this.#lastPrimary);
         if (promoted !== undefined) {
             return promoted.id;
         }
@@ -179,6 +190,9 @@
         if (record.state === EndpointState.Leaving && this.#successors(view, record.id).length > 0) {
             this.#choose({ reason: "the primary leaves", suspect: undefined }, view, now, effects);
         }
+        else if (isOtherThanOrdered(record.id, view)) {
+            this.#choose({ reason: "the primary is not the ordered one", suspect: undefined }, view, now, effects);
+        }
         else if (
             now - this.#checkedAt >= MIN_RECHECK_INTERVAL_MS && this.#hostsNotReaching(record.id, now).length > 0
         ) {
@@ -258,11 +272,17 @@
         if (!isComplete && now - since < PROBE_TIMEOUT_MS) {
             return;
         }
-        if (suspect !== undefined && this.#hostsNotReaching(suspect, now).length === 0) {
+        const isSuspectUsable = suspect !== undefined && !isOtherThanOrdered(suspect, view);
+        if (isSuspectUsable && this.#hostsNotReaching(suspect, now).length === 0) {
             this.#finish("the primary is reachable again", suspect, effects);
             return;
         }
-        const currentPrimary = [...this.#probeResults].find(([, reading]) => reading?.leads === true)?.[0];
+        const currentPrimary = this.#leaderOfNewestTerm();
+        if (currentPrimary !== undefined && isOtherThanOrdered(currentPrimary, view)) {
+            // Hosts use it only after an order; the platform changes nothing.
+            this.#promote(currentPrimary, cause, view, now, effects);
+            return;
+        }
         if (currentPrimary !== undefined) {
             // Another order took effect in the meantime; entry hosts detect the new primary on their own.
             this.#finish("is already the primary", currentPrimary, effects);
@@ -305,6 +325,13 @@
         }
     }
 
+    /** The platform has the usual time from the moment at which it gets the order. */
+    #handleOrderSent({ fence }: Extract<MonitorEvent, { kind: "sent"; }>, now: number): void {
+        if (this.#phase.kind === "promoting" && this.#phase.order.fence === fence) {
+            this.#phase = { ...this.#phase, since: now };
+        }
+    }
+
     #handleOrderAnswer({ fence, outcome }: Extract<MonitorEvent, { kind: "ordered"; }>, now: number): void {
         if (this.#phase.kind !== "promoting" || this.#phase.order.fence !== fence || outcome === "accepted") {
             return;
@@ -326,6 +353,12 @@
         effects.push({ kind: "event", name: "promotionDone", fields: { group: this.#group, endpoint, why } });
     }
 
+    /** The probed endpoint that leads; a former primary may still lead an older term. */
+    #leaderOfNewestTerm(): string | undefined {
+        const leading = [...this.#probeResults].filter(([, reading]) => reading?.leads === true).map(([id]) => id);
+        return leading.sort((left, right) => this.#compare(left, right))[0];
+    }
+
     /** The endpoint with the newest log position; one that recently failed to be promoted only if there is no other. */
     #bestSuccessor(successors: readonly EndpointRecord[], now: number): string | undefined {
         const answered = successors.filter(({ id }) => this.#probeResults.get(id) !== undefined);
@@ -357,3 +390,8 @@
             .map(([from]) => from);
     }
 }
+
+/** Returns true when hosts use another endpoint than this one as the primary because of a promotion order. */
+function isOtherThanOrdered(endpoint: string, { orderedPrimary }: MonitorView): boolean {
+    return orderedPrimary !== undefined && orderedPrimary !== endpoint;
+}
--- a/packages/control/src/state.ts
+++ b/packages/control/src/state.ts
@@ -1,4 +1,10 @@
-import { ChangeOutcome, type ConfigurationChange, type DatabaseView, type Host } from "@medlarledge/protocol";
+import {
+    ChangeOutcome,
+    type ConfigurationChange,
+    type DatabaseView,
+    type Host,
+    type PromotionOrder,
+} from "@medlarledge/protocol";
 import { Packr } from "msgpackr";
 import { type ApplyResult, type HistoryEntry, Refusal } from "./apply-result.js";
 import type { ControlCommand } from "./command.js";
@@ -16,6 +22,8 @@
     readonly databases: readonly DatabaseData[];
     readonly configuration: ConfigurationData;
     readonly history: readonly HistoryEntry[];
+    /** Missing in snapshots of versions that did not record promotion orders. */
+    readonly promotions?: readonly PromotionOrder[];
 }
 
 type Handlers = {
@@ -49,6 +57,8 @@
     #databases = new Map<string, DatabaseState>();
     #configuration = new ConfigurationState(EMPTY.configuration);
     #history: HistoryEntry[] = [];
+    /** The newest promotion order of each group. */
+    #promotions = new Map<string, PromotionOrder>();
 
     readonly #handlers: Handlers = {
         registerHost: (command) => this.#registerHost(command.host),
@@ -74,6 +84,7 @@
             ...this.#change(database, (state) => state.startTerm(term, timeline, start)),
             current: this.#current(database),
         }),
+        orderPromotion: ({ order }) => this.#orderPromotion(order),
         changeConfiguration: ({ change, at }) => this.#changeConfiguration(change, at),
         openLeadership: () => ({ kind: "openLeadership" }),
     };
@@ -115,6 +126,11 @@
         return this.#history;
     }
 
+    /** The newest recorded promotion order of each group. */
+    promotions(): readonly PromotionOrder[] {
+        return [...this.#promotions.values()];
+    }
+
     /** Version of the view sent to entry hosts: the number of changes to hosts and databases so far. */
     version(): number {
         return this.#version;
@@ -143,6 +159,7 @@
             databases: [...this.#databases.values()].map((database) => database.data()),
             configuration: this.#configuration.data(),
             history: this.#history,
+            promotions: this.promotions(),
         };
         return packr.pack(data);
     }
@@ -163,6 +180,7 @@
         this.#databases = new Map(data.databases.map((database) => [database.name, new DatabaseState(database)]));
         this.#configuration = new ConfigurationState(data.configuration);
         this.#history = [...data.history];
+        this.#promotions = new Map((data.promotions ?? []).map((order) => [order.group, order]));
     }
 
     #registerHost(host: Host): Extract<ApplyResult, { kind: "registerHost"; }> {
@@ -195,6 +213,14 @@
         return { kind: "beginTerm", ...change, current: this.#current(database) };
     }
 
+    #orderPromotion(order: PromotionOrder): Extract<ApplyResult, { kind: "orderPromotion"; }> {
+        if (order.fence <= (this.#promotions.get(order.group)?.fence ?? -1)) {
+            return { kind: "orderPromotion", outcome: "unchanged" };
+        }
+        this.#promotions.set(order.group, order);
+        return { kind: "orderPromotion", outcome: "accepted" };
+    }
+
     #changeConfiguration(
         change: ConfigurationChange,
         at: number,
--- a/packages/control/tests/primary-monitor.test.ts
+++ b/packages/control/tests/primary-monitor.test.ts
@@ -26,12 +26,14 @@
     endpoints: EndpointRecord[] = [record("a", { role: EndpointRole.Primary }), record("b"), record("c")];
     entries: readonly string[] = ENTRIES;
     now = 10_000;
+    orderedPrimary: string | undefined;
     #fence = 0;
 
     handle(event: MonitorEvent): readonly MonitorEffect[] {
         const view: MonitorView = {
             endpoints: this.endpoints,
             entries: this.entries,
+            orderedPrimary: this.orderedPrimary,
             nextFencingToken: () => (this.#fence += 1),
         };
         const effects = this.watch.handle(event, view, this.now);
--- a/packages/directory/src/endpoint-directory.ts
+++ b/packages/directory/src/endpoint-directory.ts
@@ -50,6 +50,11 @@
         return [...this.#records.values()];
     }
 
+    /** Returns the newest promotion order of a group; undefined before the first. */
+    newestOrder(group: string): PromotionOrder | undefined {
+        return this.#orders.get(group);
+    }
+
     /** Returns the newest promotion order of each group. */
     orders(): readonly PromotionOrder[] {
         return [...this.#orders.values()];
--- a/packages/explain/src/subject.ts
+++ b/packages/explain/src/subject.ts
@@ -23,6 +23,7 @@
     "primaryOrdered",
     "promotionChoosing",
     "promotionOrdered",
+    "promotionAnnounced",
     "promotionAnswered",
     "promotionDone",
 ]);
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -18,6 +18,7 @@
 import { type ConfigurationReadResult, GroupMember } from "./group-member.js";
 import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
 import type { ConfigurationReader, ControlService, PromotionAuthority } from "./ports.js";
+import { PromotionAnnouncer } from "./promotion-announcer.js";
 import { PromotionManager } from "./promotion-manager.js";
 import { SavedStateFile } from "./saved-state-file.js";
 
@@ -52,6 +53,11 @@
     readonly connector: EndpointConnector;
     readonly configurations: ConfigurationReader;
     readonly authority: PromotionAuthority;
+    /**
+     * Whether a former primary stops committing at the moment of a promotion, and late orders are refused. If not, hosts
+     * need leases to use a primary.
+     */
+    readonly primariesStepDown: boolean;
 }
 
 interface KnownEntryHost {
@@ -72,6 +78,7 @@
     readonly #member: GroupMember;
     readonly #directory = new EndpointDirectory();
     readonly #promotionManager: PromotionManager;
+    readonly #announcer: PromotionAnnouncer;
     readonly #loopDelay: LoopDelay;
     readonly #client: LeaderClient;
     readonly #savedStateFile: SavedStateFile;
@@ -92,6 +99,8 @@
         primaryReport: (message, from) => this.#primaryReportReceived(message, from),
         leaderRequest: (message, from) => void this.#leaderRequestReceived(message, from),
         leaderReply: message => this.#client.handleReply(message),
+        renewLease: (message, from) => this.#announcer.renewed(from.id, message),
+        revoked: ({ database, term }, from) => this.#announcer.confirmed(from.id, database, term),
     };
 
     constructor(options: ControlHostOptions) {
@@ -123,9 +132,21 @@
             events: {
                 roleChanged: () => this.#roleChanged(),
                 configured: change => this.#configured(change),
+                promotionOrdered: order => {
+                    this.#announcer.committed(order);
+                    this.#ordersReceived([order]);
+                },
                 event: (event, fields) => log.event(event, fields),
             },
         });
+        this.#announcer = new PromotionAnnouncer({
+            member: this.#member,
+            clock,
+            entries: () => this.#connectedEntries(),
+            send: (to, message) => this.#links.send(to, message),
+            newestOrder: group => this.#directory.newestOrder(group),
+            ended: ({ order, ...fields }) => this.#promotionStep("promotionAnnounced", { ...order, ...fields }),
+        });
         this.#promotionManager = new PromotionManager({
             directory: this.#directory,
             connector,
@@ -135,7 +156,9 @@
             entries: () => this.#connectedEntries().map(host => host.id),
             check: (group, endpoint) =>
                 this.#links.sendAll(this.#connectedEntries(), { kind: "primaryCheck", group, endpoint }),
-            ordered: order => this.#ordersReceived([order]),
+            announce: order => this.#announceOrder(order),
+            orderedPrimary: group =>
+                options.primariesStepDown ? undefined : this.#directory.newestOrder(group)?.endpoint,
             event: (event, fields) => this.#promotionStep(event, fields),
         });
     }
@@ -228,6 +251,14 @@
         meter.gauge("configuration.number", this.#configuration?.number ?? 0);
     }
 
+    #announceOrder(order: PromotionOrder): Promise<boolean> {
+        if (!this.#options.primariesStepDown) {
+            return this.#announcer.announce(order);
+        }
+        this.#ordersReceived([order]);
+        return Promise.resolve(this.#member.hasQuorum);
+    }
+
     #promotionStep(event: LogEvent, fields: LogFields): void {
         this.#options.log.event(event, fields);
         this.#options.meter.count("promotion.steps", 1, { group: String(fields["group"]), step: event });
@@ -244,6 +275,7 @@
             this.#joinRequestedAt = now;
             this.#requestMembership();
         }
+        this.#announcer.tick();
         this.#forgetEntries(now);
         this.#sendHostList();
     }
@@ -286,6 +318,7 @@
         }
         else {
             const entry = this.#entries.get(event.host.id);
+            this.#announcer.disconnected(event.host);
             if (entry !== undefined) {
                 entry.disconnectedAt = this.#options.clock.now();
             }
@@ -295,6 +328,7 @@
     #connected(host: Host): void {
         if (!host.control) {
             this.#entries.set(host.id, { host, disconnectedAt: undefined });
+            this.#announcer.connected(host);
         }
         this.#sendRecords(this.#directory.records(), [host]);
         this.#links.send(host.id, { kind: "primaryOrders", orders: this.#directory.orders() });
@@ -338,6 +372,7 @@
     }
 
     #roleChanged(): void {
+        this.#announcer.leadershipChanged();
         this.#options.log.event("leaderChanged", { leader: this.#member.leader, term: this.#member.term });
         this.#updateLinks();
         this.#sendHostList();
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -1,5 +1,5 @@
 import { EndpointDirectory } from "@medlarledge/directory";
-import { Gateway } from "@medlarledge/gateway";
+import { Gateway, UNRESTRICTED_PERMITS } from "@medlarledge/gateway";
 import type { EndpointRecord, Host, Message, PromotionOrder } from "@medlarledge/protocol";
 import { type Clock, type MeshEvent, PeerMesh } from "@medlarledge/runtime";
 import type { Acceptance, Caller, EndpointConnector } from "@medlarledge/statements";
@@ -10,6 +10,7 @@
 import { GatewayReporter } from "./gateway-reporter.js";
 import { LoopDelay, setGroupGauges } from "./gauges.js";
 import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
+import { LeaseHolder } from "./lease-holder.js";
 import type { ConfigurationReader } from "./ports.js";
 import { PrimaryReporter } from "./primary-reporter.js";
 
@@ -45,6 +46,8 @@
     readonly meter: Meter;
     /** Time from a stop request to the end of the process, in ms. */
     readonly graceMs: number;
+    /** See `ControlHostOptions.primariesStepDown`. */
+    readonly primariesStepDown: boolean;
 }
 
 type MessageOf<K extends Message["kind"]> = Extract<Message, { kind: K; }>;
@@ -61,6 +64,8 @@
     readonly #contacts: ContactMonitor;
     readonly #loopDelay: LoopDelay;
     readonly #plans: ConnectionPlans;
+    /** The lease that this host needs to use primaries; undefined where primaries step down by themselves. */
+    readonly #lease: LeaseHolder | undefined;
     #seeds: readonly string[];
     #control: readonly string[] = [];
     #leader: string | undefined;
@@ -78,6 +83,7 @@
     readonly #handlers: Handlers = {
         endpointRecords: message => this.#recordsReceived(message.records),
         primaryOrders: message => this.#ordersReceived(message.orders),
+        leaseGranted: message => this.#lease?.granted(message),
         hostList: message => this.#hostsReceived(message),
         configurationOffer: (message, from) => this.#offeredBy(from, message.number),
         configurationUpdate: message => this.#configure(message),
@@ -101,6 +107,9 @@
         this.#loopDelay = new LoopDelay(options.meter, TICK_MS);
         this.#seeds = options.seeds;
         const { self, clock, log, connector, random, meter } = options;
+        this.#lease = options.primariesStepDown
+            ? undefined
+            : new LeaseHolder(clock, message => this.#sendToLeader(message));
         this.#mesh = new PeerMesh({
             self,
             identity: undefined,
@@ -123,6 +132,7 @@
                 send: (host, message) => this.#links.send(host, message),
                 reply: (host, result) => this.#links.send(host, result),
             },
+            permits: this.#lease ?? UNRESTRICTED_PERMITS,
             random,
             listener: new GatewayReporter(log, meter, clock.now).listener,
         });
@@ -209,6 +219,7 @@
     #tick(): void {
         const now = this.#options.clock.now();
         this.#loopDelay.tick(now);
+        this.#lease?.tick();
         this.#gateway.check();
         this.#links.closeIdle(id => this.#gateway.isRelayingWith(id), now);
         for (const [name, group] of this.#gateway.groups) {
@@ -274,6 +285,7 @@
     }
 
     #ordersReceived(orders: readonly PromotionOrder[]): void {
+        this.#lease?.ordered(orders);
         for (const order of orders) {
             if (this.#directory.order(order)) {
                 this.#options.log.event("primaryOrdered", { ...order });
@@ -311,6 +323,12 @@
         this.#links.keep(known.length === 0 ? this.#seeds : [...ordered].slice(0, CONTROL_LINKS));
     }
 
+    #sendToLeader(message: Message): void {
+        if (this.#leader !== undefined) {
+            this.#links.send(this.#leader, message);
+        }
+    }
+
     #connectedControl(): readonly Host[] {
         return this.#links.connected().filter(host => host.control);
     }
--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -1,5 +1,6 @@
 import { ConsensusStore, describeStoreError, type RecoveredState, type StoreError } from "@medlarledge/agreement";
 import {
+    type ControlCommand,
     ControlState,
     decodeCommand,
     encodeCommand,
@@ -15,6 +16,7 @@
     type ConsensusEnvelope,
     type Host,
     type LogEntry,
+    type PromotionOrder,
 } from "@medlarledge/protocol";
 import { type Clock, type ConsensusReport, ConsensusTask } from "@medlarledge/runtime";
 import type { LogEvent, LogFields } from "@medlarledge/telemetry";
@@ -58,6 +60,8 @@
     roleChanged(): void;
     /** A configuration was committed. */
     configured(change: ConfigurationChange): void;
+    /** A promotion order was committed. */
+    promotionOrdered(order: PromotionOrder): void;
     event(name: LogEvent, fields: LogFields): void;
 }
 
@@ -93,6 +97,8 @@
     readonly #joinRequestedAt = new Map<string, number>();
     readonly #proposals = new Map<number, Proposal>();
     readonly #reads = new Set<PendingRead>();
+    /** Callbacks of commands that are not configurations, by request id. */
+    readonly #commands = new Map<number, (isCommitted: boolean) => void>();
     #state = new ControlState();
     #store: ConsensusStore | undefined;
     #agreement: ConsensusTask | undefined;
@@ -151,6 +157,16 @@
         return this.#state.configuration();
     }
 
+    /** Entry hosts to which leaders may have granted leases. */
+    get registeredHosts(): readonly Host[] {
+        return this.#state.hosts();
+    }
+
+    /** The newest committed promotion order of each group. */
+    get promotions(): readonly PromotionOrder[] {
+        return this.#state.promotions();
+    }
+
     /** True when this member leads and a quorum has answered it within the time after which it would step down. */
     get hasQuorum(): boolean {
         const { clock } = this.#options;
@@ -194,6 +210,21 @@
         return new Promise(resolve => this.#submit(agreement, { change, resolve }));
     }
 
+    /** Commits a command that is not a configuration. Resolves to false when it may not have been committed. */
+    submit(command: Exclude<ControlCommand, { kind: "changeConfiguration"; }>): Promise<boolean> {
+        const agreement = this.#agreement;
+        if (!this.isLeader || agreement === undefined) {
+            return Promise.resolve(false);
+        }
+        this.#lastRequestId += 1;
+        const requestId = this.#lastRequestId;
+        return new Promise(resolve => {
+            this.#commands.set(requestId, resolve);
+            setTimeout(() => this.#commandEnded(requestId, false), ANSWER_TIMEOUT_MS);
+            agreement.propose(requestId, encodeCommand(command));
+        });
+    }
+
     /** Reads the newest configuration (linearizable): the leader answers after it has confirmed its leadership. */
     read(): Promise<ConfigurationReadResult> {
         if (!this.isLeader) {
@@ -296,7 +327,14 @@
         agreement.propose(requestId, encodeCommand({ kind: "changeConfiguration", change, at }));
     }
 
+    #commandEnded(requestId: number, isCommitted: boolean): void {
+        const resolve = this.#commands.get(requestId);
+        this.#commands.delete(requestId);
+        resolve?.(isCommitted);
+    }
+
     #proposed(requestId: number, outcome: string): void {
+        this.#commandEnded(requestId, outcome === "committed");
         if (outcome !== "committed") {
             this.#unavailable(requestId);
         }
@@ -323,6 +361,9 @@
             this.#openedTerm = entry.term;
             this.#options.events.roleChanged();
         }
+        if (command.kind === "orderPromotion") {
+            this.#options.events.promotionOrdered(command.order);
+        }
         if (command.kind === "changeConfiguration" && result.kind === "changeConfiguration") {
             this.#configurationApplied(command.change, result.result);
         }
@@ -346,6 +387,9 @@
         if (change !== undefined) {
             this.#options.events.configured(change);
         }
+        for (const order of this.#state.promotions()) {
+            this.#options.events.promotionOrdered(order);
+        }
     }
 
     #roleChanged(report: Extract<ConsensusReport, { kind: "role"; }>): void {
@@ -367,6 +411,9 @@
         for (const requestId of [...this.#proposals.keys()]) {
             this.#unavailable(requestId);
         }
+        for (const requestId of [...this.#commands.keys()]) {
+            this.#commandEnded(requestId, false);
+        }
         for (const read of this.#reads) {
             read.resolve({ kind: "unavailable" });
         }
--- a/packages/fleet/src/promotion-manager.ts
+++ b/packages/fleet/src/promotion-manager.ts
@@ -5,7 +5,7 @@
 import type { EndpointConnector } from "@medlarledge/statements";
 import type { LogEvent, LogFields } from "@medlarledge/telemetry";
 import { probeEndpoint } from "./endpoint-probe.js";
-import type { PromotionAuthority } from "./ports.js";
+import { type PromotionAuthority, PromotionOutcome } from "./ports.js";
 
 /** Limit for one probe of an endpoint's role and position. */
 const PROBE_TIMEOUT_MS = 200;
@@ -23,7 +23,13 @@
     readonly entries: () => readonly string[];
     /** Requests a report on an endpoint from all entry hosts. */
     readonly check: (group: string, endpoint: string) => void;
-    readonly ordered: (order: PromotionOrder) => void;
+    /**
+     * Announces an order to all hosts. Resolves to true once the order may be given to the authority, and to false when
+     * this host must not give it.
+     */
+    readonly announce: (order: PromotionOrder) => Promise<boolean>;
+    /** The endpoint that hosts use as the primary because of an order; undefined where orders do not decide that. */
+    readonly orderedPrimary: (group: string) => string | undefined;
     readonly event: (name: LogEvent, fields: LogFields) => void;
 }
 
@@ -81,6 +87,7 @@
         return {
             endpoints: this.#options.directory.currentEndpoints(group),
             entries: this.#options.entries(),
+            orderedPrimary: this.#options.orderedPrimary(group),
             nextFencingToken: () => {
                 this.#fenceCount += 1;
                 return this.#term * FENCES_PER_TERM + this.#fenceCount;
@@ -105,8 +112,12 @@
 
     async #promote(group: string, order: PromotionOrder): Promise<void> {
         const term = this.#term;
-        this.#options.ordered(order);
-        const outcome = await this.#options.authority.promote({ ...order, holder: this.#options.holder });
+        const { authority, holder } = this.#options;
+        const mayGive = await this.#options.announce(order) && term === this.#term;
+        if (mayGive) {
+            this.#handle(group, { kind: "sent", fence: order.fence });
+        }
+        const outcome = mayGive ? await authority.promote({ ...order, holder }) : PromotionOutcome.Unknown;
         this.#options.event("promotionAnswered", { ...order, outcome });
         if (term === this.#term) {
             this.#handle(group, { kind: "ordered", fence: order.fence, outcome });
--- a/packages/gateway/src/caller-session.ts
+++ b/packages/gateway/src/caller-session.ts
@@ -313,7 +313,7 @@
         }
         const answer = transaction.endpoint === undefined
             ? await this.#commitEmpty(request, transaction, now)
-            : await this.#continue(request, transaction, { kind: "commit" }, now);
+            : await this.#continue(request, transaction, { kind: "commit", wrote: transaction.wrote }, now);
         this.#transaction = undefined;
         if (answer.completion.kind === "done" && transaction.wrote) {
             this.#committed(answer.position);
@@ -327,7 +327,7 @@
         const served = await this.#options.server.serve({
             requestId: request.id,
             route,
-            statement: { kind: "commit" },
+            statement: { kind: "commit", wrote: false },
             values: this.#sessionState.values,
             floor: this.#floor,
             transaction,
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -9,6 +9,7 @@
 import { ConnectionPool, type ConnectionPoolEvents, type ConnectionPoolOptions } from "./connection-pool.js";
 import { OpenTransactions } from "./open-transactions.js";
 import type { PooledConnection } from "./pooled-connection.js";
+import { requiresPrimary } from "./primary-order.js";
 import { runOrder } from "./run-order.js";
 
 /**
@@ -20,6 +21,12 @@
 /** Probes take precedence over all requests; they occupy no slot of the endpoint. */
 const PROBE_PRIORITY = -1;
 
+const NOT_PRIMARY: StatementOrderResult = {
+    kind: "notRun",
+    reason: NotRunReason.NotPrimary,
+    position: undefined,
+};
+
 /** Callbacks about connections and answers, from which the reachability of the endpoint is determined. */
 export interface EndpointPoolEvents extends Omit<ConnectionPoolEvents, "closed" | "demandChanged"> {
     /** The endpoint or the network closed a connection. */
@@ -38,6 +45,8 @@
 }
 
 export interface EndpointPoolOptions extends Omit<ConnectionPoolOptions, "isReserved" | "events"> {
+    /** Whether statements that only the primary may run can be sent to the endpoint now. */
+    readonly mayUsePrimary: () => boolean;
     readonly events: EndpointPoolEvents;
 }
 
@@ -172,6 +181,10 @@
             const reason = this.#connectionPool.isEmpty ? NotRunReason.Unreachable : NotRunReason.NoConnection;
             return { kind: "notRun", reason, position: undefined };
         }
+        if (requiresPrimary(order) && !this.#options.mayUsePrimary()) {
+            this.#connectionPool.release(connection);
+            return NOT_PRIMARY;
+        }
         return this.#runOn(connection, order);
     }
 
@@ -181,6 +194,10 @@
         if (connection === undefined) {
             return Promise.resolve({ kind: "notRun", reason: NotRunReason.TransactionLost, position: undefined });
         }
+        if (requiresPrimary(order) && !this.#options.mayUsePrimary()) {
+            this.endTransaction(transaction);
+            return Promise.resolve(NOT_PRIMARY);
+        }
         this.#transactions.markRunning(transaction);
         return this.#runOn(connection, order);
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -5,6 +5,7 @@
 import { ElapsedClock } from "./elapsed-clock.js";
 import type { GatewayListener } from "./gateway-event.js";
 import { Group } from "./group.js";
+import type { PrimaryPermits } from "./primary-permits.js";
 import { RelayClient, type RelayLinks } from "./relay-client.js";
 import { RelayServer } from "./relay-server.js";
 import type { Routing } from "./route.js";
@@ -20,6 +21,7 @@
     /** Other hosts that may have connections to an endpoint, best first. */
     readonly relays: (record: EndpointRecord, routing: Routing) => readonly string[];
     readonly links: RelayLinks & { reply(host: string, result: RelayResult): void; };
+    readonly permits: PrimaryPermits;
     readonly random: () => number;
     readonly listener: GatewayListener;
 }
@@ -213,7 +215,7 @@
     #group(name: string): Group {
         let group = this.#groups.get(name);
         if (group === undefined) {
-            const { dataCentre, connector, clock, random, listener } = this.#options;
+            const { dataCentre, connector, clock, permits, random, listener } = this.#options;
             group = new Group({
                 name,
                 dataCentre,
@@ -222,6 +224,7 @@
                 elapsed: this.#elapsed,
                 share: record => this.#options.share(record, this.#routing),
                 relay: this.#relay,
+                permits,
                 random,
                 listener,
             });
--- a/packages/gateway/src/group-endpoint.ts
+++ b/packages/gateway/src/group-endpoint.ts
@@ -44,6 +44,8 @@
     readonly clock: Clock;
     /** Maximum number of connections that this process may have to the endpoint. */
     readonly share: (record: EndpointRecord) => number;
+    /** Whether statements that only the primary may run can be sent to the endpoint now. */
+    readonly mayUsePrimary: () => boolean;
     readonly reachabilityChanged: (change: ReachabilityChange) => void;
     /** A caller's idle transaction was rolled back. */
     readonly evicted: (endpoint: string, eviction: Eviction) => void;
@@ -69,6 +71,7 @@
             connector: options.connector,
             clock: options.clock,
             limit: () => this.share,
+            mayUsePrimary: options.mayUsePrimary,
             averageMs: () => this.#load.averageMs(options.clock.now()),
             overdueMs: () => this.#load.overdueMs(options.clock.now()),
             events: {
--- a/packages/gateway/src/group-orders.ts
+++ b/packages/gateway/src/group-orders.ts
@@ -1,9 +1,11 @@
 import { RETRY_OPTIONS, RetryBudget } from "@medlarledge/routing";
 import type { Clock } from "@medlarledge/runtime";
-import { NotRunReason, type StatementOrder, type StatementOrderResult } from "@medlarledge/statements";
+import { NotRunReason, type StatementOrder, type StatementOrderResult, UnknownReason } from "@medlarledge/statements";
 import type { ElapsedClock } from "./elapsed-clock.js";
 import type { GroupEndpoint } from "./group-endpoint.js";
 import type { GroupState } from "./group-state.js";
+import { changesData, requiresPrimary } from "./primary-order.js";
+import type { PrimaryPermits } from "./primary-permits.js";
 import { MAX_FULL_POOL_WAIT_MS, type RelayClient } from "./relay-client.js";
 
 /**
@@ -14,6 +16,9 @@
 
 const MAX_SEED = 2 ** 31;
 
+/** Interval of checks whether this process may use a primary again after its lease has ended. */
+const PERMIT_CHECK_MS = 20;
+
 const UNREACHABLE: StatementOrderResult = { kind: "notRun", reason: NotRunReason.Unreachable, position: undefined };
 
 export interface GroupOrdersOptions {
@@ -21,6 +26,7 @@
     readonly clock: Clock;
     readonly elapsed: ElapsedClock;
     readonly relay: RelayClient;
+    readonly permits: PrimaryPermits;
     readonly random: () => number;
     readonly state: GroupState;
     readonly endpoint: (id: string) => GroupEndpoint | undefined;
@@ -112,12 +118,72 @@
 
     async #runOn(endpoint: GroupEndpoint, order: StatementOrder): Promise<StatementOrderResult> {
         const { elapsed, state } = this.#options;
-        const sentAt = elapsed.now();
-        const result = await endpoint.run(order);
-        state.recordResult(order.endpoint, result, sentAt);
+        const startedAt = elapsed.now();
+        if (!requiresPrimary(order)) {
+            const result = await endpoint.run(order);
+            state.recordResult(order.endpoint, result, startedAt);
+            return result;
+        }
+        const { permits, group } = this.#options;
+        permits.started(group);
+        const result = await this.#runOnPrimary(endpoint, order);
+        permits.ended(group);
         return result;
     }
 
+    /** Runs an order that only the primary may run, and withholds an answer that may come from a former primary. */
+    async #runOnPrimary(endpoint: GroupEndpoint, order: StatementOrder): Promise<StatementOrderResult> {
+        const { elapsed, permits, state, group } = this.#options;
+        const arrivedAt = elapsed.now();
+        const mayRun = await this.#waitFor(
+            () => permits.mayUse(group, order.endpoint),
+            () => permits.isSuperseded(group, order.endpoint),
+            arrivedAt + order.patienceMs,
+        );
+        if (!mayRun) {
+            return UNREACHABLE;
+        }
+        const sentAt = elapsed.now();
+        const patienceMs = Math.max(1, order.patienceMs - (sentAt - arrivedAt));
+        const result = await endpoint.run({ ...order, patienceMs });
+        const mayPassOn = result.kind !== "answered" || await this.#waitFor(
+            () => permits.mayAcknowledge(group, order.endpoint),
+            () => permits.isEnded(group, order.endpoint),
+            arrivedAt + order.timeoutMs,
+        );
+        if (mayPassOn) {
+            state.recordResult(order.endpoint, result, sentAt);
+            return result;
+        }
+        return this.#withheld(order, result);
+    }
+
+    /** The result of an order whose answer is not passed on. A read that it answered did not run in time to be fresh. */
+    #withheld(order: StatementOrder, result: StatementOrderResult): StatementOrderResult {
+        if (result.kind === "answered" && result.answer.completion.kind === "error") {
+            return result;
+        }
+        if (changesData(order)) {
+            return { kind: "unknown", reason: UnknownReason.Superseded };
+        }
+        if (order.transaction !== undefined) {
+            this.endLocally(order.endpoint, order.transaction);
+        }
+        return { kind: "notRun", reason: NotRunReason.NotPrimary, position: undefined };
+    }
+
+    /** Waits until a condition holds. Resolves to false once `isHopeless` holds or the time has passed. */
+    async #waitFor(holds: () => boolean, isHopeless: () => boolean, endAt: number): Promise<boolean> {
+        const { elapsed } = this.#options;
+        while (!holds()) {
+            if (isHopeless() || elapsed.now() >= endAt) {
+                return false;
+            }
+            await new Promise(resolve => setTimeout(resolve, PERMIT_CHECK_MS));
+        }
+        return true;
+    }
+
     async #relay(order: StatementOrder): Promise<StatementOrderResult> {
         const { elapsed, relay, state } = this.#options;
         const sentAt = elapsed.now();
--- a/packages/gateway/src/group-state.ts
+++ b/packages/gateway/src/group-state.ts
@@ -6,6 +6,7 @@
 import type { ProbeResult } from "./endpoint-pool.js";
 import type { GatewayListener } from "./gateway-event.js";
 import { PositionTracker } from "./position-tracker.js";
+import type { PrimaryPermits } from "./primary-permits.js";
 import type { Route } from "./route.js";
 
 export interface GroupStateOptions {
@@ -13,6 +14,7 @@
     readonly clock: Clock;
     readonly elapsed: ElapsedClock;
     readonly listener: GatewayListener;
+    readonly permits: PrimaryPermits;
     /** The primary of the group, or its term, changed; the leader of the control group is not meant. */
     readonly leaderChanged: () => void;
 }
@@ -52,6 +54,11 @@
     ordered({ endpoint, fence }: PromotionOrder): void {
         this.#primaryTracker.order(endpoint, fence);
         this.#orderedAt = this.#options.clock.now();
+        const { confirmedPrimary } = this;
+        const { group, permits } = this.#options;
+        if (confirmedPrimary !== undefined && permits.isSuperseded(group, confirmedPrimary)) {
+            this.#primaryDenied(confirmedPrimary);
+        }
     }
 
     /** Records the role that an endpoint announced. */
@@ -107,7 +114,9 @@
     /** Updates the primary and the endpoint's position from the result of a probe that was sent at `sentAt`. */
     recordProbe(endpoint: string, result: ProbeResult, sentAt: number): void {
         if (result.kind === "leads" || result.kind === "follows") {
-            this.#recordPosition(endpoint, result.position, result.kind === "leads", sentAt);
+            const { group, permits } = this.#options;
+            const isPrimary = result.kind === "leads" && permits.mayUse(group, endpoint);
+            this.#recordPosition(endpoint, result.position, isPrimary, sentAt);
             if (result.kind === "follows") {
                 this.#primaryDenied(endpoint);
             }
--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -9,6 +9,7 @@
 import { GroupEndpoint, type ReachabilityChange } from "./group-endpoint.js";
 import { GroupOrders } from "./group-orders.js";
 import { GroupState } from "./group-state.js";
+import type { PrimaryPermits } from "./primary-permits.js";
 import type { RelayClient } from "./relay-client.js";
 import type { Route } from "./route.js";
 
@@ -24,6 +25,7 @@
     /** Maximum number of connections that this process may have to an endpoint. */
     readonly share: (record: EndpointRecord) => number;
     readonly relay: RelayClient;
+    readonly permits: PrimaryPermits;
     readonly random: () => number;
     readonly listener: GatewayListener;
 }
@@ -48,11 +50,11 @@
 
     constructor(options: GroupOptions) {
         this.#options = options;
-        const { name: group, clock, elapsed, listener, relay, random } = options;
+        const { name: group, clock, elapsed, listener, permits, relay, random } = options;
         const leaderChanged = (): void => this.#notifyWaiters();
-        this.state = new GroupState({ group, clock, elapsed, listener, leaderChanged });
+        this.state = new GroupState({ group, clock, elapsed, listener, permits, leaderChanged });
         const endpoint = (id: string): GroupEndpoint | undefined => this.#endpoints.get(id);
-        this.orders = new GroupOrders({ group, clock, elapsed, relay, random, state: this.state, endpoint });
+        this.orders = new GroupOrders({ group, clock, elapsed, relay, permits, random, state: this.state, endpoint });
     }
 
     get name(): string {
@@ -238,13 +240,14 @@
     }
 
     #add(record: EndpointRecord): GroupEndpoint {
-        const { connector, clock, share } = this.#options;
+        const { name, connector, clock, share, permits } = this.#options;
         const reachabilityChanged = (change: ReachabilityChange): void => this.#reachabilityChanged(change);
         const evicted = (id: string, eviction: Eviction): void => this.#transactionEvicted(id, eviction);
         const endpoint = new GroupEndpoint(record, {
             connector,
             clock,
             share,
+            mayUsePrimary: () => permits.mayUse(name, record.id),
             reachabilityChanged,
             evicted,
         });
--- a/packages/gateway/tests/test-gateway.ts
+++ b/packages/gateway/tests/test-gateway.ts
@@ -1,7 +1,14 @@
 import { type EndpointRecord, EndpointRole, EndpointState, type RelayMessage } from "@medlarledge/protocol";
 import type { Answer, Caller, CallerHandler, EndpointConnector, Statement } from "@medlarledge/statements";
 import { vi } from "vitest";
-import { Consistency, Gateway, type GatewayEvent, type Route } from "../src/index.js";
+import {
+    Consistency,
+    Gateway,
+    type GatewayEvent,
+    type PrimaryPermits,
+    type Route,
+    UNRESTRICTED_PERMITS,
+} from "../src/index.js";
 import { FakeEndpoints } from "./fake-endpoints.js";
 
 export const IDS = ["a", "b", "c"] as const;
@@ -103,6 +110,7 @@
     readonly silent?: ReadonlySet<string>;
     /** If set, no link can be opened, and attempts fail after this time. */
     readonly linkMs?: number;
+    readonly permits?: PrimaryPermits;
 }
 
 /** Creates a gateway for three simulated endpoints, with fake timers. Endpoint `a` is the primary. */
@@ -119,6 +127,7 @@
         share: () => share,
         relays: () => [...peers.keys()].filter(id => id !== host),
         links: options.linkMs === undefined ? linksOf(host, peers, options.silent) : unreachableLinks(options.linkMs),
+        permits: options.permits ?? UNRESTRICTED_PERMITS,
         random: () => 0,
         listener: event => events.push(event),
     });
--- a/packages/statements/src/statement-order.ts
+++ b/packages/statements/src/statement-order.ts
@@ -16,7 +16,8 @@
 export type OrderedStatement =
     | { readonly kind: "read" | "write"; readonly text: string; }
     | { readonly kind: "execute"; readonly writes: boolean; readonly shape: string; readonly parameters: string; }
-    | { readonly kind: "commit"; };
+    /** `wrote` tells whether the transaction changed data. */
+    | { readonly kind: "commit"; readonly wrote: boolean; };
 
 /** Order to run one statement on one endpoint; any process with a connection to the endpoint can execute it. */
 export interface StatementOrder {
@@ -62,6 +63,8 @@
     Overdue: "overdue",
     /** The process that ran the statement stopped or was disconnected. */
     RelayLost: "relayLost",
+    /** The endpoint answered, but another one may have been promoted by then, which discards the change. */
+    Superseded: "superseded",
 } as const;
 export type UnknownReason = (typeof UnknownReason)[keyof typeof UnknownReason];
 
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -42,6 +42,11 @@
     primaryOrdered: { level: "info", meaning: "News of an order that makes an endpoint the primary." },
     promotionChoosing: { level: "warn", meaning: "A primary is to be replaced; the other endpoints are asked." },
     promotionOrdered: { level: "warn", meaning: "The platform was asked to promote an endpoint." },
+    promotionAnnounced: {
+        level: "info",
+        meaning:
+            "All hosts were told of a promotion order: whether none uses the former primary any more, and the hosts that were waited for last.",
+    },
     promotionAnswered: { level: "info", meaning: "The platform's answer to a promotion; unknown when none came." },
     promotionDone: { level: "info", meaning: "A replacement of a primary ended; `why` tells how." },
     membersChanged: { level: "info", meaning: "The control group has other members." },
