Give restarted hosts leases at once and relay around a missing lease

Cause: after a loss of power each restarted host waited 1.3 s for the lease of its own former process, and a host without a lease held requests until their deadline. Change: a new process at an address ends the lease of the former one; what needs a primary goes to a host with a lease, or is decided as an outage; the expected duration of a promotion is learned instead of assumed.

--- a/packages/control/src/host-table.ts
+++ b/packages/control/src/host-table.ts
@@ -79,6 +79,15 @@
         this.#connected.set(host.id, record);
     }
 
+    /** Ends the leases of earlier processes of a host, which have ended because they used the same address. */
+    endFormerProcesses({ id, incarnation }: Host): void {
+        for (const record of this.#records.values()) {
+            if (record.host.id === id && record.host.incarnation !== incarnation) {
+                record.leaseUntil = Number.NEGATIVE_INFINITY;
+            }
+        }
+    }
+
     disconnect(id: string, incarnation: string): void {
         const record = this.#records.get(recordKey(id, incarnation));
         if (record === undefined) {
--- a/packages/control/src/lease-authority.ts
+++ b/packages/control/src/lease-authority.ts
@@ -28,6 +28,7 @@
     /** Records the link to an entry host, over which all known promotion orders are sent before any grant. */
     connected(host: Host, now: number): void {
         this.#hosts.connect(host, now, 0);
+        this.#hosts.endFormerProcesses(host);
     }
 
     disconnected({ id, incarnation }: Host): void {
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -21,11 +21,7 @@
 /** Probes take precedence over all requests; they occupy no slot of the endpoint. */
 const PROBE_PRIORITY = -1;
 
-const NOT_PRIMARY: StatementOrderResult = {
-    kind: "notRun",
-    reason: NotRunReason.NotPrimary,
-    position: undefined,
-};
+const NO_LEASE: StatementOrderResult = { kind: "notRun", reason: NotRunReason.NoLease, position: undefined };
 
 /** Callbacks about connections and answers, from which the reachability of the endpoint is determined. */
 export interface EndpointPoolEvents extends Omit<ConnectionPoolEvents, "closed" | "demandChanged"> {
@@ -176,6 +172,9 @@
     }
 
     async #runOnFreeConnection(order: StatementOrder): Promise<StatementOrderResult> {
+        if (requiresPrimary(order) && !this.#options.mayUsePrimary()) {
+            return NO_LEASE;
+        }
         const connection = await this.#connectionPool.acquire(order);
         if (connection === undefined) {
             const reason = this.#connectionPool.isEmpty ? NotRunReason.Unreachable : NotRunReason.NoConnection;
@@ -183,7 +182,7 @@
         }
         if (requiresPrimary(order) && !this.#options.mayUsePrimary()) {
             this.#connectionPool.release(connection);
-            return NOT_PRIMARY;
+            return NO_LEASE;
         }
         return this.#runOn(connection, order);
     }
@@ -196,7 +195,7 @@
         }
         if (requiresPrimary(order) && !this.#options.mayUsePrimary()) {
             this.endTransaction(transaction);
-            return Promise.resolve(NOT_PRIMARY);
+            return Promise.resolve(NO_LEASE);
         }
         this.#transactions.markRunning(transaction);
         return this.#runOn(connection, order);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -1,4 +1,5 @@
 import type { EndpointRecord, PromotionOrder, RelayMessage, RelayResult } from "@medlarledge/protocol";
+import { PromotionTimes } from "@medlarledge/routing";
 import type { Clock } from "@medlarledge/runtime";
 import type { Acceptance, Caller, EndpointConnector } from "@medlarledge/statements";
 import { CallerSession } from "./caller-session.js";
@@ -34,6 +35,7 @@
     readonly #options: GatewayOptions;
     readonly #elapsed: ElapsedClock;
     readonly #groups = new Map<string, Group>();
+    readonly #promotionTimes = new PromotionTimes();
     readonly #sessions = new Set<CallerSession>();
     readonly #statementRouter: StatementRouter;
     readonly #relay: RelayClient;
@@ -225,6 +227,7 @@
                 share: record => this.#options.share(record, this.#routing),
                 relay: this.#relay,
                 permits,
+                promotionTimes: this.#promotionTimes,
                 random,
                 listener,
             });
--- a/packages/gateway/src/group-orders.ts
+++ b/packages/gateway/src/group-orders.ts
@@ -113,7 +113,7 @@
             patienceMs: Math.min(order.patienceMs, MAX_FULL_POOL_WAIT_MS),
         });
         const leftMs = order.patienceMs - (clock.now() - startedAt);
-        return needsConnection(own) && leftMs > 0 ? this.#relay({ ...order, patienceMs: leftMs }) : own;
+        return needsOtherHost(own) && leftMs > 0 ? this.#relay({ ...order, patienceMs: leftMs }) : own;
     }
 
     async #runOn(endpoint: GroupEndpoint, order: StatementOrder): Promise<StatementOrderResult> {
@@ -134,22 +134,12 @@
     /** Runs an order that only the primary may run, and withholds an answer that may come from a former primary. */
     async #runOnPrimary(endpoint: GroupEndpoint, order: StatementOrder): Promise<StatementOrderResult> {
         const { elapsed, permits, state, group } = this.#options;
-        const arrivedAt = elapsed.now();
-        const mayRun = await this.#waitFor(
-            () => permits.mayUse(group, order.endpoint),
-            () => permits.isSuperseded(group, order.endpoint),
-            arrivedAt + order.patienceMs,
-        );
-        if (!mayRun) {
-            return UNREACHABLE;
-        }
         const sentAt = elapsed.now();
-        const patienceMs = Math.max(1, order.patienceMs - (sentAt - arrivedAt));
-        const result = await endpoint.run({ ...order, patienceMs });
+        const result = await endpoint.run(order);
         const mayPassOn = result.kind !== "answered" || await this.#waitFor(
             () => permits.mayAcknowledge(group, order.endpoint),
             () => permits.isEnded(group, order.endpoint),
-            arrivedAt + order.timeoutMs,
+            sentAt + order.timeoutMs,
         );
         if (mayPassOn) {
             state.recordResult(order.endpoint, result, sentAt);
@@ -196,8 +186,9 @@
     }
 }
 
-/** Returns true when the order did not run for lack of a connection; another host may have one. */
-function needsConnection(result: StatementOrderResult): boolean {
+/** Returns true when the order did not run for lack of a connection or a lease; another host may have one. */
+function needsOtherHost(result: StatementOrderResult): boolean {
     return result.kind === "notRun"
-        && (result.reason === NotRunReason.Unreachable || result.reason === NotRunReason.NoConnection);
+        && (result.reason === NotRunReason.Unreachable || result.reason === NotRunReason.NoConnection
+            || result.reason === NotRunReason.NoLease);
 }
--- a/packages/gateway/src/group-state.ts
+++ b/packages/gateway/src/group-state.ts
@@ -1,5 +1,5 @@
 import type { EndpointRecord, PrimaryPositionReport, PromotionOrder } from "@medlarledge/protocol";
-import { type PrimaryConfirmation, PrimaryTracker } from "@medlarledge/routing";
+import { type PrimaryConfirmation, PrimaryTracker, type PromotionTimes } from "@medlarledge/routing";
 import type { Clock } from "@medlarledge/runtime";
 import { type LogPosition, NotRunReason, type StatementOrderResult } from "@medlarledge/statements";
 import type { ElapsedClock } from "./elapsed-clock.js";
@@ -15,6 +15,7 @@
     readonly elapsed: ElapsedClock;
     readonly listener: GatewayListener;
     readonly permits: PrimaryPermits;
+    readonly promotionTimes: PromotionTimes;
     /** The primary of the group, or its term, changed; the leader of the control group is not meant. */
     readonly leaderChanged: () => void;
 }
@@ -25,6 +26,8 @@
     readonly #primaryTracker = new PrimaryTracker();
     readonly #positions = new PositionTracker();
     #orderedAt: number | undefined;
+    /** The endpoint whose promotion was ordered and that has not led since. */
+    #awaited: string | undefined;
 
     constructor(options: GroupStateOptions) {
         this.#options = options;
@@ -54,6 +57,7 @@
     ordered({ endpoint, fence }: PromotionOrder): void {
         this.#primaryTracker.order(endpoint, fence);
         this.#orderedAt = this.#options.clock.now();
+        this.#awaited = endpoint;
         const { confirmedPrimary } = this;
         const { group, permits } = this.#options;
         if (confirmedPrimary !== undefined && permits.isSuperseded(group, confirmedPrimary)) {
@@ -136,8 +140,12 @@
     }
 
     #primaryConfirmed(endpoint: string, term: number): void {
-        const { group, clock, listener, leaderChanged } = this.#options;
+        const { group, clock, promotionTimes, listener, leaderChanged } = this.#options;
         const former = this.#primaryTracker.confirmed;
+        if (endpoint === this.#awaited && this.#orderedAt !== undefined) {
+            this.#awaited = undefined;
+            promotionTimes.observed(clock.now() - this.#orderedAt);
+        }
         if (this.#primaryTracker.recordConfirmation(endpoint, term, clock.now())) {
             listener({ kind: "primary", group, endpoint, term, former });
             leaderChanged();
--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -1,5 +1,12 @@
 import { type EndpointRecord, EndpointState, type PromotionOrder } from "@medlarledge/protocol";
-import { Availability, chooseForRead, type Outage, type ReadChoice, type ReadTarget } from "@medlarledge/routing";
+import {
+    Availability,
+    chooseForRead,
+    type Outage,
+    type PromotionTimes,
+    type ReadChoice,
+    type ReadTarget,
+} from "@medlarledge/routing";
 import type { Clock } from "@medlarledge/runtime";
 import type { EndpointConnector, LogPosition } from "@medlarledge/statements";
 import type { ElapsedClock } from "./elapsed-clock.js";
@@ -26,6 +33,8 @@
     readonly share: (record: EndpointRecord) => number;
     readonly relay: RelayClient;
     readonly permits: PrimaryPermits;
+    /** Shared by all groups. */
+    readonly promotionTimes: PromotionTimes;
     readonly random: () => number;
     readonly listener: GatewayListener;
 }
@@ -50,9 +59,9 @@
 
     constructor(options: GroupOptions) {
         this.#options = options;
-        const { name: group, clock, elapsed, listener, permits, relay, random } = options;
+        const { name: group, clock, elapsed, listener, permits, promotionTimes, relay, random } = options;
         const leaderChanged = (): void => this.#notifyWaiters();
-        this.state = new GroupState({ group, clock, elapsed, listener, permits, leaderChanged });
+        this.state = new GroupState({ group, clock, elapsed, listener, permits, promotionTimes, leaderChanged });
         const endpoint = (id: string): GroupEndpoint | undefined => this.#endpoints.get(id);
         this.orders = new GroupOrders({ group, clock, elapsed, relay, permits, random, state: this.state, endpoint });
     }
@@ -88,7 +97,7 @@
     /** The endpoint to use as the primary; undefined while none that can be reached is known. */
     primary(): string | undefined {
         const { confirmedPrimary } = this.state;
-        if (confirmedPrimary !== undefined && this.#canReach(confirmedPrimary)) {
+        if (confirmedPrimary !== undefined && this.#canUseAsPrimary(confirmedPrimary)) {
             return confirmedPrimary;
         }
         // Without connections of its own, this host learns whether a candidate is the primary from its answers to
@@ -160,6 +169,7 @@
         return {
             lostAt: (needsPrimary ? this.#primaryAvailability : this.#endpointAvailability).lostAt,
             orderedAt: this.state.orderedAt,
+            promotionMs: this.#options.promotionTimes.expectedMs,
             hasCandidate: needsPrimary && this.#nextCandidate() !== undefined,
         };
     }
@@ -276,6 +286,13 @@
         return endpoint !== undefined && (endpoint.isDirectlyReachable || this.#options.relay.canReach(this.name, id));
     }
 
+    /** True when this host, or another one to which it relays, may send the endpoint what only the primary may run. */
+    #canUseAsPrimary(id: string): boolean {
+        const { permits, relay } = this.#options;
+        const mayUse = permits.mayUse(this.name, id);
+        return mayUse ? this.#canReach(id) : !permits.isSuperseded(this.name, id) && relay.canReach(this.name, id);
+    }
+
     #transactionEvicted(endpoint: string, { transaction, requestId, idleMs, waiting }: Eviction): void {
         const cause = `its caller was idle in transaction for ${
             Math.round(idleMs)
--- a/packages/gateway/src/relay-client.ts
+++ b/packages/gateway/src/relay-client.ts
@@ -2,8 +2,12 @@
 import type { Clock } from "@medlarledge/runtime";
 import { NotRunReason, type StatementOrder, type StatementOrderResult, UnknownReason } from "@medlarledge/statements";
 
-/** A host that could not reach an endpoint gets orders for it again after this time. */
-const REFUSAL_RETRY_MS = 500;
+/** Time after which a host that refused an order gets orders for the same endpoint again, by reason. */
+const REFUSAL_PAUSES_MS: Partial<Record<NotRunReason, number>> = {
+    [NotRunReason.Unreachable]: 500,
+    // A lost lease comes back as soon as the control group has a leader.
+    [NotRunReason.NoLease]: 100,
+};
 
 /** Maximum number of hosts to which one order is sent in turn. */
 const MAX_HOSTS_PER_ORDER = 3;
@@ -56,7 +60,8 @@
     readonly #transactions = new Map<string, string>();
     /** For each host with outstanding orders, when it last answered or, before an answer, got the first of them. */
     readonly #unansweredSince = new Map<string, number>();
-    readonly #refusedAt = new Map<string, number>();
+    /** Time from which a host gets orders for an endpoint again, by host and endpoint. */
+    readonly #retryAt = new Map<string, number>();
     /** Hosts to which no link could be opened, with the time of the last attempt. */
     readonly #linkFailedAt = new Map<string, number>();
     #lastId = 0;
@@ -190,15 +195,16 @@
      * since it will have one soon.
      */
     #noteRefusal(host: string, endpoint: string, result: StatementOrderResult): void {
-        if (result.kind === "notRun" && result.reason === NotRunReason.Unreachable) {
-            this.#refusedAt.set(keyOf(host, endpoint), this.#options.clock.now());
+        const pauseMs = result.kind === "notRun" ? REFUSAL_PAUSES_MS[result.reason] : undefined;
+        if (pauseMs !== undefined) {
+            this.#retryAt.set(keyOf(host, endpoint), this.#options.clock.now() + pauseMs);
         }
     }
 
     /** Returns true when the host could not run the order but another one may. */
     #isHostRefusal({ result }: RelayedResult): boolean {
         return result.kind === "notRun"
-            && (result.reason === NotRunReason.Unreachable || result.reason === NotRunReason.NoConnection);
+            && (result.reason === NotRunReason.NoConnection || REFUSAL_PAUSES_MS[result.reason] !== undefined);
     }
 
     /** Hosts to which an order may be sent, best first. */
@@ -207,7 +213,7 @@
         const hosts = this.#options.hosts(group, endpoint);
         this.#retryLinks(hosts, now);
         const usable = hosts.filter(host =>
-            now - (this.#refusedAt.get(keyOf(host, endpoint)) ?? -Infinity) >= REFUSAL_RETRY_MS
+            now >= (this.#retryAt.get(keyOf(host, endpoint)) ?? -Infinity)
             && !this.#linkFailedAt.has(host)
         );
         const quietHosts = usable.filter(host => this.#isQuiet(host, now));
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -7,6 +7,7 @@
 export * from "./outage-decision.js";
 export * from "./primary-positions.js";
 export * from "./primary-tracker.js";
+export * from "./promotion-times.js";
 export { Random } from "./random.js";
 export * from "./read-choice.js";
 export * from "./rendezvous.js";
--- a/packages/routing/src/outage-decision.ts
+++ b/packages/routing/src/outage-decision.ts
@@ -4,9 +4,6 @@
  */
 const FAILOVER_MS = 1_100;
 
-/** Time from the promotion order to the first statement on the new primary. */
-const PROMOTION_MS = 650;
-
 /** Time in which this host probes the endpoints that may be the primary; some round trips. */
 const PRIMARY_SEARCH_MS = 60;
 
@@ -19,6 +16,8 @@
     readonly lostAt: number | undefined;
     /** Time at which control last ordered a promotion. */
     readonly orderedAt: number | undefined;
+    /** Expected time from an order to the first statement on the new primary, in ms. */
+    readonly promotionMs: number;
     /** Whether an endpoint that may be the primary can be probed. */
     readonly hasCandidate: boolean;
 }
@@ -37,7 +36,7 @@
 
 /** Decides whether a request that no endpoint can serve now waits or is refused. Nothing of it has run. */
 export function decideDuringOutage(
-    { lostAt, orderedAt, hasCandidate }: Outage,
+    { lostAt, orderedAt, promotionMs, hasCandidate }: Outage,
     { waitedMs, giveUpAt, now }: WaitLimit,
 ): OutageDecision {
     const isSearchComplete = lostAt !== undefined && now - lostAt >= PRIMARY_SEARCH_MS
@@ -45,8 +44,8 @@
     if (!isSearchComplete) {
         return { kind: "wait" };
     }
-    const isPromoting = orderedAt !== undefined && orderedAt + PROMOTION_MS > now;
-    const expectedAt = isPromoting ? orderedAt + PROMOTION_MS : lostAt + FAILOVER_MS;
+    const isPromoting = orderedAt !== undefined && orderedAt + promotionMs > now;
+    const expectedAt = isPromoting ? orderedAt + promotionMs : lostAt + FAILOVER_MS;
     if (expectedAt <= now) {
         return { kind: "refuse", retryAfterMs: DEFAULT_RETRY_AFTER_MS };
     }
--- a/packages/routing/tests/outage-decision.test.ts
+++ b/packages/routing/tests/outage-decision.test.ts
@@ -1,7 +1,7 @@
 import { expect, test } from "vitest";
 import { decideDuringOutage } from "../src/outage-decision.js";
 
-const lost = { lostAt: 1_000, orderedAt: undefined, hasCandidate: false };
+const lost = { lostAt: 1_000, orderedAt: undefined, promotionMs: 650, hasCandidate: false };
 
 const at = (giveUpAt: number, now: number, waitedMs = 0) => ({ giveUpAt, now, waitedMs });
 
--- a/packages/statements/src/statement-order.ts
+++ b/packages/statements/src/statement-order.ts
@@ -48,6 +48,8 @@
     /** No connection became free in time. */
     NoConnection: "noConnection",
     Unreachable: "unreachable",
+    /** The process with the connection may not use the endpoint as the primary now. */
+    NoLease: "noLease",
     /** The connection of the caller's transaction was lost, which ended the transaction. */
     TransactionLost: "transactionLost",
 } as const;
