--- a/packages/control/src/host-lease.ts
+++ b/packages/control/src/host-lease.ts
@@ -37,6 +37,11 @@
         return { sequence: this.#sequence };
     }
 
+    /** Makes a renewal due at the next call of `nextRenewal`. */
+    renewNow(): void {
+        this.#lastSentAt = Number.NEGATIVE_INFINITY;
+    }
+
     /** Extends the lease by a grant. Ignores a grant without a matching renewal. */
     granted(message: LeaseGranted, now: number): void {
         const sentAt = this.#sentAt.get(message.sequence);
--- a/packages/control/src/primary-lease.ts
+++ b/packages/control/src/primary-lease.ts
@@ -37,6 +37,11 @@
         return this.#lease.nextRenewal(now);
     }
 
+    /** Makes a renewal due, for a new leader. */
+    renewNow(): void {
+        this.#lease.renewNow();
+    }
+
     /** Extends the lease by a grant. */
     granted(grant: LeaseGranted, now: number): void {
         this.#lease.granted(grant, now);
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -259,6 +259,9 @@
         }
         else if (event.kind === "connected") {
             this.#links.opened(event.host.id);
+            if (event.host.id === this.#leader) {
+                this.#lease?.leaderChanged();
+            }
             if (event.host.control) {
                 this.#contacts.controlHostLinked(event.host);
                 this.#reporter.clear();
@@ -298,6 +301,8 @@
         if (term < this.#listTerm || control.length === 0) {
             return;
         }
+        const formerLeader = this.#leader;
+        const formerTerm = this.#listTerm;
         this.#listTerm = term;
         this.#control = control;
         this.#leader = leader ?? this.#leader;
@@ -306,6 +311,9 @@
         const counts = { control: control.length, entries: this.#plans.entries.length };
         this.#options.log.event("hostsChanged", { term, leader: this.#leader, ...counts });
         this.#updateLinks();
+        if (this.#leader !== formerLeader || term !== formerTerm) {
+            this.#lease?.leaderChanged();
+        }
     }
 
     /** Keeps links to the leader and some other control hosts; to the seed hosts while no list of hosts is known. */
--- a/packages/fleet/src/lease-holder.ts
+++ b/packages/fleet/src/lease-holder.ts
@@ -4,6 +4,9 @@
 import type { Clock } from "@medlarledge/runtime";
 import { HOST_LEASE } from "./lease-timing.js";
 
+/** Fields of a renewal for hosts that receive views; these hosts receive promotion orders instead. */
+const UNUSED_RENEWAL_FIELDS = { configurationNumber: 0, configurationSince: 0, viewVersion: 0, draining: false };
+
 /** Holds an entry host's lease: renews it, confirms promotion orders, and answers what the lease permits. */
 export class LeaseHolder implements PrimaryPermits {
     readonly #elapsed: ElapsedClock;
@@ -20,18 +23,17 @@
         const now = this.#elapsed.now();
         const renewal = this.#lease.nextRenewal(now);
         if (renewal !== undefined) {
-            this.#sendToLeader({
-                kind: "renewLease",
-                ...renewal,
-                configurationNumber: 0,
-                configurationSince: 0,
-                viewVersion: 0,
-                draining: false,
-            });
+            this.#sendToLeader({ kind: "renewLease", ...UNUSED_RENEWAL_FIELDS, ...renewal });
         }
         this.#confirm(this.#lease.takeConfirmations(now));
     }
 
+    /** Requests a lease from a new leader at once. */
+    leaderChanged(): void {
+        this.#lease.renewNow();
+        this.tick();
+    }
+
     granted(grant: LeaseGranted): void {
         this.#lease.granted(grant, this.#elapsed.now());
     }
--- a/packages/fleet/src/promotion-announcer.ts
+++ b/packages/fleet/src/promotion-announcer.ts
@@ -111,7 +111,7 @@
             send(from, decision.grant);
         }
         else if (decision.kind === "register") {
-            void this.#register(decision.host);
+            void this.#register(decision.host, renewal);
         }
     }
 
@@ -141,12 +141,16 @@
         return this.#authority?.holders(group, this.#options.clock.now()) ?? [];
     }
 
-    async #register(host: Host): Promise<void> {
+    /** Registers a host and then answers its renewal, so that it does not wait for the next one. */
+    async #register(host: Host, renewal: RenewLease): Promise<void> {
         const key = `${host.id} ${host.incarnation}`;
         if (!this.#registering.has(key)) {
             this.#registering.add(key);
-            await this.#options.member.submit({ kind: "registerHost", host });
+            const isRegistered = await this.#options.member.submit({ kind: "registerHost", host });
             this.#registering.delete(key);
+            if (isRegistered) {
+                this.renewed(host.id, renewal);
+            }
         }
     }
 }
