--- a/packages/control/src/primary-monitor.ts
+++ b/packages/control/src/primary-monitor.ts
@@ -18,6 +18,9 @@
 /** Pause between two checks of an endpoint that most entry hosts reach. */
 export const MIN_RECHECK_INTERVAL_MS = 500;
 
+/** An endpoint whose promotion the platform refused is not promoted by that order later. */
+const REFUSAL_VALID_MS = 5_000;
+
 /** A group without a primary gets one after this time; before, its endpoints may still be starting. */
 export const MISSING_PRIMARY_TIMEOUT_MS = 1_500;
 
@@ -107,6 +110,8 @@
     readonly #probeResults = new Map<string, MonitorProbeResult | undefined>();
     /** Time of the last refused or timed-out promotion, by endpoint. */
     readonly #failedPromotions = new Map<string, number>();
+    /** Time of the last refusal by the platform, by endpoint. */
+    readonly #refusedOrders = new Map<string, number>();
     #phase: Phase = CALM;
     /** The primary when the last replacement ended. */
     #lastPrimary: string | undefined;
@@ -277,18 +282,19 @@
             this.#finish("the primary is reachable again", suspect, effects);
             return;
         }
-        const currentPrimary = this.#leaderOfNewestTerm();
-        if (currentPrimary !== undefined && isOtherThanOrdered(currentPrimary, view)) {
+        const currentPrimary = this.#currentPrimary();
+        const openOrder = this.#openOrder(successors, view, now);
+        if (currentPrimary !== undefined && isOtherThanOrdered(currentPrimary, view) && openOrder === undefined) {
             // Hosts use it only after an order; the platform changes nothing.
             this.#promote(currentPrimary, cause, view, now, effects);
             return;
         }
-        if (currentPrimary !== undefined) {
+        if (currentPrimary !== undefined && openOrder === undefined) {
             // Another order took effect in the meantime; entry hosts detect the new primary on their own.
             this.#finish("is already the primary", currentPrimary, effects);
             return;
         }
-        const best = this.#bestSuccessor(successors, now);
+        const best = openOrder ?? this.#bestSuccessor(successors, now);
         if (best === undefined) {
             this.#phase = { kind: "pausing", cause, since: now };
         }
@@ -338,6 +344,7 @@
         }
         if (outcome === "refused") {
             this.#failedPromotions.set(this.#phase.order.endpoint, now);
+            this.#refusedOrders.set(this.#phase.order.endpoint, now);
         }
         // An unanswered order may still be executed, so the endpoints are probed before a new one is given. The higher
         // fencing token of the new order invalidates the old one.
@@ -353,15 +360,42 @@
         effects.push({ kind: "event", name: "promotionDone", fields: { group: this.#group, endpoint, why } });
     }
 
-    /** The probed endpoint that leads; a former primary may still lead an older term. */
-    #leaderOfNewestTerm(): string | undefined {
-        const leading = [...this.#probeResults].filter(([, reading]) => reading?.leads === true).map(([id]) => id);
-        return leading.sort((left, right) => this.#compare(left, right))[0];
+    /**
+     * The endpoint of the newest order, if that order may still take effect. Otherwise hosts would use another endpoint
+     * when it does. A refused order is over.
+     */
+    #openOrder(
+        successors: readonly EndpointRecord[],
+        { orderedPrimary }: MonitorView,
+        now: number,
+    ): string | undefined {
+        const isRefused = now - (this.#refusedOrders.get(orderedPrimary ?? "") ?? -Infinity) < REFUSAL_VALID_MS;
+        const isUsable = successors.some(({ id }) =>
+            id === orderedPrimary && this.#probeResults.get(id)?.leads === false
+        );
+        return isUsable && !isRefused ? orderedPrimary : undefined;
+    }
+
+    /** The probed endpoint that leads the newest known term. */
+    #currentPrimary(): string | undefined {
+        const leading = [...this.#probeResults].filter(([id, reading]) =>
+            reading?.leads === true && !this.#isFormerPrimary(id)
+        );
+        return leading.map(([id]) => id).sort((left, right) => this.#compare(left, right))[0];
+    }
+
+    /** Returns true when an endpoint still takes itself for the primary of an older term than the newest known one. */
+    #isFormerPrimary(endpoint: string): boolean {
+        const known = [...this.#reports.values(), ...this.#probeResults.values()].map(item => item?.term ?? 0);
+        const reading = this.#probeResults.get(endpoint);
+        return reading?.leads === true && reading.term < Math.max(...known);
     }
 
     /** The endpoint with the newest log position; one that recently failed to be promoted only if there is no other. */
     #bestSuccessor(successors: readonly EndpointRecord[], now: number): string | undefined {
-        const answered = successors.filter(({ id }) => this.#probeResults.get(id) !== undefined);
+        const answered = successors.filter(({ id }) =>
+            this.#probeResults.get(id) !== undefined && !this.#isFormerPrimary(id)
+        );
         const notRecentlyRefused = answered.filter(({ id }) =>
             now - (this.#failedPromotions.get(id) ?? -Infinity) >= PROMOTION_TIMEOUT_MS
         );
--- a/packages/control/tests/primary-monitor.test.ts
+++ b/packages/control/tests/primary-monitor.test.ts
@@ -206,3 +206,50 @@
         expect(scene.promotions()).toEqual([]);
     });
 });
+
+describe("where hosts use only the ordered primary", () => {
+    // Guards against a group without a usable primary after a late call promoted another endpoint than the ordered one.
+    it("the endpoint that leads instead of the ordered one is ordered", () => {
+        const scene = new Scene();
+        scene.orderedPrimary = "c";
+        scene.endpoints = [record("a", { role: EndpointRole.Primary }), record("b")];
+        scene.advanceTime(10);
+        scene.reading("a", 10, true, 3);
+        scene.reading("b", 10, false, 3);
+        expect(scene.effects).toContainEqual({
+            kind: "promote",
+            order: { group: "orders", endpoint: "a", fence: 1 },
+        });
+    });
+
+    // Guards against using another endpoint while an earlier order may still promote the one that it names.
+    it("an endpoint whose order may still take effect is ordered again", () => {
+        const scene = new Scene();
+        scene.orderedPrimary = "b";
+        scene.advanceTime(10);
+        scene.reading("a", 10, true, 1);
+        scene.reading("b", 9, false, 1);
+        scene.reading("c", 10, false, 1);
+        expect(scene.effects).toContainEqual({
+            kind: "promote",
+            order: { group: "orders", endpoint: "b", fence: 1 },
+        });
+    });
+
+    // Guards against promoting an endpoint that still commits in an older term.
+    it("an endpoint that leads an older term is not chosen", () => {
+        const scene = new Scene();
+        scene.endpoints = [
+            record("a", { role: EndpointRole.Primary, state: EndpointState.Leaving }),
+            record("b"),
+            record("c"),
+        ];
+        scene.advanceTime(10);
+        scene.reading("b", 20, true, 1);
+        scene.reading("c", 10, false, 2);
+        expect(scene.effects).toContainEqual({
+            kind: "promote",
+            order: { group: "orders", endpoint: "c", fence: 1 },
+        });
+    });
+});
