Let hosts without a lease ask over others, and leave rotation

Change: a host without a link to the leader asks for its lease over other entry hosts, whose replies bring the promotion orders first; a host whose lease has lapsed for 500 ms is not ready. The schedules of the model test include forwarded and late requests.

--- a/packages/control/src/host-table.ts
+++ b/packages/control/src/host-table.ts
@@ -7,6 +7,8 @@
     readonly stepDownMs: number;
 }
 
+type Renewal = Pick<RenewLease, "viewVersion" | "draining" | "configurationNumber" | "configurationSince">;
+
 /** A revocation that one host has not acknowledged yet. */
 interface PendingRevocation {
     readonly term: Term;
@@ -112,7 +114,7 @@
     }
 
     /** Applies a renewal. A view that includes a later term acknowledges the revocation of the earlier one. */
-    recordRenewal(id: string, renewal: RenewLease, stateVersion: number, now: number): void {
+    recordRenewal(id: string, renewal: Renewal, stateVersion: number, now: number): void {
         const record = this.#connected.get(id);
         if (record === undefined) {
             return;
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -7,7 +7,7 @@
 export { HostLease, type HostLeaseOptions } from "./host-lease.js";
 export type { LeaderEffect, LeaderEvent, LeaderOptions } from "./leader-types.js";
 export { ControlLeader } from "./leader.js";
-export { LeaseAuthority, type RenewalDecision } from "./lease-authority.js";
+export { type HostProcess, LeaseAuthority, type RenewalDecision } from "./lease-authority.js";
 export { hostOfMember, nextMembers, replacementMemberId } from "./member-plan.js";
 export { PrimaryLease } from "./primary-lease.js";
 export {
--- a/packages/control/src/lease-authority.ts
+++ b/packages/control/src/lease-authority.ts
@@ -1,13 +1,19 @@
-import type { Host, LeaseGranted, PromotionOrder, RenewLease } from "@medlarledge/protocol";
+import type { Host, PromotionOrder } from "@medlarledge/protocol";
 import { HostTable, type LeaseTiming } from "./host-table.js";
 
+/** Identifies a process of a host. */
+export type HostProcess = Pick<Host, "id" | "incarnation">;
+
 /** What the leader does with a renewal. */
 export type RenewalDecision =
-    | { readonly kind: "grant"; readonly grant: LeaseGranted; }
+    | { readonly kind: "grant"; readonly durationMs: number; }
     /** The host has to be in the replicated state first, so that a later leader waits for the end of its lease. */
     | { readonly kind: "register"; readonly host: Host; }
     | { readonly kind: "refuse"; };
 
+/** These hosts receive promotion orders instead of views. */
+const NO_VIEW = { viewVersion: 0, draining: false, configurationNumber: 0, configurationSince: 0 };
+
 /**
  * Grants leases to entry hosts during one leadership of the control group, and determines when a promotion order may be
  * given to the platform: once every host has confirmed the order or can no longer hold a lease.
@@ -31,17 +37,29 @@
         this.#hosts.endFormerProcesses(host);
     }
 
+    /**
+     * Records a request that came over another host and may be late: it must not replace a later process of the host
+     * whose lease is valid.
+     */
+    connectedOver(host: Host, now: number): void {
+        const current = this.#hosts.connected(host.id);
+        const isOther = current !== undefined && current.host.incarnation !== host.incarnation;
+        if (!isOther || current.leaseUntil < now) {
+            this.#hosts.connect(host, now, 0);
+        }
+    }
+
     disconnected({ id, incarnation }: Host): void {
         this.#hosts.disconnect(id, incarnation);
     }
 
     /** Answers a renewal; the leader must have been in contact with a quorum. */
-    renew(from: string, renewal: RenewLease, isRegistered: (host: Host) => boolean, now: number): RenewalDecision {
+    renew({ id: from, incarnation }: HostProcess, isRegistered: (host: Host) => boolean, now: number): RenewalDecision {
         const record = this.#hosts.connected(from);
-        if (record === undefined) {
+        if (record === undefined || record.host.incarnation !== incarnation) {
             return { kind: "refuse" };
         }
-        this.#hosts.recordRenewal(from, renewal, 0, now);
+        this.#hosts.recordRenewal(from, NO_VIEW, 0, now);
         if (!isRegistered(record.host)) {
             const mayRegister = now > this.#hosts.otherLeaseUntil(record.host);
             return mayRegister ? { kind: "register", host: record.host } : { kind: "refuse" };
@@ -50,8 +68,7 @@
             return { kind: "refuse" };
         }
         this.#hosts.granted(from, now);
-        const { sequence } = renewal;
-        return { kind: "grant", grant: { kind: "leaseGranted", sequence, durationMs: this.#timing.leaseMs } };
+        return { kind: "grant", durationMs: this.#timing.leaseMs };
     }
 
     /** Starts to revoke the use of the former primary; must be called before the order is sent to any host. */
--- a/packages/control/src/primary-lease.ts
+++ b/packages/control/src/primary-lease.ts
@@ -47,6 +47,11 @@
         this.#lease.granted(grant, now);
     }
 
+    /** Time since the lease ended, or since `startedAt` if there was none, in ms; 0 while it is valid. */
+    lapsedMs(startedAt: number, now: number): number {
+        return Math.max(0, now - Math.max(startedAt, this.#lease.validUntil()));
+    }
+
     /** Applies a promotion order: no statement is sent to the former primary from now on. */
     ordered(order: PromotionOrder, now: number): void {
         const { group, fence } = order;
@@ -102,6 +107,11 @@
         });
     }
 
+    /** The newest order of each group that is not unconfirmed. */
+    confirmedOrders(): readonly PromotionOrder[] {
+        return [...this.#orders.values()].filter(({ group }) => !this.#unconfirmed.has(group));
+    }
+
     /** Returns the confirmed orders among those that a control host has repeated. */
     confirmed(orders: readonly PromotionOrder[]): readonly PromotionOrder[] {
         return orders.filter(({ group, fence }) =>
--- a/packages/control/tests/primary-lease-simulation.ts
+++ b/packages/control/tests/primary-lease-simulation.ts
@@ -1,4 +1,4 @@
-import type { Host, PromotionOrder, RenewLease } from "@medlarledge/protocol";
+import type { Host, PromotionOrder } from "@medlarledge/protocol";
 import { uniformFloat64 } from "pure-rand/distribution/uniformFloat64";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { LeaseAuthority, PrimaryLease } from "../src/index.js";
@@ -9,6 +9,8 @@
 const LEASE = { leaseMs: 400, driftMarginMs: 20, renewMs: 100 };
 const STEP_DOWN_MS = 300;
 const MAX_DELAY_MS = 30;
+/** Share of the forwarded requests that reach no host with a link to the leader. */
+const FORWARDING_LOSS = 0.7;
 /** Clock rates differ by up to 2.4 %, so that two clocks drift apart by less than the margin during a lease. */
 const MAX_DRIFT = 0.024;
 
@@ -30,7 +32,9 @@
     lastArrival: number;
     /** Messages that arrived and are not handled yet. */
     readonly inbox: (() => void)[];
-    /** The endpoint of the newest order that the host has received. */
+    /** Fencing token of the newest order that the host has received. */
+    fence: number;
+    /** The endpoint of that order. */
     primary: string;
 }
 
@@ -197,6 +201,7 @@
             lastArrival: 0,
             inbox: [],
             primary: "a",
+            fence: 0,
         };
     }
 
@@ -225,12 +230,14 @@
         }
     }
 
-    #ordersReceived(host: SimulatedHost): void {
-        const orders = this.#log.slice(-1);
+    #ordersReceived(host: SimulatedHost, orders: readonly PromotionOrder[] = this.#log.slice(-1)): void {
         const known = host.lease.confirmed(orders);
         orders.forEach(order => {
             host.lease.ordered(order, this.#clockOf(host));
-            host.primary = order.endpoint;
+            if (order.fence > host.fence) {
+                host.fence = order.fence;
+                host.primary = order.endpoint;
+            }
         });
         this.#confirm(host, [...known, ...host.lease.takeConfirmations(this.#clockOf(host))]);
     }
@@ -244,37 +251,62 @@
     }
 
     #hostTick(host: SimulatedHost): void {
-        const leader = this.#leader;
         const renewal = host.lease.nextRenewal(this.#clockOf(host));
         this.#confirm(host, host.lease.takeConfirmations(this.#clockOf(host)));
-        if (renewal === undefined) {
-            return;
+        if (renewal !== undefined && host.isCut) {
+            this.#forwardRenewal(host, renewal.sequence);
+        }
+        else if (renewal !== undefined) {
+            const leader = this.#leader;
+            const { host: sender, lease } = host;
+            this.#toLeader(host, leader, () => {
+                const durationMs = this.#renew(sender, leader);
+                if (durationMs !== undefined) {
+                    this.#send(host, () => this.#granted(host, lease, renewal.sequence, durationMs));
+                }
+            });
         }
-        const message: RenewLease = {
-            kind: "renewLease",
-            ...renewal,
-            configurationNumber: 0,
-            configurationSince: 0,
-            viewVersion: 0,
-            draining: false,
-        };
-        this.#toLeader(host, leader, () => this.#renewed(host, leader, message));
     }
 
-    #renewed(host: SimulatedHost, leader: Leader, message: RenewLease): void {
-        const { lease } = host;
-        if (!this.#hasQuorum(leader)) {
+    /** A host without a link to the leader asks over one that has a link; the reply brings the orders known then. */
+    #forwardRenewal(host: SimulatedHost, sequence: number): void {
+        const leader = this.#leader;
+        const { host: sender, lease } = host;
+        const confirmed = lease.confirmedOrders();
+        const isLost = this.#random() < FORWARDING_LOSS;
+        if (isLost || this.#hosts.every(({ isCut }) => isCut)) {
             return;
         }
+        this.#after(this.#delay() + this.#delay(), () => {
+            leader.authority.connectedOver(sender, this.#now);
+            confirmed.forEach(({ group, fence }) => leader.authority.confirmed(sender.id, group, fence));
+            const durationMs = this.#renew(sender, leader);
+            const orders = this.#log.slice(-1);
+            this.#send(host, () => {
+                this.#ordersReceived(host, orders);
+                if (durationMs !== undefined) {
+                    this.#granted(host, lease, sequence, durationMs);
+                }
+            }, true);
+        });
+    }
+
+    #granted(host: SimulatedHost, lease: PrimaryLease, sequence: number, durationMs: number): void {
+        lease.granted({ kind: "leaseGranted", sequence, durationMs }, this.#clockOf(host));
+    }
+
+    /** Returns the duration of the granted lease. */
+    #renew(sender: Host, leader: Leader): number | undefined {
+        if (!this.#hasQuorum(leader) || leader.isDeposed) {
+            return undefined;
+        }
         const isRegistered = ({ id, incarnation }: Host): boolean =>
             this.#registered.get(id)?.incarnation === incarnation;
-        const decision = leader.authority.renew(host.host.id, message, isRegistered, this.#now);
-        if (decision.kind === "grant") {
-            this.#send(host, () => lease.granted(decision.grant, this.#clockOf(host)));
-        }
-        else if (decision.kind === "register" && leader === this.#leader && !leader.isIsolated) {
+        const decision = leader.authority.renew(sender, isRegistered, this.#now);
+        if (decision.kind === "register" && leader === this.#leader && !leader.isIsolated) {
             this.#registered.set(decision.host.id, decision.host);
         }
+        return decision.kind === "grant" ? decision.durationMs : undefined;
     }
 
     /** A caller's write to the endpoint that the host uses, which commits it even when it was deposed. */
--- a/packages/control/tests/primary-lease.test.ts
+++ b/packages/control/tests/primary-lease.test.ts
@@ -36,7 +36,7 @@
         ["hosts need no lease", { ignoresLeases: true }],
         ["the leader waits for no host", { waitsForNobody: true }],
     ])("when %s", (_, options) => {
-        const seeds = Array.from({ length: 1_000 }, (_, index) => FIRST_SEED + index);
+        const seeds = Array.from({ length: 3_000 }, (_, index) => FIRST_SEED + index);
         const isFound = seeds.some(seed => runSchedule({ seed, ...options }).violations.length > 0);
         expect(isFound).toBe(true);
     });
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -108,7 +108,8 @@
         primaryReport: (message, from) => this.#primaryReportReceived(message, from),
         leaderRequest: (message, from) => void this.#leaderRequestReceived(message, from),
         leaderReply: message => this.#client.handleReply(message),
-        renewLease: (message, from) => this.#announcer.renewed(from.id, message),
+        forwardedRenewal: (message, from) => this.#forwardedRenewal(message, from),
+        renewLease: (message, from) => this.#announcer.renewed(from, message),
         revoked: ({ database, term }, from) => this.#announcer.confirmed(from.id, database, term),
     };
 
@@ -260,6 +261,13 @@
         meter.gauge("configuration.number", this.#configuration?.number ?? 0);
     }
 
+    #forwardedRenewal({ host, sequence, confirmed }: MessageOf<"forwardedRenewal">, from: Host): void {
+        this.#announcer.renewedOver(host, sequence, confirmed, durationMs => {
+            const orders = this.#directory.orders();
+            this.#links.send(from.id, { kind: "forwardedGrant", to: host.id, sequence, durationMs, orders });
+        });
+    }
+
     #announceOrder(order: PromotionOrder): Promise<boolean> {
         if (!this.#options.primariesStepDown) {
             return this.#announcer.announce(order);
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -29,6 +29,12 @@
 /** Maximum wait of a new caller for the first configuration. Callers give up after two seconds. */
 const ACCEPT_TIMEOUT_MS = 1_500;
 
+/** Number of entry hosts over which a host without a link to the leader asks for a lease. */
+const FORWARDING_HOSTS = 3;
+
+/** Limit for opening a link to such a host; it takes a few ms. */
+const FORWARDING_LINK_TIMEOUT_MS = 150;
+
 /** Causes that are logged when callers' connections are closed. */
 const STOPPING = "this host stops";
 const ISOLATED = "this host is isolated from the other data centres";
@@ -83,6 +89,8 @@
     readonly #handlers: Handlers = {
         endpointRecords: message => this.#recordsReceived(message.records),
         primaryOrders: message => this.#ordersReceived(message.orders),
+        forwardedRenewal: message => void this.#sendToLeader(message),
+        forwardedGrant: message => this.#forwardedGrant(message),
         leaseGranted: message => this.#lease?.granted(message),
         hostList: message => this.#hostsReceived(message),
         configurationOffer: (message, from) => this.#offeredBy(from, message.number),
@@ -109,7 +117,12 @@
         const { self, clock, log, connector, random, meter } = options;
         this.#lease = options.primariesStepDown
             ? undefined
-            : new LeaseHolder(clock, message => this.#sendToLeader(message));
+            : new LeaseHolder({
+                self,
+                clock,
+                sendToLeader: message => this.#sendToLeader(message),
+                sendToOthers: message => this.#sendToOthers(message),
+            });
         this.#mesh = new PeerMesh({
             self,
             identity: undefined,
@@ -139,10 +152,12 @@
     }
 
     /**
-     * True while the host accepts callers: a configuration is in force, and the host is neither stopping nor isolated.
+     * True while the host accepts callers: a configuration is in force, the host is neither stopping nor isolated, and
+     * it may use primaries.
      */
     get isReady(): boolean {
-        return !this.#isStopping && !this.#contacts.isIsolated && this.#gateway.routing.number > 0;
+        return !this.#isStopping && !this.#contacts.isIsolated && this.#lease?.isLapsed !== true
+            && this.#gateway.routing.number > 0;
     }
 
     /** Number of connected callers. */
@@ -331,10 +346,30 @@
         this.#links.keep(known.length === 0 ? this.#seeds : [...ordered].slice(0, CONTROL_LINKS));
     }
 
-    #sendToLeader(message: Message): void {
-        if (this.#leader !== undefined) {
-            this.#links.send(this.#leader, message);
+    #sendToLeader(message: Message): boolean {
+        return this.#leader !== undefined && this.#links.send(this.#leader, message);
+    }
+
+    /** Sends a message to some random entry hosts; opens a link to one if there is none. */
+    #sendToOthers(message: Message): void {
+        const { random, self } = this.#options;
+        const linked = this.#links.connected().filter(host => !host.control);
+        const start = Math.floor(random() * linked.length);
+        this.#links.sendAll([...linked.slice(start), ...linked.slice(0, start)].slice(0, FORWARDING_HOSTS), message);
+        const others = this.#plans.entries.filter(({ id }) => id !== self.id);
+        const other = others[Math.floor(random() * others.length)];
+        if (linked.length < FORWARDING_HOSTS && other !== undefined) {
+            void this.#links.open(other.id, FORWARDING_LINK_TIMEOUT_MS);
+        }
+    }
+
+    #forwardedGrant(message: MessageOf<"forwardedGrant">): void {
+        if (message.to !== this.#options.self.id) {
+            this.#links.send(message.to, message);
+            return;
         }
+        this.#ordersReceived(message.orders);
+        this.#lease?.forwardedGrant(message);
     }
 
     #connectedControl(): readonly Host[] {
--- a/packages/fleet/src/lease-holder.ts
+++ b/packages/fleet/src/lease-holder.ts
@@ -1,21 +1,40 @@
 import { PrimaryLease } from "@medlarledge/control";
 import { ElapsedClock, type PrimaryPermits } from "@medlarledge/gateway";
-import type { LeaseGranted, Message, PromotionOrder } from "@medlarledge/protocol";
+import type { ForwardedGrant, Host, LeaseGranted, Message, PromotionOrder } from "@medlarledge/protocol";
 import type { Clock } from "@medlarledge/runtime";
 import { HOST_LEASE } from "./lease-timing.js";
 
+/** A new leader of the control group grants leases within this time after those of its predecessor have ended. */
+const LAPSED_AFTER_MS = 500;
+
 /** Fields of a renewal for hosts that receive views; these hosts receive promotion orders instead. */
 const UNUSED_RENEWAL_FIELDS = { configurationNumber: 0, configurationSince: 0, viewVersion: 0, draining: false };
 
+export interface LeaseHolderOptions {
+    readonly self: Host;
+    readonly clock: Clock;
+    /** Returns false when there is no link to the leader. */
+    readonly sendToLeader: (message: Message) => boolean;
+    /** Sends a message to other entry hosts, which send it on to the leader. */
+    readonly sendToOthers: (message: Message) => void;
+}
+
 /** Holds an entry host's lease: renews it, confirms promotion orders, and answers what the lease permits. */
 export class LeaseHolder implements PrimaryPermits {
+    readonly #options: LeaseHolderOptions;
     readonly #elapsed: ElapsedClock;
-    readonly #sendToLeader: (message: Message) => void;
     readonly #lease = new PrimaryLease(HOST_LEASE);
+    readonly #startedAt: number;
 
-    constructor(clock: Clock, sendToLeader: (message: Message) => void) {
-        this.#elapsed = new ElapsedClock(clock);
-        this.#sendToLeader = sendToLeader;
+    constructor(options: LeaseHolderOptions) {
+        this.#options = options;
+        this.#elapsed = new ElapsedClock(options.clock);
+        this.#startedAt = this.#elapsed.now();
+    }
+
+    /** True when this host has had no lease for so long that its callers are served better by other hosts. */
+    get isLapsed(): boolean {
+        return this.#lease.lapsedMs(this.#startedAt, this.#elapsed.now()) >= LAPSED_AFTER_MS;
     }
 
     /** Renews the lease and confirms orders that are due; to be called about every 50 ms. */
@@ -23,7 +42,7 @@
         const now = this.#elapsed.now();
         const renewal = this.#lease.nextRenewal(now);
         if (renewal !== undefined) {
-            this.#sendToLeader({ kind: "renewLease", ...UNUSED_RENEWAL_FIELDS, ...renewal });
+            this.#renew(renewal.sequence);
         }
         this.#confirm(this.#lease.takeConfirmations(now));
     }
@@ -38,6 +57,13 @@
         this.#lease.granted(grant, this.#elapsed.now());
     }
 
+    /** Applies the reply to a renewal that another entry host forwarded. */
+    forwardedGrant({ sequence, durationMs }: ForwardedGrant): void {
+        if (durationMs !== undefined) {
+            this.granted({ kind: "leaseGranted", sequence, durationMs });
+        }
+    }
+
     /** Applies promotion orders. Confirms them once no answers of former primaries are outstanding. */
     ordered(orders: readonly PromotionOrder[]): void {
         const now = this.#elapsed.now();
@@ -75,7 +101,15 @@
 
     #confirm(orders: readonly PromotionOrder[]): void {
         for (const { group, fence } of orders) {
-            this.#sendToLeader({ kind: "revoked", database: group, term: fence });
+            this.#options.sendToLeader({ kind: "revoked", database: group, term: fence });
+        }
+    }
+
+    /** Asks the leader for a lease, over other entry hosts if there is no link to it. */
+    #renew(sequence: number): void {
+        const { self: host, sendToLeader, sendToOthers } = this.#options;
+        if (!sendToLeader({ kind: "renewLease", ...UNUSED_RENEWAL_FIELDS, sequence })) {
+            sendToOthers({ kind: "forwardedRenewal", host, sequence, confirmed: this.#lease.confirmedOrders() });
         }
     }
 }
--- a/packages/fleet/src/promotion-announcer.ts
+++ b/packages/fleet/src/promotion-announcer.ts
@@ -1,4 +1,4 @@
-import { LeaseAuthority } from "@medlarledge/control";
+import { type HostProcess, LeaseAuthority } from "@medlarledge/control";
 import type { Host, Message, PromotionOrder, RenewLease } from "@medlarledge/protocol";
 import type { Clock } from "@medlarledge/runtime";
 import type { GroupMember } from "./group-member.js";
@@ -99,19 +99,44 @@
     }
 
     /** Answers a host's request to renew its lease. */
-    renewed(from: string, renewal: RenewLease): void {
-        const { member, clock, send } = this.#options;
+    renewed(from: Host, { sequence }: RenewLease): void {
+        this.#renew(from, sequence, durationMs => {
+            if (durationMs !== undefined) {
+                this.#options.send(from.id, { kind: "leaseGranted", sequence, durationMs });
+            }
+        });
+    }
+
+    /**
+     * Answers a request that came over another entry host.
+     * @param reply sends the orders known now, and the duration of the lease in ms if one is granted
+     */
+    renewedOver(
+        host: Host,
+        sequence: number,
+        confirmed: readonly PromotionOrder[],
+        reply: (durationMs: number | undefined) => void,
+    ): void {
+        this.#authority?.connectedOver(host, this.#options.clock.now());
+        for (const { group, fence } of confirmed) {
+            this.#authority?.confirmed(host.id, group, fence);
+        }
+        this.#renew(host, sequence, reply);
+    }
+
+    #renew(process: HostProcess, sequence: number, reply: (durationMs: number | undefined) => void): void {
+        const { member, clock } = this.#options;
         if (this.#authority === undefined || !member.hasQuorum) {
             return;
         }
         const registered = new Map(member.registeredHosts.map(host => [host.id, host.incarnation]));
         const isRegistered = (host: Host): boolean => registered.get(host.id) === host.incarnation;
-        const decision = this.#authority.renew(from, renewal, isRegistered, clock.now());
-        if (decision.kind === "grant") {
-            send(from, decision.grant);
+        const decision = this.#authority.renew(process, isRegistered, clock.now());
+        if (decision.kind === "register") {
+            void this.#register(decision.host, () => this.#renew(process, sequence, reply));
         }
-        else if (decision.kind === "register") {
-            void this.#register(decision.host, renewal);
+        else {
+            reply(decision.kind === "grant" ? decision.durationMs : undefined);
         }
     }
 
@@ -141,15 +166,15 @@
         return this.#authority?.holders(group, this.#options.clock.now()) ?? [];
     }
 
-    /** Registers a host and then answers its renewal, so that it does not wait for the next one. */
-    async #register(host: Host, renewal: RenewLease): Promise<void> {
+    /** Registers a host and then calls `registered`, so that the host does not wait for its next renewal. */
+    async #register(host: Host, registered: () => void): Promise<void> {
         const key = `${host.id} ${host.incarnation}`;
         if (!this.#registering.has(key)) {
             this.#registering.add(key);
             const isRegistered = await this.#options.member.submit({ kind: "registerHost", host });
             this.#registering.delete(key);
             if (isRegistered) {
-                this.renewed(host.id, renewal);
+                registered();
             }
         }
     }
--- a/packages/protocol/src/fleet-message.ts
+++ b/packages/protocol/src/fleet-message.ts
@@ -1,5 +1,5 @@
 import type { EndpointRecord, PromotionOrder } from "./endpoint-record.js";
-import type { HostPlacement } from "./host.js";
+import type { Host, HostPlacement } from "./host.js";
 import type { Term } from "./position.js";
 
 /** Control host to control and entry hosts: forwards announcements of endpoints. */
@@ -54,6 +54,28 @@
     readonly endpoint: string;
 }
 
+/** Entry host without a link to the leader, over another entry host, to the leader: asks for a lease. */
+export interface ForwardedRenewal {
+    readonly kind: "forwardedRenewal";
+    /** The host that asks. */
+    readonly host: Host;
+    readonly sequence: number;
+    /** The newest promotion orders that the host has confirmed. */
+    readonly confirmed: readonly PromotionOrder[];
+}
+
+/** Leader, over the forwarding entry host, to the host that asked. */
+export interface ForwardedGrant {
+    readonly kind: "forwardedGrant";
+    /** Id of the host that asked. */
+    readonly to: string;
+    readonly sequence: number;
+    /** Duration of the lease in ms; undefined when none is granted. */
+    readonly durationMs: number | undefined;
+    /** The newest order of each group. They apply before the lease, since messages may come over several hosts. */
+    readonly orders: readonly PromotionOrder[];
+}
+
 /** Messages between the hosts that serve groups whose endpoints prove their own role as the primary. */
 export type FleetMessage =
     | EndpointRecords
@@ -62,4 +84,6 @@
     | ConfigurationOffer
     | ConfigurationRequest
     | PrimaryReport
-    | PrimaryCheck;
+    | PrimaryCheck
+    | ForwardedRenewal
+    | ForwardedGrant;
--- a/packages/protocol/src/message-table.ts
+++ b/packages/protocol/src/message-table.ts
@@ -44,6 +44,8 @@
     relayOrder: 28,
     relayResult: 29,
     relayEnd: 30,
+    forwardedRenewal: 31,
+    forwardedGrant: 32,
 } as const satisfies Record<MessageKind, number>;
 
 const KINDS_BY_ID: ReadonlyMap<number, MessageKind> = new Map(
