Close idle sessions on a host whose lease has lapsed

Cause: long sessions stayed with hosts that could not serve them. Change: once the platform has noticed that the host is not ready, its idle sessions are closed, as on an isolated host.

--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -37,6 +37,7 @@
 
 /** Causes that are logged when callers' connections are closed. */
 const STOPPING = "this host stops";
+const LAPSED = "this host has no lease to use primaries";
 const ISOLATED = "this host is isolated from the other data centres";
 
 export interface EntryHostOptions {
@@ -244,7 +245,7 @@
                 this.#links.sendAll(this.#connectedControl(), report);
             }
         }
-        this.#closeSessionsWhenIsolated(now);
+        this.#closeSessionsWhenNotReady(now);
         if (
             this.#offeredNumber > this.#gateway.routing.number
             && now - this.#configurationRequestedAt >= CONFIGURATION_RETRY_MS
@@ -255,13 +256,13 @@
         }
     }
 
-    #closeSessionsWhenIsolated(now: number): void {
+    #closeSessionsWhenNotReady(now: number): void {
         this.#contacts.update(now);
-        // Until the platform has noticed the isolation, reconnecting callers would return to this host or to others in
-        // its data centre.
-        const hasPlatformNoticed = this.#contacts.isolatedMs(now) >= LEAVE_ROTATION_MS;
+        // Until the platform has noticed that this host is not ready, reconnecting callers would return to it.
+        const isIsolated = this.#contacts.isolatedMs(now) >= LEAVE_ROTATION_MS;
+        const isLapsed = (this.#lease?.lapsedMs ?? 0) >= LEAVE_ROTATION_MS;
         this.#gateway.closeIdleSessions(
-            this.#isClosingIdleSessions ? STOPPING : hasPlatformNoticed ? ISOLATED : undefined,
+            this.#isClosingIdleSessions ? STOPPING : isIsolated ? ISOLATED : isLapsed ? LAPSED : undefined,
         );
     }
 
--- a/packages/fleet/src/lease-holder.ts
+++ b/packages/fleet/src/lease-holder.ts
@@ -34,7 +34,12 @@
 
     /** True when this host has had no lease for so long that its callers are served better by other hosts. */
     get isLapsed(): boolean {
-        return this.#lease.lapsedMs(this.#startedAt, this.#elapsed.now()) >= LAPSED_AFTER_MS;
+        return this.lapsedMs > 0;
+    }
+
+    /** Time since this host counts as having no lease, in ms; 0 while it does not. */
+    get lapsedMs(): number {
+        return Math.max(0, this.#lease.lapsedMs(this.#startedAt, this.#elapsed.now()) - LAPSED_AFTER_MS);
     }
 
     /** Renews the lease and confirms orders that are due; to be called about every 50 ms. */
