Check relays without building a list

Cause: each host checks every 50 ms for each of 14 groups whether it reaches the endpoints, and built a list of about ten hosts with a key each for it. Change: the check stops at the first host that may relay, and builds no key while no host has refused an order.

--- a/packages/gateway/src/relay-client.ts
+++ b/packages/gateway/src/relay-client.ts
@@ -72,7 +72,10 @@
 
     /** Returns true when some other host may be able to run orders for the endpoint. */
     canReach(group: string, endpoint: string): boolean {
-        return this.#candidates(group, endpoint).length > 0;
+        const now = this.#options.clock.now();
+        const hosts = this.#options.hosts(group, endpoint);
+        this.#retryLinks(hosts, now);
+        return hosts.some(host => this.#mayRelay(host, endpoint, now));
     }
 
     /** Runs an order on the first host that can. */
@@ -212,14 +215,19 @@
         const now = this.#options.clock.now();
         const hosts = this.#options.hosts(group, endpoint);
         this.#retryLinks(hosts, now);
-        const usable = hosts.filter(host =>
-            now >= (this.#retryAt.get(keyOf(host, endpoint)) ?? -Infinity)
-            && !this.#linkFailedAt.has(host)
-        );
+        const usable = hosts.filter(host => this.#mayRelay(host, endpoint, now));
         const quietHosts = usable.filter(host => this.#isQuiet(host, now));
         return quietHosts.length === 0 ? usable : [...usable.filter(host => !quietHosts.includes(host)), ...quietHosts];
     }
 
+    #mayRelay(host: string, endpoint: string, now: number): boolean {
+        if (this.#linkFailedAt.has(host)) {
+            return false;
+        }
+        // Without any refusal the key is not built: this runs for every host and endpoint at each check.
+        return this.#retryAt.size === 0 || now >= (this.#retryAt.get(keyOf(host, endpoint)) ?? -Infinity);
+    }
+
     #isQuiet(host: string, now: number): boolean {
         return now - (this.#unansweredSince.get(host) ?? Infinity) >= QUIET_MS;
     }
