Log lost and regained leases; move the schedule of host lists into its own module

Cause: an engineer on call could not see why a host answers its readiness probe with 503, and ControlHost held the state of sending lists.

--- a/packages/control/src/primary-lease.ts
+++ b/packages/control/src/primary-lease.ts
@@ -112,8 +112,8 @@
         return [...this.#orders.values()].filter(({ group }) => !this.#unconfirmed.has(group));
     }
 
-    /** Returns the confirmed orders among those that a control host has repeated. */
-    confirmed(orders: readonly PromotionOrder[]): readonly PromotionOrder[] {
+    /** Returns those of the given orders that this host has confirmed before; a control host may repeat them. */
+    selectConfirmed(orders: readonly PromotionOrder[]): readonly PromotionOrder[] {
         return orders.filter(({ group, fence }) =>
             !this.#unconfirmed.has(group) && (this.#orders.get(group)?.fence ?? -1) >= fence
         );
--- a/packages/control/tests/primary-lease-simulation.ts
+++ b/packages/control/tests/primary-lease-simulation.ts
@@ -231,7 +231,7 @@
     }
 
     #ordersReceived(host: SimulatedHost, orders: readonly PromotionOrder[] = this.#log.slice(-1)): void {
-        const known = host.lease.confirmed(orders);
+        const known = host.lease.selectConfirmed(orders);
         orders.forEach(order => {
             host.lease.ordered(order, this.#clockOf(host));
             if (order.fence > host.fence) {
--- a/packages/explain/src/subject.ts
+++ b/packages/explain/src/subject.ts
@@ -44,6 +44,7 @@
     "hostStopping",
     "hostStopped",
     "isolationChanged",
+    "leaseChanged",
     "peerDisconnected",
     "linesDropped",
     "settingsChanged",
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -18,6 +18,7 @@
 import { LoopDelay } from "./gauges.js";
 import { type ConfigurationReadResult, GroupMember } from "./group-member.js";
 import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
+import { HostListSchedule } from "./host-list-schedule.js";
 import type { ConfigurationReader, ControlService, PromotionAuthority } from "./ports.js";
 import { PromotionAnnouncer } from "./promotion-announcer.js";
 import { PromotionManager } from "./promotion-manager.js";
@@ -37,12 +38,6 @@
  */
 const ENTRY_RETENTION_MS = 10_000;
 
-/**
- * Minimum interval between two lists that differ in their entry hosts only. Hosts that join together are announced
- * together, since each list goes to all hosts, which then divide the connections anew.
- */
-const MIN_HOST_LIST_INTERVAL_MS = 500;
-
 export interface ControlHostOptions {
     readonly self: Host;
     /** Where to listen for other hosts when it is not the address of `self`. */
@@ -86,6 +81,7 @@
     readonly #directory = new EndpointDirectory();
     readonly #promotionManager: PromotionManager;
     readonly #announcer: PromotionAnnouncer;
+    readonly #hostListSchedule = new HostListSchedule();
     readonly #loopDelay: LoopDelay;
     readonly #client: LeaderClient;
     readonly #savedStateFile: SavedStateFile;
@@ -95,9 +91,6 @@
     #seeds: readonly string[];
     #timer: NodeJS.Timeout | undefined;
     #joinRequestedAt = Number.NEGATIVE_INFINITY;
-    #lastSentControl = "";
-    #lastSentEntries: string | undefined;
-    #hostListSentAt = Number.NEGATIVE_INFINITY;
 
     readonly #handlers: Handlers = {
         agreement: message => this.#member.receive(message),
@@ -444,18 +437,10 @@
         return placements.sort((left, right) => left.id < right.id ? -1 : 1);
     }
 
-    /** Sends the list of hosts to all linked hosts if it has changed; at once if the control hosts have. */
+    /** Sends the list of hosts to all linked hosts if it has changed. */
     #sendHostList(now: number): void {
         const list = this.#hostList();
-        const { entries, ...control } = list;
-        const controlText = JSON.stringify(control);
-        const text = JSON.stringify(entries);
-        const isDue = controlText !== this.#lastSentControl
-            || (text !== this.#lastSentEntries && now - this.#hostListSentAt >= MIN_HOST_LIST_INTERVAL_MS);
-        if (isDue) {
-            this.#lastSentControl = controlText;
-            this.#lastSentEntries = text;
-            this.#hostListSentAt = now;
+        if (this.#hostListSchedule.isDue(list, now)) {
             this.#links.sendAll(this.#links.connected(), list);
         }
     }
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -81,6 +81,8 @@
     #offeredNumber = 0;
     #timer: NodeJS.Timeout | undefined;
     #isStopping = false;
+    /** Whether the lease had lapsed at the last check. */
+    #wasLapsed = false;
     /** True once the platform has had the time to redirect new callers and idle sessions are being closed. */
     #isClosingIdleSessions = false;
     #setConfigured: () => void = () => undefined;
@@ -236,6 +238,7 @@
         const now = this.#options.clock.now();
         this.#loopDelay.tick(now);
         this.#lease?.tick();
+        this.#logLease();
         this.#gateway.check();
         this.#links.closeIdle(id => this.#gateway.isRelayingWith(id), now);
         for (const [name, group] of this.#gateway.groups) {
@@ -347,6 +350,14 @@
         this.#links.keep(known.length === 0 ? this.#seeds : [...ordered].slice(0, CONTROL_LINKS));
     }
 
+    #logLease(): void {
+        const isLapsed = this.#lease?.isLapsed === true;
+        if (isLapsed !== this.#wasLapsed) {
+            this.#wasLapsed = isLapsed;
+            this.#options.log.event("leaseChanged", { isLapsed, leader: this.#leader });
+        }
+    }
+
     #sendToLeader(message: Message): boolean {
         return this.#leader !== undefined && this.#links.send(this.#leader, message);
     }
--- a/packages/fleet/src/lease-holder.ts
+++ b/packages/fleet/src/lease-holder.ts
@@ -72,7 +72,7 @@
     /** Applies promotion orders. Confirms them once no answers of former primaries are outstanding. */
     ordered(orders: readonly PromotionOrder[]): void {
         const now = this.#elapsed.now();
-        const known = this.#lease.confirmed(orders);
+        const known = this.#lease.selectConfirmed(orders);
         for (const order of orders) {
             this.#lease.ordered(order, now);
         }
--- a/packages/fleet/src/promotion-announcer.ts
+++ b/packages/fleet/src/promotion-announcer.ts
@@ -29,7 +29,7 @@
     /** Whether no host passes on answers of the former primary any more and this host still leads. */
     readonly isConfirmed: boolean;
     /** Hosts that were waited for last. */
-    readonly lastHolders: readonly string[];
+    readonly waitedFor: readonly string[];
     readonly waitedMs: number;
 }
 
@@ -150,15 +150,15 @@
         }
         const isCurrent = (): boolean =>
             member.hasQuorum && member.term === term && newestOrder(order.group)?.fence === order.fence;
-        let lastHolders: readonly string[] = [];
+        let waitedFor: readonly string[] = [];
         let holders = this.#holders(order.group);
         while (holders.length > 0 && isCurrent() && clock.now() - startedAt < CONFIRM_TIMEOUT_MS) {
-            lastHolders = holders;
+            waitedFor = holders;
             await new Promise(resolve => setTimeout(resolve, CHECK_INTERVAL_MS));
             holders = this.#holders(order.group);
         }
         const isConfirmed = holders.length === 0 && isCurrent();
-        this.#options.ended({ order, isConfirmed, lastHolders, waitedMs: clock.now() - startedAt });
+        this.#options.ended({ order, isConfirmed, waitedFor, waitedMs: clock.now() - startedAt });
         return isConfirmed;
     }
 
--- a/packages/protocol/tests/codec.test.ts
+++ b/packages/protocol/tests/codec.test.ts
@@ -72,9 +72,9 @@
         const routes = Array.from({ length: 1_400 }, (_, index) => ({
             name: `r-${(index * 7_919).toString(36)}`,
             host: `host${(index * 104_729).toString(36)}`,
-            timeout_ms: 800,
-            service: `s${index % 14}`,
-            max_staleness_ms: 2_500,
+            timeoutMs: 800,
+            group: `s${index % 14}`,
+            maxStalenessMs: 2_500,
         }));
         const files = [{ name: "configuration", text: JSON.stringify({ version: 7, routes }) }];
         const change = { number: 7, digest: "d", operator: "o", files };
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -38,6 +38,10 @@
     primarySeen: { level: "info", meaning: "An endpoint answered as the leader of a term, which is news." },
     primaryDenied: { level: "info", meaning: "The endpoint taken for the primary answered that it does not lead." },
     isolationChanged: { level: "warn", meaning: "This host is cut off from other data centres, or no longer is." },
+    leaseChanged: {
+        level: "warn",
+        meaning: "This host has had no lease to use primaries for 0.5 s and is not ready, or has one again.",
+    },
     hostsChanged: { level: "info", meaning: "The list of hosts changed, and with it the shares of connections." },
     primaryOrdered: { level: "info", meaning: "News of an order that makes an endpoint the primary." },
     promotionChoosing: { level: "warn", meaning: "A primary is to be replaced; the other endpoints are asked." },
