--- a/scripts/check.mjs
+++ b/scripts/check.mjs
@@ -8,7 +8,7 @@
 const reportFile = join(reportFolder, "tests.json");
 const steps = [
     ["install", "npm", ["ci", "--prefer-offline"]],
-    ["format", "npx", ["--no-install", "dprint", "check"]],
+    ["format", process.execPath, ["scripts/format.mjs", "--check"]],
     ["lint", "npx", ["--no-install", "eslint", "--max-warnings", "0", "."]],
     ["types", "npx", ["--no-install", "tsc", "--noEmit"]],
     ["tests", "npx", [
