Identify callers by their customers' keys

Callers now carry their key, routes say whether they are public, configurations hold customers, and statement orders and connections name a customer. Connections are still opened for the proxy itself; pools by customer follow.

--- /dev/null
+++ b/packages/customers/src/index.ts
@@ -0,0 +1,8 @@
+export {
+    CustomerDirectory,
+    type CustomerKeys,
+    digestKey,
+    findSharedKeys,
+    type KeyDigest,
+} from "./customer-directory.js";
+export type { Customer, OperationLimit } from "./customer.js";
--- a/packages/fleet/src/endpoint-probe.ts
+++ b/packages/fleet/src/endpoint-probe.ts
@@ -7,7 +7,7 @@
     { id, group, host, port }: EndpointRecord,
     timeoutMs: number,
 ): Promise<EndpointStatus | undefined> {
-    const connected = await connector.connect({ id, group, host, port }, timeoutMs);
+    const connected = await connector.connect({ id, group, host, port }, undefined, timeoutMs);
     if (!connected.ok) {
         return undefined;
     }
--- a/packages/fleet/tests/connection-handover.test.ts
+++ b/packages/fleet/tests/connection-handover.test.ts
@@ -13,6 +13,7 @@
     number: 1,
     routes: new Map(),
     groups: new Map([["orders", { connections: LIMIT }]]),
+    customers: undefined,
     transactionIdleMs: 3_000,
 };
 
--- a/packages/fleet/tests/connection-share.test.ts
+++ b/packages/fleet/tests/connection-share.test.ts
@@ -96,6 +96,7 @@
         number: 1,
         routes: new Map(),
         groups: new Map([["orders", { connections: 26 }]]),
+        customers: undefined,
         transactionIdleMs: 3_000,
     };
     expect(plans.share(endpoint("e", "d1"), routing, 1_100)).toBe(4);
--- a/packages/gateway/src/caller-session.ts
+++ b/packages/gateway/src/caller-session.ts
@@ -13,6 +13,7 @@
     type TransactionState,
     TransactionStates,
 } from "@medlarledge/statements";
+import { type CallerIdentity, customerNameOf, type Identification } from "./caller-identity.js";
 import type { GatewayListener } from "./gateway-event.js";
 import type { Group } from "./group.js";
 import { NOT_RUN_CODES } from "./not-run-codes.js";
@@ -24,6 +25,9 @@
 /** Cause that is logged when an idle transaction is rolled back. */
 const IDLE_CAUSE = "its caller was idle for too long";
 
+/** Text of the answer to a request whose key is not in the configuration in force. */
+const NOT_AUTHORIZED = "the key is unknown or revoked";
+
 /** A caller's transaction. It begins on an endpoint with its first statement. */
 interface Transaction {
     /** Identifies the transaction among those of all processes. */
@@ -31,6 +35,8 @@
     readonly readOnly: boolean;
     /** Route at the begin; the transaction stays on it when the configuration changes. */
     readonly route: Route;
+    /** Name of the customer in whose name it runs; undefined for an anonymous caller. */
+    readonly customer: string | undefined;
     readonly group: Group;
     /** Endpoint on which it runs; undefined before its first statement. */
     endpoint: string | undefined;
@@ -43,6 +49,7 @@
 
 export interface SessionOptions {
     readonly caller: Caller;
+    readonly identity: CallerIdentity;
     readonly clock: Clock;
     readonly server: StatementRouter;
     readonly routing: () => Routing;
@@ -184,10 +191,15 @@
             if (route === undefined) {
                 return errorAnswer(ErrorCode.UnknownDatabase, this.#options.caller.database, TransactionStates.Idle);
             }
+            const identification = this.#identify(route);
+            if (identification.kind === "notAuthorized") {
+                return this.#fail(ErrorCode.NotAuthorized, NOT_AUTHORIZED);
+            }
             this.#transaction = {
                 key: this.#options.transactionKey(),
                 readOnly,
                 route,
+                customer: customerNameOf(identification),
                 group: this.#options.group(route.group),
                 endpoint: undefined,
                 wrote: false,
@@ -212,10 +224,15 @@
         if (route === undefined) {
             return errorAnswer(ErrorCode.UnknownDatabase, this.#options.caller.database, TransactionStates.Idle);
         }
+        const identification = this.#identify(route);
+        if (identification.kind === "notAuthorized") {
+            return this.#fail(ErrorCode.NotAuthorized, NOT_AUTHORIZED);
+        }
         const group = transaction?.group ?? this.#options.group(route.group);
         const served = await this.#options.server.serve({
             requestId: request.id,
             route,
+            customer: transaction === undefined ? customerNameOf(identification) : transaction.customer,
             statement: ordered,
             values: this.#sessionState.values,
             floor: this.#floor,
@@ -269,7 +286,7 @@
     }
 
     #order(request: CallerRequest, transaction: Transaction, statement: StatementOrder["statement"]): StatementOrder {
-        const { route, key, endpoint } = transaction;
+        const { route, customer, key, endpoint } = transaction;
         return {
             group: route.group,
             endpoint: endpoint ?? "",
@@ -278,6 +295,7 @@
             opening: { kind: "continued" },
             transaction: key,
             values: this.#sessionState.values,
+            customer,
             priority: route.priority,
             patienceMs: route.timeoutMs,
             timeoutMs: route.timeoutMs,
@@ -327,6 +345,7 @@
         const served = await this.#options.server.serve({
             requestId: request.id,
             route,
+            customer: transaction.customer,
             statement: { kind: "commit", wrote: false },
             values: this.#sessionState.values,
             floor: this.#floor,
@@ -361,6 +380,10 @@
         return answer;
     }
 
+    #identify(route: Route): Identification {
+        return this.#options.identity.identify(route, this.#options.routing());
+    }
+
     #fail(code: ErrorCode, text: string): Answer {
         const transaction = this.#transaction;
         if (transaction === undefined) {
--- a/packages/gateway/src/connection-pool.ts
+++ b/packages/gateway/src/connection-pool.ts
@@ -283,7 +283,7 @@
         const { connector, address, clock, events } = this.#options;
         this.#openingCount += 1;
         const startedAt = clock.now();
-        const connected = await connector.connect(address, CONNECT_TIMEOUT_MS);
+        const connected = await connector.connect(address, undefined, CONNECT_TIMEOUT_MS);
         this.#openingCount -= 1;
         if (!connected.ok) {
             this.#connectNotBefore = clock.now() + RECONNECT_DELAY_MS;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,6 +2,7 @@
 import { PromotionTimes } from "@medlarledge/routing";
 import type { Clock } from "@medlarledge/runtime";
 import type { Acceptance, Caller, EndpointConnector } from "@medlarledge/statements";
+import { CallerIdentity } from "./caller-identity.js";
 import { CallerSession } from "./caller-session.js";
 import { ElapsedClock } from "./elapsed-clock.js";
 import type { GatewayListener } from "./gateway-event.js";
@@ -28,7 +29,13 @@
 }
 
 /** Routing before the first configuration arrives. */
-const EMPTY_ROUTING: Routing = { number: 0, routes: new Map(), groups: new Map(), transactionIdleMs: 3_000 };
+const EMPTY_ROUTING: Routing = {
+    number: 0,
+    routes: new Map(),
+    groups: new Map(),
+    customers: undefined,
+    transactionIdleMs: 3_000,
+};
 
 /** Serves the callers of one process over its connections to endpoints and those of other entry hosts. */
 export class Gateway {
@@ -135,11 +142,17 @@
         if (this.#routing === EMPTY_ROUTING) {
             return { kind: "unavailable" };
         }
-        if (!this.#routing.routes.has(caller.database)) {
+        const route = this.#routing.routes.get(caller.database);
+        if (route === undefined) {
             return { kind: "unknownDatabase" };
         }
+        const identity = new CallerIdentity(caller.key);
+        if (identity.identify(route, this.#routing).kind === "notAuthorized") {
+            return { kind: "notAuthorized" };
+        }
         const session = new CallerSession({
             caller,
+            identity,
             clock: this.#options.clock,
             server: this.#statementRouter,
             routing: () => this.#routing,
--- a/packages/gateway/src/route.ts
+++ b/packages/gateway/src/route.ts
@@ -1,3 +1,5 @@
+import type { CustomerDirectory } from "@medlarledge/customers";
+
 /** Consistency of a route's reads: the commits that they are guaranteed to include. */
 export const Consistency = {
     /** Every commit that was acknowledged before. */
@@ -22,6 +24,8 @@
     readonly targetMs: number | undefined;
     /** 0 is the most urgent. */
     readonly priority: number;
+    /** Whether requests need no key, where the deployment has customers. */
+    readonly isPublic: boolean;
 }
 
 export interface GroupSettings {
@@ -34,6 +38,8 @@
     readonly number: number;
     readonly routes: ReadonlyMap<string, Route>;
     readonly groups: ReadonlyMap<string, GroupSettings>;
+    /** The customers and their keys; undefined in a deployment without customers. */
+    readonly customers: CustomerDirectory | undefined;
     /** A transaction that is idle for longer may be rolled back, in ms. */
     readonly transactionIdleMs: number;
 }
--- a/packages/gateway/src/statement-router.ts
+++ b/packages/gateway/src/statement-router.ts
@@ -39,6 +39,8 @@
 export interface ServeRequest {
     readonly requestId: string;
     readonly route: Route;
+    /** Name of the customer in whose name it runs; undefined for an anonymous caller. */
+    readonly customer: string | undefined;
     readonly statement: OrderedStatement;
     readonly values: StatementOrder["values"];
     /** Position of the session's last commit. */
@@ -191,7 +193,7 @@
     }
 
     #order(request: ServeRequest, { endpoint, opening, transaction }: Attempt, giveUpAt: number): StatementOrder {
-        const { route, requestId, statement, values, arrivedAt } = request;
+        const { route, customer, requestId, statement, values, arrivedAt } = request;
         const now = this.#clock.now();
         return {
             group: route.group,
@@ -201,6 +203,7 @@
             opening,
             transaction,
             values,
+            customer,
             priority: route.priority,
             patienceMs: Math.max(1, giveUpAt - now),
             timeoutMs: Math.max(1, arrivedAt + route.timeoutMs - now),
--- a/packages/gateway/tests/fake-endpoints.ts
+++ b/packages/gateway/tests/fake-endpoints.ts
@@ -107,7 +107,7 @@
         return position;
     }
 
-    connect(address: EndpointAddress, timeoutMs: number): Promise<ConnectResult> {
+    connect(address: EndpointAddress, _: string | undefined, timeoutMs: number): Promise<ConnectResult> {
         this.connects += 1;
         const endpoint = this.get(address.id);
         return new Promise(resolve => {
--- a/packages/gateway/tests/position-tracker.test.ts
+++ b/packages/gateway/tests/position-tracker.test.ts
@@ -10,6 +10,7 @@
     timeoutMs: 800,
     targetMs: 100,
     priority: 2,
+    isPublic: false,
 };
 
 /** Tracks a primary that commits every 10 ms, and a replica whose position at `now` is 6 s behind. */
--- a/packages/gateway/tests/sessions.test.ts
+++ b/packages/gateway/tests/sessions.test.ts
@@ -60,7 +60,13 @@
     const caller = fixture.connect("confirm");
     await caller.execute(begin);
     await caller.execute(read("1"));
-    fixture.gateway.configure({ number: 2, routes: new Map(), groups: new Map(), transactionIdleMs: 3_000 });
+    fixture.gateway.configure({
+        number: 2,
+        routes: new Map(),
+        groups: new Map(),
+        customers: undefined,
+        transactionIdleMs: 3_000,
+    });
     expect((await caller.execute(read("2"))).completion.kind).toBe("done");
     await caller.execute(rollback);
     expect((await caller.execute(read("3"))).completion).toMatchObject({ code: ErrorCode.UnknownDatabase });
@@ -69,7 +75,15 @@
 
 // Guards against reverting to an older configuration that arrives late.
 test("an older configuration changes nothing", () => {
-    expect(fixture.gateway.configure({ number: 1, routes: new Map(), groups: new Map(), transactionIdleMs: 1 })).toBe(
+    expect(
+        fixture.gateway.configure({
+            number: 1,
+            routes: new Map(),
+            groups: new Map(),
+            customers: undefined,
+            transactionIdleMs: 1,
+        }),
+    ).toBe(
         false,
     );
     expect(fixture.gateway.routing.routes.has("confirm")).toBe(true);
--- a/packages/gateway/tests/test-gateway.ts
+++ b/packages/gateway/tests/test-gateway.ts
@@ -22,6 +22,7 @@
         timeoutMs: 800,
         targetMs: 100,
         priority: 1,
+        isPublic: false,
     },
     {
         database: "stock",
@@ -31,6 +32,7 @@
         timeoutMs: 1_200,
         targetMs: 100,
         priority: 2,
+        isPublic: false,
     },
     {
         database: "report",
@@ -40,6 +42,7 @@
         timeoutMs: 800,
         targetMs: 100,
         priority: 2,
+        isPublic: false,
     },
 ];
 
@@ -51,7 +54,7 @@
     #requests = 0;
     #waiting: ((answer: Answer) => void)[] = [];
 
-    constructor(readonly database: string) {}
+    constructor(readonly database: string, readonly key: string | undefined = undefined) {}
 
     answer(answer: Answer): void {
         this.answers.push(answer);
@@ -149,6 +152,7 @@
         number: 1,
         routes: new Map(ROUTES.map(route => [route.database, route])),
         groups: new Map([["orders", { connections: 16 }]]),
+        customers: undefined,
         transactionIdleMs: 3_000,
     });
     announce();
@@ -174,10 +178,10 @@
 
 function partitionable(endpoints: FakeEndpoints, cut: ReadonlySet<string>): EndpointConnector {
     return {
-        connect: (address, timeoutMs) =>
+        connect: (address, customer, timeoutMs) =>
             cut.has(address.id)
                 ? Promise.resolve({ ok: false, failure: { kind: "refused", reason: "cut off" } })
-                : endpoints.connect(address, timeoutMs),
+                : endpoints.connect(address, customer, timeoutMs),
     };
 }
 
--- a/packages/statements/src/caller.ts
+++ b/packages/statements/src/caller.ts
@@ -11,6 +11,8 @@
 /** Connection to a caller, with the operations that the proxy uses. */
 export interface Caller {
     readonly database: string;
+    /** Key that the caller presented; undefined when it presented none. It must not be logged or passed on. */
+    readonly key: string | undefined;
     /** Sends the answer to the oldest unanswered request. */
     answer(answer: Answer): void;
     close(): void;
@@ -27,5 +29,7 @@
     | { readonly kind: "accepted"; readonly handler: CallerHandler; }
     /** No configuration names the database. */
     | { readonly kind: "unknownDatabase"; }
+    /** The key is missing, unknown or revoked. */
+    | { readonly kind: "notAuthorized"; }
     /** This process has not received the list of databases yet. */
     | { readonly kind: "unavailable"; };
--- a/packages/statements/src/endpoint-connection.ts
+++ b/packages/statements/src/endpoint-connection.ts
@@ -46,6 +46,9 @@
 
 /** Opens connections to endpoints. */
 export interface EndpointConnector {
-    /** @param timeoutMs maximum time until the connection is ready for use */
-    connect(address: EndpointAddress, timeoutMs: number): Promise<ConnectResult>;
+    /**
+     * @param customer in whose name the connection is opened; undefined for the proxy itself
+     * @param timeoutMs maximum time until the connection is ready for use
+     */
+    connect(address: EndpointAddress, customer: string | undefined, timeoutMs: number): Promise<ConnectResult>;
 }
--- a/packages/statements/src/statement-order.ts
+++ b/packages/statements/src/statement-order.ts
@@ -30,6 +30,8 @@
     readonly transaction: string | undefined;
     /** Session values that the connection must have. */
     readonly values: readonly (readonly [name: string, value: string])[];
+    /** Customer in whose name the statement runs; undefined where the deployment has none or the route is public. */
+    readonly customer: string | undefined;
     /** 0 is the most urgent. */
     readonly priority: number;
     /** Maximum wait for a connection, in ms. */
