--- a/packages/gateway/tests/test-gateway.ts
+++ b/packages/gateway/tests/test-gateway.ts
@@ -54,7 +54,11 @@
     #requests = 0;
     #waiting: ((answer: Answer) => void)[] = [];
 
-    constructor(readonly database: string, readonly key: string | undefined = undefined) {}
+    readonly key: string | undefined;
+
+    constructor(readonly database: string, key?: string) {
+        this.key = key;
+    }
 
     answer(answer: Answer): void {
         this.answers.push(answer);
