Accept keys only while the configuration is proved fresh

A host that was cut off, frozen or restarted went on accepting keys that had been revoked, and sessions outlived their keys. When a configuration comes into force, idle sessions of the keys that it lacks are closed and their open transactions are rolled back. Nothing is sent, and nothing changes, where the configuration has no customers or the settings set no time limit for revocations.

--- a/packages/customers/src/index.ts
+++ b/packages/customers/src/index.ts
@@ -6,3 +6,4 @@
     type KeyDigest,
 } from "./customer-directory.js";
 export type { Customer, OperationLimit } from "./customer.js";
+export { type FreshnessQuestion, KeyLease } from "./key-lease.js";
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -102,6 +102,7 @@
         leaderRequest: (message, from) => void this.#leaderRequestReceived(message, from),
         leaderReply: message => this.#client.handleReply(message),
         forwardedRenewal: (message, from) => this.#forwardedRenewal(message, from),
+        freshnessRequest: (message, from) => void this.#freshnessRequested(message, from),
         renewLease: (message, from) => this.#announcer.renewed(from, message),
         revoked: ({ database, term }, from) => this.#announcer.confirmed(from.id, database, term),
     };
@@ -261,6 +262,26 @@
         });
     }
 
+    /** Answers an entry host's question for the newest configuration; gives no answer that is not confirmed. */
+    async #freshnessRequested(
+        { host, incarnation, sequence }: MessageOf<"freshnessRequest">,
+        from: Host,
+    ): Promise<void> {
+        const number = await this.#readNewestNumber();
+        if (number !== undefined) {
+            this.#links.send(from.id, { kind: "freshnessAnswer", host, incarnation, sequence, number });
+        }
+    }
+
+    async #readNewestNumber(): Promise<number | undefined> {
+        if (this.#member.isLeader) {
+            return this.#member.readNewestNumber();
+        }
+        const now = this.#options.clock.now();
+        const answer = await this.#client.request("newestNumber", undefined, now + FORWARD_TIMEOUT_MS, now);
+        return answer.kind === "answered" ? answer.body as number : undefined;
+    }
+
     #announceOrder(order: PromotionOrder): Promise<boolean> {
         if (!this.#options.primariesStepDown) {
             return this.#announcer.announce(order);
@@ -309,6 +330,7 @@
         const answers: Readonly<Record<string, () => Promise<unknown>>> = {
             propose: () => this.#member.propose(body as ConfigurationChange),
             read: () => this.#member.read(),
+            newestNumber: () => this.#member.readNewestNumber(),
         };
         const answer = await answers[name]?.();
         if (this.#member.isLeader && answer !== undefined) {
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -10,6 +10,7 @@
 import { GatewayReporter } from "./gateway-reporter.js";
 import { LoopDelay, setGroupGauges } from "./gauges.js";
 import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
+import { KeyLeaseHolder } from "./key-lease-holder.js";
 import { LeaseHolder } from "./lease-holder.js";
 import type { ConfigurationReader } from "./ports.js";
 import { PrimaryReporter } from "./primary-reporter.js";
@@ -38,6 +39,7 @@
 /** Causes that are logged when callers' connections are closed. */
 const STOPPING = "this host stops";
 const LAPSED = "this host has no lease to use primaries";
+const KEYS_LAPSED = "this host cannot confirm that keys are valid";
 const ISOLATED = "this host is isolated from the other data centres";
 
 export interface EntryHostOptions {
@@ -55,6 +57,8 @@
     readonly graceMs: number;
     /** See `ControlHostOptions.primariesStepDown`. */
     readonly primariesStepDown: boolean;
+    /** Time after which a revoked key must not work on any host, in ms; undefined when there is no such limit. */
+    readonly revocationMs: number | undefined;
 }
 
 type MessageOf<K extends Message["kind"]> = Extract<Message, { kind: K; }>;
@@ -73,6 +77,8 @@
     readonly #plans: ConnectionPlans;
     /** The lease that this host needs to use primaries; undefined where primaries step down by themselves. */
     readonly #lease: LeaseHolder | undefined;
+    /** The permission to accept keys; undefined where a host may accept them without contact to control. */
+    readonly #keyLease: KeyLeaseHolder | undefined;
     #seeds: readonly string[];
     #control: readonly string[] = [];
     #leader: string | undefined;
@@ -83,17 +89,21 @@
     #isStopping = false;
     /** Whether the lease had lapsed at the last check. */
     #wasLapsed = false;
+    /** Whether keys were accepted at the last check. */
+    #acceptedKeys = true;
     /** True once the platform has had the time to redirect new callers and idle sessions are being closed. */
     #isClosingIdleSessions = false;
-    #setConfigured: () => void = () => undefined;
-    /** Resolves with the first configuration. */
-    readonly #configured = new Promise<void>(resolve => (this.#setConfigured = resolve));
+    #setStarted: () => void = () => undefined;
+    /** Resolves when a configuration is in force and its keys, if it has any, are accepted for the first time. */
+    readonly #started = new Promise<void>(resolve => (this.#setStarted = resolve));
 
     readonly #handlers: Handlers = {
         endpointRecords: message => this.#recordsReceived(message.records),
         primaryOrders: message => this.#ordersReceived(message.orders),
         forwardedRenewal: message => void this.#sendToLeader(message),
         forwardedGrant: message => this.#forwardedGrant(message),
+        freshnessRequest: message => void this.#forwardFreshnessRequest(message),
+        freshnessAnswer: message => this.#freshnessAnswered(message),
         leaseGranted: message => this.#lease?.granted(message),
         hostList: message => this.#hostsReceived(message),
         configurationOffer: (message, from) => this.#offeredBy(from, message.number),
@@ -126,6 +136,13 @@
                 sendToLeader: message => this.#sendToLeader(message),
                 sendToOthers: message => this.#sendToOthers(message),
             });
+        const { revocationMs } = options;
+        this.#keyLease = revocationMs === undefined ? undefined : new KeyLeaseHolder({
+            self,
+            clock,
+            revocationMs,
+            send: (request, isRepeated) => this.#sendFreshnessRequest(request, isRepeated),
+        });
         this.#mesh = new PeerMesh({
             self,
             identity: undefined,
@@ -149,18 +166,19 @@
                 reply: (host, result) => this.#links.send(host, result),
             },
             permits: this.#lease ?? UNRESTRICTED_PERMITS,
+            acceptsKeys: () => this.#acceptsKeys,
             random,
             listener: new GatewayReporter(log, meter, clock.now).listener,
         });
     }
 
     /**
-     * True while the host accepts callers: a configuration is in force, the host is neither stopping nor isolated, and
-     * it may use primaries.
+     * True while the host accepts callers: a configuration is in force, the host is neither stopping nor isolated, it
+     * may use primaries, and it will accept keys until the platform has redirected new callers.
      */
     get isReady(): boolean {
         return !this.#isStopping && !this.#contacts.isIsolated && this.#lease?.isLapsed !== true
-            && this.#gateway.routing.number > 0;
+            && this.#keyLease?.endsWithin(LEAVE_ROTATION_MS) !== true && this.#gateway.routing.number > 0;
     }
 
     /** Number of connected callers. */
@@ -181,14 +199,14 @@
 
     /**
      * Starts a session for a caller. After a start it waits for the first configuration, without which it is not known
-     * whether a database exists.
+     * whether a database exists, and until keys are accepted.
      */
     async accept(caller: Caller): Promise<Acceptance> {
         const acceptance = this.#gateway.accept(caller);
         if (acceptance.kind !== "unavailable") {
             return acceptance;
         }
-        await Promise.race([this.#configured, pause(ACCEPT_TIMEOUT_MS)]);
+        await Promise.race([this.#started, pause(ACCEPT_TIMEOUT_MS)]);
         return this.#gateway.accept(caller);
     }
 
@@ -230,6 +248,7 @@
         const { meter } = this.#options;
         meter.gauge("callers.open", this.callers);
         meter.gauge("configuration.number", this.#gateway.routing.number);
+        meter.gauge("key.accepted", this.#acceptsKeys ? 1 : 0);
         const groups = [...this.#gateway.groups];
         setGroupGauges(meter, new Map(groups.map(([name, group]) => [name, group.condition()])));
     }
@@ -238,7 +257,9 @@
         const now = this.#options.clock.now();
         this.#loopDelay.tick(now);
         this.#lease?.tick();
+        this.#keyLease?.tick();
         this.#logLease();
+        this.#keyLeaseChecked();
         this.#gateway.check();
         this.#links.closeIdle(id => this.#gateway.isRelayingWith(id), now);
         for (const [name, group] of this.#gateway.groups) {
@@ -279,7 +300,7 @@
         else if (event.kind === "connected") {
             this.#links.opened(event.host.id);
             if (event.host.id === this.#leader) {
-                this.#lease?.leaderChanged();
+                this.#leaderChanged();
             }
             if (event.host.control) {
                 this.#contacts.controlHostLinked(event.host);
@@ -331,10 +352,15 @@
         this.#options.log.event("hostsChanged", { term, leader: this.#leader, ...counts });
         this.#updateLinks();
         if (this.#leader !== formerLeader || term !== formerTerm) {
-            this.#lease?.leaderChanged();
+            this.#leaderChanged();
         }
     }
 
+    #leaderChanged(): void {
+        this.#lease?.leaderChanged();
+        this.#keyLease?.requestNow();
+    }
+
     /** Keeps links to the leader and some other control hosts; to the seed hosts while no list of hosts is known. */
     #updateLinks(): void {
         const known = [...this.#control].sort();
@@ -358,6 +384,56 @@
         }
     }
 
+    get #acceptsKeys(): boolean {
+        return this.#keyLease?.acceptsKeys() ?? true;
+    }
+
+    /** Records whether keys are accepted. While they are not, callers with keys are sent to other hosts. */
+    #keyLeaseChecked(): void {
+        const acceptsKeys = this.#acceptsKeys;
+        if (acceptsKeys !== this.#acceptedKeys) {
+            this.#acceptedKeys = acceptsKeys;
+            const { number } = this.#gateway.routing;
+            this.#options.log.event("keyLeaseChanged", { acceptsKeys, configuration: number, leader: this.#leader });
+        }
+        if (!acceptsKeys) {
+            this.#gateway.closeIdleKeyedSessions(KEYS_LAPSED);
+        }
+        else if (this.#gateway.routing.number > 0) {
+            this.#setStarted();
+        }
+    }
+
+    /**
+     * Asks the leader, or any control host without a link to it, for the newest configuration. A repeated question also
+     * takes other ways: the link to the leader may be open and carry messages in one direction only.
+     */
+    #sendFreshnessRequest(request: MessageOf<"freshnessRequest">, isRepeated: boolean): void {
+        const isSent = this.#forwardFreshnessRequest(request);
+        if (isRepeated || !isSent) {
+            const others = this.#connectedControl().filter(({ id }) => id !== this.#leader);
+            this.#links.sendAll(others, request);
+            this.#sendToOthers(request);
+        }
+    }
+
+    /** Sends the question of this or another entry host to the leader, or to any control host without a link to it. */
+    #forwardFreshnessRequest(request: MessageOf<"freshnessRequest">): boolean {
+        const [control] = this.#connectedControl();
+        return this.#sendToLeader(request) || (control !== undefined && this.#links.send(control.id, request));
+    }
+
+    #freshnessAnswered(answer: MessageOf<"freshnessAnswer">): void {
+        if (answer.host !== this.#options.self.id) {
+            this.#links.send(answer.host, answer);
+            return;
+        }
+        this.#keyLease?.answered(answer);
+        // A configuration that is newer than the one in force is requested at the next tick.
+        this.#offeredNumber = Math.max(this.#offeredNumber, answer.number);
+        this.#keyLeaseChecked();
+    }
+
     #sendToLeader(message: Message): boolean {
         return this.#leader !== undefined && this.#links.send(this.#leader, message);
     }
@@ -407,7 +483,8 @@
         this.#configurationRequestedAt = Number.NEGATIVE_INFINITY;
         if (this.#gateway.configure(this.#options.configurations.routing(change))) {
             this.#plans.configurationChanged();
-            this.#setConfigured();
+            this.#keyLease?.configured(change.number, this.#gateway.routing.customers !== undefined);
+            this.#keyLeaseChecked();
             this.#options.log.event("configurationInForce", { number: change.number });
         }
         if (this.#offeredNumber > change.number) {
--- a/packages/fleet/src/gateway-reporter.ts
+++ b/packages/fleet/src/gateway-reporter.ts
@@ -4,6 +4,9 @@
 /** Log lines per group and second about requests that were served in time at the first attempt. */
 const ROUTINE_LINES_PER_SECOND = 1;
 
+/** Log lines per database and second about refused keys; callers with a wrong key may retry in a loop. */
+const REFUSAL_LINES_PER_SECOND = 1;
+
 type EventOf<K extends GatewayEvent["kind"]> = Extract<GatewayEvent, { kind: K; }>;
 type Handlers = { readonly [K in GatewayEvent["kind"]]: (event: EventOf<K>) => void; };
 
@@ -19,12 +22,15 @@
     readonly #meter: Meter;
     readonly #now: () => number;
     readonly #routine = new LineBudget(ROUTINE_LINES_PER_SECOND);
+    readonly #refusals = new LineBudget(REFUSAL_LINES_PER_SECOND);
 
     readonly #handlers: Handlers = {
         served: event => this.#served(event),
         notServed: event => this.#notServed(event),
         retried: event => this.#retried(event),
         aborted: event => this.#write("transactionAborted", event),
+        keyRefused: event => this.#keyRefused(event),
+        keysRevoked: event => this.#keysRevoked(event),
         cut: event => this.#write("sessionCut", event),
         reach: event => this.#write(event.reach === "reachable" ? "endpointReached" : "endpointUnreachable", event),
         primary: event => this.#write("primarySeen", event),
@@ -61,6 +67,19 @@
         this.#log.event(event, { ...request, code, cause, ...condition });
     }
 
+    #keyRefused({ database, refusal }: EventOf<"keyRefused">): void {
+        this.#meter.count("key.refused", 1, { database, refusal });
+        if (this.#refusals.take(`${database} ${refusal}`, this.#now())) {
+            this.#log.event("keyRefused", { database, refusal });
+        }
+    }
+
+    #keysRevoked(event: EventOf<"keysRevoked">): void {
+        this.#meter.count("key.revoked", event.closed, { how: "closed" });
+        this.#meter.count("key.revoked", event.rolledBack, { how: "rolledBack" });
+        this.#write("keysRevoked", event);
+    }
+
     #retried(event: EventOf<"retried">): void {
         this.#meter.count("statement.retried", 1, { group: event.group, cause: event.cause });
         this.#write("requestRetried", event);
--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -233,6 +233,12 @@
         return new Promise(resolve => this.#reads.add({ requestedAt: this.#options.clock.now(), resolve }));
     }
 
+    /** Reads the number of the newest configuration, 0 before the first; undefined when it cannot be confirmed. */
+    async readNewestNumber(): Promise<number | undefined> {
+        const result = await this.read();
+        return result.kind === "newest" ? result.change?.number ?? 0 : undefined;
+    }
+
     async stop(): Promise<void> {
         this.#isStopped = true;
         clearInterval(this.#repairTimer);
--- a/packages/gateway/src/caller-session.ts
+++ b/packages/gateway/src/caller-session.ts
@@ -8,13 +8,14 @@
     errorAnswer,
     ErrorCode,
     type LogPosition,
+    type Statement,
     type StatementOrder,
     type StatementOrderResult,
     type TransactionState,
     TransactionStates,
 } from "@medlarledge/statements";
-import { type CallerIdentity, customerNameOf, type Identification } from "./caller-identity.js";
-import type { GatewayListener } from "./gateway-event.js";
+import { type CallerIdentity, customerNameOf, needsKey } from "./caller-identity.js";
+import { type GatewayListener, KeyRefusal } from "./gateway-event.js";
 import type { Group } from "./group.js";
 import { NOT_RUN_CODES } from "./not-run-codes.js";
 import { type Outcome, type ReportedRequest, reportOutcome } from "./request-report.js";
@@ -25,9 +26,21 @@
 /** Cause that is logged when an idle transaction is rolled back. */
 const IDLE_CAUSE = "its caller was idle for too long";
 
+/** Cause that is logged when the sessions of a revoked key are ended. */
+const REVOKED_CAUSE = "its key is no longer in the configuration";
+
 /** Text of the answer to a request whose key is not in the configuration in force. */
 const NOT_AUTHORIZED = "the key is unknown or revoked";
 
+/** Text of the answer while this host may not accept keys; another host is reached after about this time. */
+const KEYS_NOT_ACCEPTED = "not run (this host cannot confirm that keys are valid); retry in 200 ms";
+
+/** Statements that run on an endpoint, or begin a transaction that does. */
+const RUNNING_KINDS: ReadonlySet<Statement["kind"]> = new Set(["begin", "commit", "read", "write", "execute"]);
+
+/** How a session of a revoked key was ended. */
+export type SessionRevocation = "closed" | "rolledBack";
+
 /** A caller's transaction. It begins on an endpoint with its first statement. */
 interface Transaction {
     /** Identifies the transaction among those of all processes. */
@@ -77,6 +90,8 @@
     #outstandingRequestId: string | undefined;
     #isBusy = false;
     #isClosed = false;
+    /** Whether the caller's key was revoked: the next request is refused, and the session ends with its answer. */
+    #isRevoked = false;
 
     constructor(options: SessionOptions) {
         this.#options = options;
@@ -87,6 +102,12 @@
         return !this.#isBusy && this.#queue.length === 0 && this.#transaction === undefined;
     }
 
+    /** True when the session's next request needs a key. */
+    get needsKey(): boolean {
+        const route = this.#transaction?.route ?? this.#route();
+        return route !== undefined && needsKey(route, this.#options.routing());
+    }
+
     request(request: CallerRequest): void {
         this.#queue.push(request);
         if (!this.#isBusy) {
@@ -130,6 +151,24 @@
         this.#options.listener({ kind: "aborted", group: route.group, endpoint, transaction: key, requestId, cause });
     }
 
+    /**
+     * Ends the session if the configuration in force does not have its key: at once while it is idle, otherwise with
+     * the answer to its next request. An open transaction is rolled back. To be called when a configuration comes into
+     * force. Returns how the session was ended; undefined if it goes on, or if a request is being served.
+     */
+    endIfRevoked(): SessionRevocation | undefined {
+        if (this.#isBusy || this.#isRevoked || this.#isAuthorized()) {
+            return undefined;
+        }
+        if (this.isIdle) {
+            this.close(REVOKED_CAUSE);
+            return "closed";
+        }
+        this.#isRevoked = true;
+        this.abortTransaction(REVOKED_CAUSE);
+        return "rolledBack";
+    }
+
     async #processQueue(): Promise<void> {
         this.#isBusy = true;
         clearTimeout(this.#idleTimer);
@@ -141,6 +180,10 @@
                 break;
             }
             this.#options.caller.answer({ ...answer, position: answer.position ?? this.#position });
+            if (this.#isRevoked) {
+                this.close(REVOKED_CAUSE);
+                break;
+            }
         }
         this.#isBusy = false;
         this.#queueEmptied();
@@ -159,6 +202,10 @@
 
     #serve(request: CallerRequest, now: number): Answer | Promise<Answer> {
         const { statement } = request;
+        const refusal = this.#keyRefusal(statement.kind);
+        if (refusal !== undefined) {
+            return this.#refuseKey(refusal, statement.kind);
+        }
         if (this.#transaction?.failure !== undefined) {
             return this.#answerInFailedTransaction(request, this.#transaction, now);
         }
@@ -191,15 +238,11 @@
             if (route === undefined) {
                 return errorAnswer(ErrorCode.UnknownDatabase, this.#options.caller.database, TransactionStates.Idle);
             }
-            const identification = this.#identify(route);
-            if (identification.kind === "notAuthorized") {
-                return this.#fail(ErrorCode.NotAuthorized, NOT_AUTHORIZED);
-            }
             this.#transaction = {
                 key: this.#options.transactionKey(),
                 readOnly,
                 route,
-                customer: customerNameOf(identification),
+                customer: this.#customer(route),
                 group: this.#options.group(route.group),
                 endpoint: undefined,
                 wrote: false,
@@ -224,15 +267,11 @@
         if (route === undefined) {
             return errorAnswer(ErrorCode.UnknownDatabase, this.#options.caller.database, TransactionStates.Idle);
         }
-        const identification = this.#identify(route);
-        if (identification.kind === "notAuthorized") {
-            return this.#fail(ErrorCode.NotAuthorized, NOT_AUTHORIZED);
-        }
         const group = transaction?.group ?? this.#options.group(route.group);
         const served = await this.#options.server.serve({
             requestId: request.id,
             route,
-            customer: transaction === undefined ? customerNameOf(identification) : transaction.customer,
+            customer: transaction === undefined ? this.#customer(route) : transaction.customer,
             statement: ordered,
             values: this.#sessionState.values,
             floor: this.#floor,
@@ -380,8 +419,50 @@
         return answer;
     }
 
-    #identify(route: Route): Identification {
-        return this.#options.identity.identify(route, this.#options.routing());
+    #customer(route: Route): string | undefined {
+        return customerNameOf(this.#options.identity.identify(route, this.#options.routing()));
+    }
+
+    /** Returns true unless the session's next request needs a key that the configuration in force does not have. */
+    #isAuthorized(): boolean {
+        if (!this.needsKey) {
+            return true;
+        }
+        const owner = this.#options.identity.ownerOf(this.#options.routing());
+        // The endpoint connection of an open transaction was opened in the name of the former owner.
+        return owner.kind === "customer"
+            && (this.#transaction === undefined || this.#transaction.customer === owner.customer.name);
+    }
+
+    /** Returns why the caller's key does not permit a statement; undefined if it does, or if none is needed. */
+    #keyRefusal(kind: Statement["kind"]): KeyRefusal | undefined {
+        const route = this.#transaction?.route ?? this.#route();
+        if (this.#isRevoked) {
+            return KeyRefusal.NotAuthorized;
+        }
+        if (route === undefined || !RUNNING_KINDS.has(kind)) {
+            return undefined;
+        }
+        const identification = this.#options.identity.identify(route, this.#options.routing());
+        if (identification.kind === "unproved") {
+            return KeyRefusal.Unproved;
+        }
+        return identification.kind === "anonymous" || this.#isAuthorized() ? undefined : KeyRefusal.NotAuthorized;
+    }
+
+    /** Refuses a request. Its transaction is rolled back, and after a refusal for good the session ends. */
+    #refuseKey(refusal: KeyRefusal, kind: Statement["kind"]): Answer {
+        const { caller, listener } = this.#options;
+        listener({ kind: "keyRefused", database: caller.database, refusal });
+        this.#isRevoked = refusal === KeyRefusal.NotAuthorized;
+        const answer = this.#isRevoked
+            ? this.#fail(ErrorCode.NotAuthorized, NOT_AUTHORIZED)
+            : this.#fail(ErrorCode.Busy, KEYS_NOT_ACCEPTED);
+        if (kind === "commit" || kind === "rollback") {
+            this.#transaction = undefined;
+            return { ...answer, state: TransactionStates.Idle };
+        }
+        return answer;
     }
 
     #fail(code: ErrorCode, text: string): Answer {
@@ -389,8 +470,10 @@
         if (transaction === undefined) {
             return errorAnswer(code, text, TransactionStates.Idle);
         }
-        this.#rollBack(transaction);
-        transaction.failure = text;
+        if (transaction.failure === undefined) {
+            this.#rollBack(transaction);
+            transaction.failure = text;
+        }
         return errorAnswer(code, text, TransactionStates.Failed);
     }
 
--- a/packages/gateway/src/gateway-event.ts
+++ b/packages/gateway/src/gateway-event.ts
@@ -32,6 +32,15 @@
 } as const;
 export type Failure = (typeof Failure)[keyof typeof Failure];
 
+/** Reasons for which a caller's key is refused. */
+export const KeyRefusal = {
+    /** The key is missing, unknown or revoked. */
+    NotAuthorized: "notAuthorized",
+    /** This host may not accept keys at present. */
+    Unproved: "unproved",
+} as const;
+export type KeyRefusal = (typeof KeyRefusal)[keyof typeof KeyRefusal];
+
 /** Events that a gateway reports for logs and metrics. */
 export type GatewayEvent =
     | {
@@ -76,6 +85,17 @@
         readonly requestId: string;
         readonly cause: string;
     }
+    /** A caller or its request was refused because of its key. */
+    | { readonly kind: "keyRefused"; readonly database: string; readonly refusal: KeyRefusal; }
+    /** A configuration came into force that lacks the keys of open sessions. */
+    | {
+        readonly kind: "keysRevoked";
+        readonly configuration: number;
+        /** Idle sessions that were closed. */
+        readonly closed: number;
+        /** Sessions whose open transaction was rolled back. */
+        readonly rolledBack: number;
+    }
     /** This host closed a caller's connection while a request was outstanding. */
     | { readonly kind: "cut"; readonly requestId: string; readonly database: string; readonly cause: string; }
     | {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -2,10 +2,10 @@
 import { PromotionTimes } from "@medlarledge/routing";
 import type { Clock } from "@medlarledge/runtime";
 import type { Acceptance, Caller, EndpointConnector } from "@medlarledge/statements";
-import { CallerIdentity } from "./caller-identity.js";
+import { CallerIdentity, type Identification } from "./caller-identity.js";
 import { CallerSession } from "./caller-session.js";
 import { ElapsedClock } from "./elapsed-clock.js";
-import type { GatewayListener } from "./gateway-event.js";
+import { type GatewayListener, KeyRefusal } from "./gateway-event.js";
 import { Group } from "./group.js";
 import type { PrimaryPermits } from "./primary-permits.js";
 import { RelayClient, type RelayLinks } from "./relay-client.js";
@@ -24,6 +24,8 @@
     readonly relays: (record: EndpointRecord, routing: Routing) => readonly string[];
     readonly links: RelayLinks & { reply(host: string, result: RelayResult): void; };
     readonly permits: PrimaryPermits;
+    /** Returns whether the keys of the configuration in force may be accepted now. */
+    readonly acceptsKeys: () => boolean;
     readonly random: () => number;
     readonly listener: GatewayListener;
 }
@@ -37,6 +39,12 @@
     transactionIdleMs: 3_000,
 };
 
+/** Identifications with which a caller is not accepted. */
+const REFUSED_IDENTIFICATIONS: Readonly<Partial<Record<Identification["kind"], KeyRefusal>>> = {
+    notAuthorized: KeyRefusal.NotAuthorized,
+    unproved: KeyRefusal.Unproved,
+};
+
 /** Serves the callers of one process over its connections to endpoints and those of other entry hosts. */
 export class Gateway {
     readonly #options: GatewayOptions;
@@ -86,9 +94,23 @@
             return false;
         }
         this.#routing = routing;
+        this.#endRevokedSessions([...this.#sessions]);
         return true;
     }
 
+    #endRevokedSessions(sessions: readonly CallerSession[]): void {
+        const counts = { closed: 0, rolledBack: 0 };
+        for (const session of sessions) {
+            const revocation = session.endIfRevoked();
+            if (revocation !== undefined) {
+                counts[revocation] += 1;
+            }
+        }
+        if (counts.closed + counts.rolledBack > 0) {
+            this.#options.listener({ kind: "keysRevoked", configuration: this.#routing.number, ...counts });
+        }
+    }
+
     /** Replaces the endpoints of a group by those of `records`, which lists all that have not left. */
     updateGroup(name: string, records: readonly EndpointRecord[]): void {
         this.#group(name).update(records);
@@ -146,9 +168,11 @@
         if (route === undefined) {
             return { kind: "unknownDatabase" };
         }
-        const identity = new CallerIdentity(caller.key);
-        if (identity.identify(route, this.#routing).kind === "notAuthorized") {
-            return { kind: "notAuthorized" };
+        const identity = new CallerIdentity(caller.key, this.#options.acceptsKeys);
+        const refusal = REFUSED_IDENTIFICATIONS[identity.identify(route, this.#routing).kind];
+        if (refusal !== undefined) {
+            this.#options.listener({ kind: "keyRefused", database: caller.database, refusal });
+            return { kind: refusal === KeyRefusal.NotAuthorized ? "notAuthorized" : "unavailable" };
         }
         const session = new CallerSession({
             caller,
@@ -174,7 +198,16 @@
     closeIdleSessions(cause: string | undefined): void {
         this.#closeIdleCause = cause;
         for (const session of [...this.#sessions]) {
-            this.#sessionIdle(session);
+            this.#closeIfUnwanted(session);
+        }
+    }
+
+    /** Closes idle sessions whose requests need a key, so that their callers reconnect, possibly to another host. */
+    closeIdleKeyedSessions(cause: string): void {
+        for (const session of [...this.#sessions]) {
+            if (session.isIdle && session.needsKey) {
+                session.close(cause);
+            }
         }
     }
 
@@ -211,7 +244,13 @@
         }
     }
 
+    /** A session has answered its requests, during which its key may have been revoked. */
     #sessionIdle(session: CallerSession): void {
+        this.#endRevokedSessions([session]);
+        this.#closeIfUnwanted(session);
+    }
+
+    #closeIfUnwanted(session: CallerSession): void {
         if (this.#closeIdleCause !== undefined && session.isIdle) {
             session.close(this.#closeIdleCause);
         }
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,5 +1,5 @@
 export { ElapsedClock } from "./elapsed-clock.js";
-export { type AnsweredRequest, Failure, type GatewayEvent, type GatewayListener } from "./gateway-event.js";
+export { type AnsweredRequest, Failure, type GatewayEvent, type GatewayListener, KeyRefusal } from "./gateway-event.js";
 export { Gateway, type GatewayOptions } from "./gateway.js";
 export type { EndpointCondition, GroupCondition } from "./group-condition.js";
 export type { Group, PrimaryState } from "./group.js";
--- a/packages/gateway/tests/test-gateway.ts
+++ b/packages/gateway/tests/test-gateway.ts
@@ -118,6 +118,7 @@
     /** If set, no link can be opened, and attempts fail after this time. */
     readonly linkMs?: number;
     readonly permits?: PrimaryPermits;
+    readonly acceptsKeys?: () => boolean;
 }
 
 /** Creates a gateway for three simulated endpoints, with fake timers. Endpoint `a` is the primary. */
@@ -135,6 +136,7 @@
         relays: () => [...peers.keys()].filter(id => id !== host),
         links: options.linkMs === undefined ? linksOf(host, peers, options.silent) : unreachableLinks(options.linkMs),
         permits: options.permits ?? UNRESTRICTED_PERMITS,
+        acceptsKeys: options.acceptsKeys ?? (() => true),
         random: () => 0,
         listener: event => events.push(event),
     });
--- a/packages/protocol/src/fleet-message.ts
+++ b/packages/protocol/src/fleet-message.ts
@@ -76,6 +76,29 @@
     readonly orders: readonly PromotionOrder[];
 }
 
+/**
+ * Entry host to the leader, also over another control or entry host: asks for the number of the newest committed
+ * configuration.
+ */
+export interface FreshnessRequest {
+    readonly kind: "freshnessRequest";
+    /** Id of the host that asks. */
+    readonly host: string;
+    /** Incarnation of that host, so that a restarted process takes no answer to a question of the former one. */
+    readonly incarnation: string;
+    readonly sequence: number;
+}
+
+/** Leader, over the hosts that forwarded the question, to the host that asked. */
+export interface FreshnessAnswer {
+    readonly kind: "freshnessAnswer";
+    readonly host: string;
+    readonly incarnation: string;
+    readonly sequence: number;
+    /** The newest configuration that was committed when a quorum confirmed the leader, after the question arrived. */
+    readonly number: number;
+}
+
 /** Messages between the hosts that serve groups whose endpoints prove their own role as the primary. */
 export type FleetMessage =
     | EndpointRecords
@@ -86,4 +109,6 @@
     | PrimaryReport
     | PrimaryCheck
     | ForwardedRenewal
-    | ForwardedGrant;
+    | ForwardedGrant
+    | FreshnessRequest
+    | FreshnessAnswer;
--- a/packages/protocol/src/message-table.ts
+++ b/packages/protocol/src/message-table.ts
@@ -46,6 +46,8 @@
     relayEnd: 30,
     forwardedRenewal: 31,
     forwardedGrant: 32,
+    freshnessRequest: 33,
+    freshnessAnswer: 34,
 } as const satisfies Record<MessageKind, number>;
 
 const KINDS_BY_ID: ReadonlyMap<number, MessageKind> = new Map(
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -42,6 +42,16 @@
         level: "warn",
         meaning: "This host has had no lease to use primaries for 0.5 s and is not ready, or has one again.",
     },
+    keyLeaseChanged: {
+        level: "warn",
+        meaning:
+            "This host cannot confirm that its configuration is the newest and refuses keys, or accepts them again.",
+    },
+    keyRefused: { level: "warn", meaning: "A caller or its request was refused because of its key; sampled." },
+    keysRevoked: {
+        level: "info",
+        meaning: "Sessions were ended because their key is no longer in the configuration.",
+    },
     hostsChanged: { level: "info", meaning: "The list of hosts changed, and with it the shares of connections." },
     primaryOrdered: { level: "info", meaning: "News of an order that makes an endpoint the primary." },
     promotionChoosing: { level: "warn", meaning: "A primary is to be replaced; the other endpoints are asked." },
--- a/packages/telemetry/src/metric.ts
+++ b/packages/telemetry/src/metric.ts
@@ -47,6 +47,13 @@
     ),
     "pool.waiting": gauge("statements", ["group", "endpoint"], "Statements that wait for a connection."),
     "endpoint.reachable": gauge("0 or 1", ["group", "endpoint"], "1 while an endpoint answers this host."),
+    "key.accepted": gauge("0 or 1", [], "1 while this host may accept the keys of its configuration."),
+    "key.refused": counter(
+        "requests",
+        ["database", "refusal"],
+        "Callers and requests that were refused because of their key.",
+    ),
+    "key.revoked": counter("sessions", ["how"], "Sessions that were ended because their key was revoked."),
     "promotion.steps": counter("steps", ["group", "step"], "Steps of replacements of primaries."),
     "promotion.time": timing(["group"], "From the decision to replace a primary to its end."),
     "loop.delay": timing([], "Lateness of a timer that runs every 50 ms: how long work has to wait for the processor."),
