Open connections to endpoints in the name of customers

The pool now keeps an owner for each connection and gives an order only those of its customer. At the limit it closes the idle connection that was used least, by recency and frequency, and opens one in its place; customers with no more connections than the one in need keep those in recent use. The first waiting order that can be served is served, so that one customer's queue does not hold up another's. Without customers nothing changes.

--- a/packages/gateway/src/connection-pool.ts
+++ b/packages/gateway/src/connection-pool.ts
@@ -1,6 +1,7 @@
-import { SheddingLimit, StandingQueue, WaitQueue } from "@medlarledge/routing";
+import { MAX_OPENINGS, needsOpening, SheddingLimit, StandingQueue, WaitQueue } from "@medlarledge/routing";
 import { type Clock, StallTolerantTimer } from "@medlarledge/runtime";
 import type { ConnectFailure, EndpointAddress, EndpointConnector, StatementOrder } from "@medlarledge/statements";
+import { type ConnectionOwner, IdleConnections } from "./idle-connections.js";
 import { type ConnectionEvents, PooledConnection } from "./pooled-connection.js";
 
 /** Limit for opening a connection. An endpoint with a free slot takes 12 ms, a busy one takes longer. */
@@ -12,6 +13,12 @@
 /** A connection that is idle for longer is closed. Opening one again takes 12 ms, and a slot for that time. */
 const MAX_IDLE_MS = 3_000;
 
+/**
+ * The same for a customer's connection, which serves only this customer. Nobody else may use its place in this process's
+ * share unless an order needs it, and then it is closed at once. Endpoints close connections that are idle for 60 s.
+ */
+const MAX_CUSTOMER_IDLE_MS = 45_000;
+
 /** Limit for the answers that are outstanding when a connection is released. Ending a transaction needs no slot. */
 const RETURN_TIMEOUT_MS = 500;
 
@@ -22,7 +29,12 @@
 const MAX_REPLACED_CONNECTIONS = 2;
 
 /** What the pool needs to know of an order that requests a connection. */
-export type ConnectionRequest = Pick<StatementOrder, "priority" | "patienceMs" | "timeoutMs" | "values">;
+export interface ConnectionRequest
+    extends Pick<StatementOrder, "priority" | "patienceMs" | "timeoutMs" | "values" | "customer">
+{
+    /** A probe runs no caller's statement, so it may use any customer's connection. */
+    readonly isProbe?: boolean;
+}
 
 interface Waiter {
     readonly request: ConnectionRequest;
@@ -59,16 +71,20 @@
 export class ConnectionPool {
     readonly #options: ConnectionPoolOptions;
     readonly #connections = new Set<PooledConnection>();
-    readonly #idle: PooledConnection[] = [];
-    /** Time at which each idle connection became idle. */
-    readonly #idleSince = new Map<PooledConnection, number>();
+    readonly #idle = new IdleConnections();
     /** Connections in use, with the time at which the use began. */
     readonly #inUseSince = new Map<PooledConnection, number>();
     readonly #waiting = new WaitQueue<Waiter>();
+    /** The waiting orders by the owner of the connection that they need, the owner that has waited longest first. */
+    readonly #waitingByOwner = new Map<ConnectionOwner, Set<Waiter>>();
+    readonly #openingByOwner = new Map<ConnectionOwner, number>();
     readonly #standingQueue = new StandingQueue();
     readonly #sheddingLimit = new SheddingLimit();
     readonly #connectionEvents: ConnectionEvents;
     #openingCount = 0;
+    /** Whether orders of customers have come, so that connections have different owners. */
+    #hasCustomers = false;
+    #isReplacing = false;
     #connectNotBefore = 0;
     #expiryTimer: NodeJS.Timeout | undefined;
     #isClosed = false;
@@ -89,7 +105,7 @@
 
     /** Number of idle connections. */
     get idle(): number {
-        return this.#idle.length;
+        return this.#idle.size;
     }
 
     /** Number of orders that wait for a connection. */
@@ -102,14 +118,16 @@
         return this.#connections.size === 0;
     }
 
-    /** True while orders wait and no connection may be opened for them. */
+    /** True while orders wait and no connection may be opened for them, nor in place of another customer's. */
     get isExhausted(): boolean {
-        return this.#waiting.size > this.#openingCount && this.#countedSize >= this.#options.limit();
+        return this.#waiting.size > this.#openingCount && this.#countedSize >= this.#options.limit()
+            && !(this.#hasCustomers && this.#idle.size > 0);
     }
 
     /** Number of connections that count against the limit. */
     get #countedSize(): number {
-        return this.size - Math.min(MAX_REPLACED_CONNECTIONS, this.#overdueCount);
+        // Holders of customers' connections have many, so that a few overdue ones leave enough.
+        return this.#hasCustomers ? this.size : this.size - Math.min(MAX_REPLACED_CONNECTIONS, this.#overdueCount);
     }
 
     get #overdueCount(): number {
@@ -131,6 +149,7 @@
     acquire(request: ConnectionRequest): Promise<PooledConnection | undefined> {
         return new Promise(resolve => {
             const now = this.#options.clock.now();
+            this.#hasCustomers ||= request.customer !== undefined;
             const patienceMs = this.#standingQueue.patienceMs(request, now);
             const isHopeless = this.#isClosed || this.#options.limit() < 1
                 || this.#expectedWaitMs(request) > patienceMs;
@@ -138,8 +157,10 @@
                 resolve(undefined);
                 return;
             }
-            const { priority } = request;
-            this.#waiting.push({ item: { request, granted: resolve }, priority, giveUpAt: now + patienceMs });
+            const { priority, customer } = request;
+            const waiter: Waiter = { request, granted: resolve };
+            this.#waiting.push({ item: waiter, priority, giveUpAt: now + patienceMs });
+            this.#waitingByOwner.set(customer, (this.#waitingByOwner.get(customer) ?? new Set()).add(waiter));
             this.#serveWaiters();
         });
     }
@@ -184,11 +205,12 @@
     closeIdle(count: number): void {
         const { clock, limit } = this.#options;
         const maxSize = limit();
-        for (const [connection, idleSince] of [...this.#idleSince]) {
+        for (const [connection, idleSince] of this.#idle.entries()) {
+            const maxIdleMs = connection.owner === undefined ? MAX_IDLE_MS : MAX_CUSTOMER_IDLE_MS;
             if (this.size > maxSize) {
                 connection.close("beyond the limit of connections");
             }
-            else if (this.size > count && clock.now() - idleSince > MAX_IDLE_MS) {
+            else if (this.size > count && clock.now() - idleSince > maxIdleMs) {
                 connection.close("idle for too long");
             }
         }
@@ -204,7 +226,7 @@
     /** Opens connections until `count` are open or being opened. */
     warmUp(count: number): void {
         while (this.size < Math.min(count, this.#options.limit()) && this.#mayOpen()) {
-            void this.#open();
+            void this.#open(undefined);
         }
     }
 
@@ -213,7 +235,7 @@
         this.#isClosed = true;
         clearTimeout(this.#expiryTimer);
         this.#refuseWaiters(this.#waiting.clear());
-        for (const connection of [...this.#idle]) {
+        for (const [connection] of this.#idle.entries()) {
             connection.close("the pool is closed");
         }
     }
@@ -232,66 +254,153 @@
     /** Makes a connection without outstanding answers idle, so that the next waiting order gets it. */
     #returnToIdle(connection: PooledConnection): void {
         const isInUse = this.#inUseSince.has(connection) || this.#options.isReserved(connection);
-        if (isInUse || connection.isClosed || this.#idle.includes(connection)) {
+        if (isInUse || connection.isClosed || this.#idle.has(connection)) {
             return;
         }
         if (!connection.isClean || this.#isClosed || this.#countedSize > this.#options.limit()) {
             connection.close("not reusable or beyond the limit of connections");
             return;
         }
-        this.#idle.push(connection);
-        this.#idleSince.set(connection, this.#options.clock.now());
+        this.#idle.add(connection, this.#options.clock.now());
         this.#serveWaiters();
     }
 
-    /** Time until the requests ahead have been served, if each order takes the average time. */
-    #expectedWaitMs({ priority }: ConnectionRequest): number {
-        return this.#waiting.countAhead(priority) * this.#options.averageMs() / this.#concurrency;
+    /**
+     * Time until the requests ahead have been served, if each order takes the average time. Until the endpoint has as
+     * many orders as it may, a customer's orders wait only for those of the same customer.
+     */
+    #expectedWaitMs({ priority, customer }: ConnectionRequest): number {
+        const ahead = customer !== undefined && this.#running < this.#concurrency
+            ? this.#waitingByOwner.get(customer)?.size ?? 0
+            : this.#waiting.countAhead(priority);
+        return ahead * this.#options.averageMs() / this.#concurrency;
     }
 
     #serveWaiters(): void {
-        while (this.#idle.length > 0 && this.#running < this.#concurrency) {
-            const next = this.#waiting.shift();
+        while (this.#idle.size > 0 && this.#running < this.#concurrency) {
+            const next = this.#waiting.take(({ request }) =>
+                request.isProbe === true || this.#idle.isOwned(request.customer)
+            );
             if (next === undefined) {
                 break;
             }
+            this.#forgetWaiter(next);
             next.granted(this.#takeIdle(next.request));
         }
-        if (this.#waiting.size > this.#openingCount && this.#countedSize < this.#options.limit() && this.#mayOpen()) {
-            void this.#open();
-        }
+        this.#openForWaiters();
         this.#scheduleExpiry();
         this.#options.events.demandChanged();
     }
 
-    /** Takes an idle connection. Prefers one with the session values of the request, which saves a reset. */
-    #takeIdle(request: ConnectionRequest): PooledConnection | undefined {
-        const matchingIndex = this.#idle.findLastIndex(connection => connection.hasValues(request.values));
-        const [connection] = this.#idle.splice(matchingIndex < 0 ? this.#idle.length - 1 : matchingIndex, 1);
+    #takeIdle({ isProbe, customer, values }: ConnectionRequest): PooledConnection | undefined {
+        const connection = isProbe === true
+            ? this.#idle.takeAny()
+            : this.#idle.take(customer, values, this.#options.clock.now());
         if (connection !== undefined) {
-            this.#idleSince.delete(connection);
             this.markInUse(connection);
         }
         return connection;
     }
 
+    /** Opens connections for waiting orders, at the limit in place of the idle connections of least value. */
+    #openForWaiters(): void {
+        while (this.#mayOpen() && this.#mayRunMore()) {
+            const owner = this.#nextOwner();
+            if (owner === undefined || !this.#makeRoom(owner.customer)) {
+                return;
+            }
+            void this.#open(owner.customer);
+            if (!this.#hasCustomers) {
+                return;
+            }
+        }
+    }
+
+    /** Returns false while another customer's connection would run no order sooner. */
+    #mayRunMore(): boolean {
+        return !this.#hasCustomers || (this.#openingCount < MAX_OPENINGS && this.#running < this.#concurrency);
+    }
+
+    /**
+     * Returns true if a connection may be opened, after closing another customer's idle one where necessary. Customers
+     * with no more connections than the one who needs another keep those that they use, so that a customer with a long
+     * queue cannot take all.
+     */
+    #makeRoom(owner: ConnectionOwner): boolean {
+        const limit = this.#options.limit();
+        if (this.#hasCustomers && limit > 0 && this.#countedSize === limit) {
+            const count = this.#usableBy(owner).length + (this.#openingByOwner.get(owner) ?? 0);
+            const isProtected = (other: ConnectionOwner): boolean => this.#countOf(other) <= count;
+            this.#isReplacing = true;
+            this.#idle.leastValuable(this.#options.clock.now(), isProtected)
+                ?.close("replaced by a connection of another customer");
+            this.#isReplacing = false;
+        }
+        return this.#countedSize < limit;
+    }
+
+    #countOf(owner: ConnectionOwner): number {
+        const open = [...this.#connections].filter(connection => connection.owner === owner).length;
+        return open + (this.#openingByOwner.get(owner) ?? 0);
+    }
+
+    /** The owner for whom to open the next connection: the one with the most urgent order, or that waits longest. */
+    #nextOwner(): { readonly customer: ConnectionOwner; } | undefined {
+        let next: { readonly customer: ConnectionOwner; readonly priority: number; } | undefined;
+        for (const [customer, waiters] of this.#waitingByOwner) {
+            const priority = Math.min(...[...waiters].map(({ request }) => request.priority));
+            if ((next === undefined || priority < next.priority) && this.#needsOpening(customer, waiters.size)) {
+                next = { customer, priority };
+            }
+        }
+        return next;
+    }
+
+    #needsOpening(owner: ConnectionOwner, waiting: number): boolean {
+        const opening = this.#openingByOwner.get(owner) ?? 0;
+        if (!this.#hasCustomers) {
+            return waiting > opening;
+        }
+        return needsOpening({ waiting, inUse: this.#usableBy(owner).length, opening }, this.#options.averageMs());
+    }
+
+    /** The owner's connections in use that are neither overdue nor reserved for a transaction, so that they free soon. */
+    #usableBy(owner: ConnectionOwner): readonly PooledConnection[] {
+        const { clock, overdueMs, isReserved } = this.#options;
+        const overdueSince = clock.now() - overdueMs();
+        return [...this.#inUseSince].flatMap(([connection, since]) =>
+            connection.owner === owner && since >= overdueSince && !isReserved(connection) ? [connection] : []
+        );
+    }
+
+    #forgetWaiter(waiter: Waiter): void {
+        const { customer } = waiter.request;
+        const waiters = this.#waitingByOwner.get(customer);
+        waiters?.delete(waiter);
+        if (waiters?.size === 0) {
+            this.#waitingByOwner.delete(customer);
+        }
+    }
+
     #mayOpen(): boolean {
-        return !this.#isClosed && this.#options.clock.now() >= this.#connectNotBefore;
+        return !this.#isClosed && !this.#isReplacing && this.#options.clock.now() >= this.#connectNotBefore;
     }
 
-    async #open(): Promise<void> {
+    async #open(owner: ConnectionOwner): Promise<void> {
         const { connector, address, clock, events } = this.#options;
         this.#openingCount += 1;
+        this.#openingByOwner.set(owner, (this.#openingByOwner.get(owner) ?? 0) + 1);
         const startedAt = clock.now();
-        const connected = await connector.connect(address, undefined, CONNECT_TIMEOUT_MS);
+        const connected = await connector.connect(address, owner, CONNECT_TIMEOUT_MS);
         this.#openingCount -= 1;
+        this.#openingByOwner.set(owner, (this.#openingByOwner.get(owner) ?? 1) - 1);
         if (!connected.ok) {
             this.#connectNotBefore = clock.now() + RECONNECT_DELAY_MS;
             events.connectFailed(connected.failure, startedAt);
             this.#openFailed();
             return;
         }
-        const connection = new PooledConnection(connected.connection, this.#connectionEvents);
+        const connection = new PooledConnection(connected.connection, owner, this.#connectionEvents);
         this.#connections.add(connection);
         events.connected();
         this.#returnToIdle(connection);
@@ -306,18 +415,15 @@
 
     #connectionClosed(connection: PooledConnection, reason: string): void {
         this.#connections.delete(connection);
-        this.#idleSince.delete(connection);
-        const at = this.#idle.indexOf(connection);
-        if (at >= 0) {
-            this.#idle.splice(at, 1);
-        }
+        this.#idle.remove(connection);
         this.#options.events.closed(connection, reason);
         this.#serveWaiters();
     }
 
     #refuseWaiters(waiting: readonly Waiter[]): void {
-        for (const { granted } of waiting) {
-            granted(undefined);
+        for (const waiter of waiting) {
+            this.#forgetWaiter(waiter);
+            waiter.granted(undefined);
         }
     }
 
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -122,6 +122,8 @@
             patienceMs: timeoutMs,
             timeoutMs,
             values: [],
+            customer: undefined,
+            isProbe: true,
         });
         if (connection === undefined) {
             return { kind: "notAsked" };
--- a/packages/gateway/src/pooled-connection.ts
+++ b/packages/gateway/src/pooled-connection.ts
@@ -36,6 +36,8 @@
  * One connection to an endpoint, with the session values, prepared statements and transaction state that it has there.
  */
 export class PooledConnection {
+    /** The customer in whose name the connection was opened, and whose orders alone it runs; undefined for the proxy. */
+    readonly owner: StatementOrder["customer"];
     readonly #connection: EndpointConnection;
     readonly #events: ConnectionEvents;
     readonly #replyHandlers: ((reply: Reply) => void)[] = [];
@@ -46,7 +48,12 @@
     #transactionState: TransactionState = TransactionStates.Idle;
     #isClosed = false;
 
-    constructor(endpointConnection: EndpointConnection, events: ConnectionEvents) {
+    constructor(
+        endpointConnection: EndpointConnection,
+        owner: StatementOrder["customer"],
+        events: ConnectionEvents,
+    ) {
+        this.owner = owner;
         this.#connection = endpointConnection;
         this.#events = events;
         endpointConnection.setHandler({
--- a/packages/routing/src/wait-queue.ts
+++ b/packages/routing/src/wait-queue.ts
@@ -29,6 +29,12 @@
         return this.#waiters.shift()?.item;
     }
 
+    /** Removes and returns the next entry for which `canServe` holds; undefined when there is none. */
+    take(canServe: (item: Item) => boolean): Item | undefined {
+        const index = this.#waiters.findIndex(waiter => canServe(waiter.item));
+        return index < 0 ? undefined : this.#waiters.splice(index, 1)[0]?.item;
+    }
+
     /** Removes and returns the entries whose maximum wait has passed. */
     expired(now: number): readonly Item[] {
         const expired = this.#waiters.filter(waiter => waiter.giveUpAt <= now);
