--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -102,7 +102,7 @@
         primaryOrders: message => this.#ordersReceived(message.orders),
         forwardedRenewal: message => void this.#sendToLeader(message),
         forwardedGrant: message => this.#forwardedGrant(message),
-        freshnessRequest: message => void this.#forwardFreshnessRequest(message),
+        freshnessRequest: message => void this.#keyLease?.forward(message),
         freshnessAnswer: message => this.#freshnessAnswered(message),
         leaseGranted: message => this.#lease?.granted(message),
         hostList: message => this.#hostsReceived(message),
@@ -141,7 +141,10 @@
             self,
             clock,
             revocationMs,
-            send: (request, isRepeated) => this.#sendFreshnessRequest(request, isRepeated),
+            leader: () => this.#leader,
+            control: () => this.#connectedControl(),
+            send: (host, message) => this.#links.send(host, message),
+            sendToOthers: message => this.#sendToOthers(message),
         });
         this.#mesh = new PeerMesh({
             self,
@@ -404,34 +407,12 @@
         }
     }
 
-    /**
-     * Asks the leader, or any control host without a link to it, for the newest configuration. A repeated question also
-     * takes other ways: the link to the leader may be open and carry messages in one direction only.
-     */
-    #sendFreshnessRequest(request: MessageOf<"freshnessRequest">, isRepeated: boolean): void {
-        const isSent = this.#forwardFreshnessRequest(request);
-        if (isRepeated || !isSent) {
-            const others = this.#connectedControl().filter(({ id }) => id !== this.#leader);
-            this.#links.sendAll(others, request);
-            this.#sendToOthers(request);
-        }
-    }
-
-    /** Sends the question of this or another entry host to the leader, or to any control host without a link to it. */
-    #forwardFreshnessRequest(request: MessageOf<"freshnessRequest">): boolean {
-        const [control] = this.#connectedControl();
-        return this.#sendToLeader(request) || (control !== undefined && this.#links.send(control.id, request));
-    }
-
     #freshnessAnswered(answer: MessageOf<"freshnessAnswer">): void {
-        if (answer.host !== this.#options.self.id) {
-            this.#links.send(answer.host, answer);
-            return;
+        if (this.#keyLease?.answered(answer) === true) {
+            // A configuration that is newer than the one in force is requested at the next tick.
+            this.#offeredNumber = Math.max(this.#offeredNumber, answer.number);
+            this.#keyLeaseChecked();
         }
-        this.#keyLease?.answered(answer);
-        // A configuration that is newer than the one in force is requested at the next tick.
-        this.#offeredNumber = Math.max(this.#offeredNumber, answer.number);
-        this.#keyLeaseChecked();
     }
 
     #sendToLeader(message: Message): boolean {
--- a/packages/fleet/src/key-lease-holder.ts
+++ b/packages/fleet/src/key-lease-holder.ts
@@ -1,6 +1,6 @@
 import { KeyLease } from "@medlarledge/customers";
 import { ElapsedClock } from "@medlarledge/gateway";
-import type { FreshnessAnswer, FreshnessRequest, Host } from "@medlarledge/protocol";
+import type { FreshnessAnswer, FreshnessRequest, Host, Message } from "@medlarledge/protocol";
 import type { Clock } from "@medlarledge/runtime";
 
 export interface KeyLeaseHolderOptions {
@@ -8,8 +8,14 @@
     readonly clock: Clock;
     /** Time after the acknowledgement of a configuration at which the keys that it lacks must not work anywhere. */
     readonly revocationMs: number;
-    /** Sends a question towards the leader; over several ways if the one before it was not answered. */
-    readonly send: (request: FreshnessRequest, isRepeated: boolean) => void;
+    /** Id of the leader of the control group; undefined while it is not known. */
+    readonly leader: () => string | undefined;
+    /** The linked control hosts. */
+    readonly control: () => readonly Host[];
+    /** Returns false when there is no link to the host. */
+    readonly send: (host: string, message: Message) => boolean;
+    /** Sends a message to other entry hosts, which send it on to the leader. */
+    readonly sendToOthers: (message: Message) => void;
 }
 
 /** Holds an entry host's permission to accept keys. Nothing is sent while the configuration has no customers. */
@@ -42,7 +48,7 @@
         if (question !== undefined) {
             const { id: host, incarnation } = this.#options.self;
             const { sequence, isRepeated } = question;
-            this.#options.send({ kind: "freshnessRequest", host, incarnation, sequence }, isRepeated);
+            this.#ask({ kind: "freshnessRequest", host, incarnation, sequence }, isRepeated);
         }
     }
 
@@ -52,10 +58,30 @@
         this.tick();
     }
 
-    answered({ incarnation, sequence, number }: FreshnessAnswer): void {
-        if (incarnation === this.#options.self.incarnation) {
+    /**
+     * Sends the question of this or another entry host to the leader, or to any control host if there is no link to it.
+     * Returns false when there is no link to any.
+     */
+    forward(request: FreshnessRequest): boolean {
+        const { leader, control, send } = this.#options;
+        const leaderId = leader();
+        const [other] = control();
+        return (leaderId !== undefined && send(leaderId, request)) || (other !== undefined && send(other.id, request));
+    }
+
+    /** Applies an answer, or sends it on. Returns true if it was for this process. */
+    answered(answer: FreshnessAnswer): boolean {
+        const { self, send } = this.#options;
+        const { host, incarnation, sequence, number } = answer;
+        if (host !== self.id) {
+            send(host, answer);
+            return false;
+        }
+        const isOwn = incarnation === self.incarnation;
+        if (isOwn) {
             this.#lease.answered(sequence, number);
         }
+        return isOwn;
     }
 
     /** Records the configuration that is in force from now on. */
@@ -64,4 +90,19 @@
         this.#lease.configured(number);
         this.tick();
     }
+
+    /** A repeated question also takes other ways: an open link may carry messages in one direction only. */
+    #ask(request: FreshnessRequest, isRepeated: boolean): void {
+        const isSent = this.forward(request);
+        if (isRepeated || !isSent) {
+            const { leader, control, send, sendToOthers } = this.#options;
+            const leaderId = leader();
+            for (const { id } of control()) {
+                if (id !== leaderId) {
+                    send(id, request);
+                }
+            }
+            sendToOthers(request);
+        }
+    }
 }
