Let a customer's orders for an endpoint meet in one host's pool

Where the configuration has customers, an endpoint's connections go to holders of 16 or more, at least two, ranked by a hash of customer and endpoint. A holder that isn't the first for a customer relays to the first, and uses its own pool only if that one refuses or is silent. Without customers nothing changes.

--- a/packages/fleet/src/connection-plans.ts
+++ b/packages/fleet/src/connection-plans.ts
@@ -1,6 +1,6 @@
 import type { Routing } from "@medlarledge/gateway";
 import type { EndpointRecord, HostPlacement } from "@medlarledge/protocol";
-import { planConnections, relayHostsFor, type Relays } from "./connection-share.js";
+import { type ConnectionPlan, planConnections, rankHolders, relayHostsFor, type Relays } from "./connection-share.js";
 
 /**
  * For this time after its start, a process opens only a part of its connections. After a power loss endpoints still
@@ -16,6 +16,12 @@
  */
 const HANDOVER_MS = 250;
 
+/**
+ * The same where connections belong to customers. A holder has many, and those that run an order are closed only after
+ * its answer; orders have 600 ms. The endpoint's other holders serve its customers meanwhile.
+ */
+const CUSTOMER_HANDOVER_MS = 1_000;
+
 /** One host's part in the division of an endpoint's connections. */
 interface OwnPlan {
     /** Maximum number of connections of the host. */
@@ -24,6 +30,8 @@
     readonly openFrom: number;
     /** Other hosts that have connections. */
     readonly relays: Relays;
+    /** The division of which it is a part, where connections belong to customers. */
+    readonly byCustomer: ConnectionPlan | undefined;
 }
 
 /** One host's part in the division of the connections of all endpoints. */
@@ -70,10 +78,40 @@
         return isRampingUp ? Math.min(share, Math.max(1, Math.floor(share * RAMP_UP_SHARE))) : share;
     }
 
-    /** Returns the hosts that may run orders for an endpoint; for an isolated host, only those in its data centre. */
-    relays(record: EndpointRecord, routing: Routing, isIsolated: boolean, now: number): readonly string[] {
-        const { all, near } = this.#plan(record, routing, now).relays;
-        return isIsolated ? near : all;
+    /**
+     * Returns the other hosts that may run a customer's orders for an endpoint, best first; for an isolated host, only
+     * those in its data centre.
+     */
+    relays(
+        record: EndpointRecord,
+        routing: Routing,
+        isIsolated: boolean,
+        now: number,
+        customer?: string,
+    ): readonly string[] {
+        const { relays: { all, near }, byCustomer } = this.#plan(record, routing, now);
+        const usable = isIsolated ? near : all;
+        return byCustomer === undefined
+            ? usable
+            : rankHolders(customer, record.id, byCustomer).filter(id => usable.includes(id));
+    }
+
+    /** Returns those of `relays` that come before this host for a customer's orders. */
+    preferredRelays(
+        record: EndpointRecord,
+        routing: Routing,
+        isIsolated: boolean,
+        now: number,
+        customer?: string,
+    ): readonly string[] {
+        const { relays: { all, near }, byCustomer } = this.#plan(record, routing, now);
+        if (byCustomer === undefined) {
+            return [];
+        }
+        const ranked = rankHolders(customer, record.id, byCustomer);
+        const usable = isIsolated ? near : all;
+        const ownRank = ranked.indexOf(this.#self.id);
+        return ranked.slice(0, ownRank < 0 ? ranked.length : ownRank).filter(id => usable.includes(id));
     }
 
     #discardPlans(): void {
@@ -88,14 +126,18 @@
         if (known !== undefined) {
             return known;
         }
-        const plan = planConnections(record, routing.groups.get(record.group)?.connections ?? 0, this.#entries);
+        const hasCustomers = routing.customers !== undefined;
+        const limit = routing.groups.get(record.group)?.connections ?? 0;
+        const plan = planConnections(record, limit, this.#entries, hasCustomers);
         const isHolder = plan.holders.length === 0 || plan.holders.includes(this.#self.id);
         const relays = relayHostsFor(this.#self, record.id, plan, this.#entries);
         const former = this.#formerPlans.get(record.id);
         // Where all hosts have connections, a joining host only makes the shares smaller.
         const hasFormerHolder = plan.holders.length < this.#entries.length && (former?.share ?? 0) === 0;
-        const openFrom = hasFormerHolder ? now + HANDOVER_MS : former?.openFrom ?? Number.NEGATIVE_INFINITY;
-        const own = { share: isHolder ? plan.share : 0, openFrom, relays };
+        const handoverMs = hasCustomers ? CUSTOMER_HANDOVER_MS : HANDOVER_MS;
+        const openFrom = hasFormerHolder ? now + handoverMs : former?.openFrom ?? Number.NEGATIVE_INFINITY;
+        const byCustomer = hasCustomers ? plan : undefined;
+        const own = { share: isHolder ? plan.share : 0, openFrom, relays, byCustomer };
         this.#plans.set(record.id, own);
         return own;
     }
--- a/packages/fleet/src/connection-share.ts
+++ b/packages/fleet/src/connection-share.ts
@@ -12,6 +12,15 @@
 /** Connections per host when not all hosts have some: enough for a few of them to be reserved by idle transactions. */
 const HOLDER_SHARE = 5;
 
+/**
+ * Least number of connections per host where they belong to customers: a connection serves a single customer, so that
+ * few large pools need fewer than many small ones, and a host that is busy with one customer has some for the others.
+ */
+const CUSTOMER_HOLDER_SHARE = 16;
+
+/** A failed holder must leave another one with its customers' connections. */
+const MIN_CUSTOMER_HOLDERS = 2;
+
 /** Division of the connections of one endpoint among the entry hosts. */
 export interface ConnectionPlan {
     /** Maximum number of connections of each holder. */
@@ -28,8 +37,14 @@
     record: EndpointRecord,
     limit: number,
     entries: readonly HostPlacement[],
+    hasCustomers = false,
 ): ConnectionPlan {
     const usable = Math.max(0, limit - CONTROL_CONNECTIONS);
+    if (hasCustomers && entries.length > 0) {
+        const wanted = Math.max(MIN_CUSTOMER_HOLDERS, Math.floor(usable / CUSTOMER_HOLDER_SHARE));
+        const count = Math.min(wanted, entries.length);
+        return { share: Math.max(1, Math.floor(usable / count)), holders: firstRanked(record, entries, count) };
+    }
     const share = Math.floor(usable / Math.max(1, entries.length));
     if (share >= MIN_SHARE || entries.length === 0) {
         return { share: Math.max(1, share), holders: firstRanked(record, entries, entries.length) };
@@ -63,6 +78,14 @@
     return { all, near: all.filter(id => neighbours.has(id)) };
 }
 
+/**
+ * An endpoint's holders in the order in which they get a customer's orders. Every host computes the same order, so that
+ * the customer's orders meet in one pool and few connections are opened for it.
+ */
+export function rankHolders(customer: string | undefined, endpoint: string, plan: ConnectionPlan): readonly string[] {
+    return rendezvousIds(`${customer ?? ""}/${endpoint}`, plan.holders);
+}
+
 /**
  * The first `count` hosts in an order that is the same on every host: those of the endpoint's data centre first, and
  * otherwise by a hash.
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -142,7 +142,10 @@
             connector,
             clock,
             share: (record, routing) => this.#plans.share(record, routing, clock.now()),
-            relays: (record, routing) => this.#plans.relays(record, routing, this.#contacts.isIsolated, clock.now()),
+            relays: (record, routing, customer) =>
+                this.#plans.relays(record, routing, this.#contacts.isIsolated, clock.now(), customer),
+            preferredRelays: (record, routing, customer) =>
+                this.#plans.preferredRelays(record, routing, this.#contacts.isIsolated, clock.now(), customer),
             links: {
                 open: (host, timeoutMs) => this.#links.open(host, timeoutMs),
                 send: (host, message) => this.#links.send(host, message),
--- a/packages/fleet/tests/connection-share.test.ts
+++ b/packages/fleet/tests/connection-share.test.ts
@@ -1,3 +1,4 @@
+import { CustomerDirectory } from "@medlarledge/customers";
 import { type EndpointRecord, EndpointRole, EndpointState, type Host } from "@medlarledge/protocol";
 import { expect, test } from "vitest";
 import { ConnectionPlans } from "../src/connection-plans.js";
@@ -106,3 +107,36 @@
     expect(plans.relays(endpoint("e", "d1"), routing, false, 3_000)).toHaveLength(5);
     expect(plans.relays(endpoint("e", "d1"), routing, true, 3_000)).toEqual(["h3"]);
 });
+
+// Guards against small pools in which a customer's connections are replaced before their next use (74 customers).
+test.each([[56, 63, 3, 18], [28, 69, 2, 13], [56, 2, 2, 27], [3, 5, 2, 1]])(
+    "with customers, %i connections and %i hosts, few hosts hold many connections each",
+    (limit, count, holders, share) => {
+        const plan = planConnections(endpoint("e", "d1"), limit, hosts(count), true);
+        expect(plan.holders).toHaveLength(holders);
+        expect(plan.share).toBe(share);
+    },
+);
+
+// Guards against opening connections for one customer at every holder of an endpoint.
+test("all hosts send a customer's orders to the same holder, and it runs them itself", () => {
+    const entries = hosts(63);
+    const groups = new Map([["orders", { connections: 56 }]]);
+    const customers = new CustomerDirectory([]);
+    const routing = { number: 1, routes: new Map(), groups, customers, transactionIdleMs: 3_000 };
+    const firsts = Array.from({ length: 74 }, (_, customer) => {
+        const chosen = entries.map(self => {
+            const plans = new ConnectionPlans(self, 0);
+            plans.hostsChanged(entries);
+            // The share is 0 at first: the holders before may still close their connections.
+            plans.share(endpoint("e", "d1"), routing, 0);
+            const own = plans.share(endpoint("e", "d1"), routing, 10_000) > 0;
+            const preferred = plans.preferredRelays(endpoint("e", "d1"), routing, false, 10_000, `c${customer}`);
+            const all = plans.relays(endpoint("e", "d1"), routing, false, 10_000, `c${customer}`);
+            return own ? preferred[0] ?? self.id : all[0];
+        });
+        return [...new Set(chosen)];
+    });
+    expect(firsts.every(({ length }) => length === 1)).toBe(true);
+    expect(new Set(firsts.flat()).size).toBe(3);
+});
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -192,7 +192,7 @@
     #runInTransaction(order: StatementOrder): Promise<StatementOrderResult> {
         const transaction = order.transaction ?? "";
         const connection = this.#transactions.connectionOf(transaction);
-        if (connection === undefined) {
+        if (connection === undefined || connection.owner !== order.customer) {
             return Promise.resolve({ kind: "notRun", reason: NotRunReason.TransactionLost, position: undefined });
         }
         if (requiresPrimary(order) && !this.#options.mayUsePrimary()) {
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -13,6 +13,8 @@
 import type { Routing } from "./route.js";
 import { StatementRouter } from "./statement-router.js";
 
+type RelayHosts = (record: EndpointRecord, routing: Routing, customer: string | undefined) => readonly string[];
+
 export interface GatewayOptions {
     readonly hostId: string;
     readonly dataCentre: string;
@@ -20,8 +22,10 @@
     readonly clock: Clock;
     /** Maximum number of connections that this process may have to an endpoint. */
     readonly share: (record: EndpointRecord, routing: Routing) => number;
-    /** Other hosts that may have connections to an endpoint, best first. */
-    readonly relays: (record: EndpointRecord, routing: Routing) => readonly string[];
+    /** Other hosts that may have connections to an endpoint for a customer, best first. */
+    readonly relays: RelayHosts;
+    /** Those of `relays` that run a customer's orders rather than this host. */
+    readonly preferredRelays: RelayHosts;
     readonly links: RelayLinks & { reply(host: string, result: RelayResult): void; };
     readonly permits: PrimaryPermits;
     readonly random: () => number;
@@ -60,7 +64,8 @@
         this.#relay = new RelayClient({
             clock: options.clock,
             links: options.links,
-            hosts: (group, endpoint) => this.#relayHosts(group, endpoint),
+            hosts: (...order) => this.#relayHosts(options.relays, ...order),
+            preferredHosts: (...order) => this.#relayHosts(options.preferredRelays, ...order),
         });
         this.#relayServer = new RelayServer(
             name => this.#groups.get(name),
@@ -217,9 +222,9 @@
         }
     }
 
-    #relayHosts(group: string, endpoint: string): readonly string[] {
+    #relayHosts(hosts: RelayHosts, group: string, endpoint: string, customer: string | undefined): readonly string[] {
         const record = this.#groups.get(group)?.record(endpoint);
-        return record === undefined ? [] : this.#options.relays(record, this.#routing);
+        return record === undefined ? [] : hosts(record, this.#routing, customer);
     }
 
     #transactionKey(): string {
--- a/packages/gateway/src/group-orders.ts
+++ b/packages/gateway/src/group-orders.ts
@@ -98,13 +98,32 @@
 
     /** Runs an order over a connection of this host where possible, otherwise over one of another host. */
     async #runDirectlyOrRelayed(endpoint: GroupEndpoint, order: StatementOrder): Promise<StatementOrderResult> {
-        const { clock, relay, group } = this.#options;
+        const { clock, relay } = this.#options;
         const isContinued = order.opening.kind === "continued";
         const isOwn = isContinued ? endpoint.pool.holds(order.transaction ?? "") : endpoint.isDirectlyReachable;
         if (!isOwn) {
             return this.#relay(order);
         }
-        if (isContinued || !relay.canReach(group, order.endpoint)) {
+        if (isContinued) {
+            return this.#runOn(endpoint, order);
+        }
+        const preferredHosts = relay.preferredHosts(order);
+        if (preferredHosts.length === 0) {
+            return this.#runOnOwnFirst(endpoint, order);
+        }
+        const startedAt = clock.now();
+        const patienceMs = Math.min(order.patienceMs, MAX_FULL_POOL_WAIT_MS);
+        const preferred = await this.#relay({ ...order, patienceMs }, preferredHosts);
+        const leftMs = order.patienceMs - (clock.now() - startedAt);
+        return needsOtherHost(preferred) && leftMs > 0
+            ? this.#runOnOwnFirst(endpoint, { ...order, patienceMs: leftMs })
+            : preferred;
+    }
+
+    /** Runs an order that begins over a connection of this host or, without a free one, of another host. */
+    async #runOnOwnFirst(endpoint: GroupEndpoint, order: StatementOrder): Promise<StatementOrderResult> {
+        const { clock, relay, group } = this.#options;
+        if (!relay.canReach(group, order.endpoint)) {
             return this.#runOn(endpoint, order);
         }
         const startedAt = clock.now();
@@ -174,10 +193,13 @@
         return true;
     }
 
-    async #relay(order: StatementOrder): Promise<StatementOrderResult> {
+    /** Runs an order on another host: on the first that can of those given, or of all that hold connections. */
+    async #relay(order: StatementOrder, hosts?: readonly string[]): Promise<StatementOrderResult> {
         const { elapsed, relay, state } = this.#options;
         const sentAt = elapsed.now();
-        const { result, leader: primaryPosition } = await relay.run(order);
+        const { result, leader: primaryPosition } = await (hosts === undefined
+            ? relay.run(order)
+            : relay.runInTurn(order, hosts));
         state.recordResult(order.endpoint, result, sentAt);
         if (primaryPosition !== undefined) {
             state.recordPrimaryPosition(primaryPosition, sentAt);
--- a/packages/gateway/src/relay-client.ts
+++ b/packages/gateway/src/relay-client.ts
@@ -37,8 +37,10 @@
 export interface RelayClientOptions {
     readonly clock: Clock;
     readonly links: RelayLinks;
-    /** Hosts that may hold connections to an endpoint, best first, without this one. */
-    readonly hosts: (group: string, endpoint: string) => readonly string[];
+    /** Hosts that may hold connections to an endpoint for a customer, best first, without this one. */
+    readonly hosts: (group: string, endpoint: string, customer: string | undefined) => readonly string[];
+    /** Those of `hosts` that run the customer's orders rather than this host. */
+    readonly preferredHosts: (group: string, endpoint: string, customer: string | undefined) => readonly string[];
 }
 
 interface OutstandingOrder {
@@ -73,7 +75,7 @@
     /** Returns true when some other host may be able to run orders for the endpoint. */
     canReach(group: string, endpoint: string): boolean {
         const now = this.#options.clock.now();
-        const hosts = this.#options.hosts(group, endpoint);
+        const hosts = this.#options.hosts(group, endpoint, undefined);
         this.#retryLinks(hosts, now);
         return hosts.some(host => this.#mayRelay(host, endpoint, now));
     }
@@ -83,10 +85,26 @@
         if (order.opening.kind === "continued") {
             return this.#runInTransaction(order);
         }
+        const { group, endpoint, customer } = order;
+        return this.runInTurn(order, this.#candidates(this.#options.hosts(group, endpoint, customer), endpoint));
+    }
+
+    /**
+     * Hosts that should run an order rather than this one, best first: there the customer's orders meet. Hosts that
+     * leave orders unanswered are left out.
+     */
+    preferredHosts({ group, endpoint, customer }: StatementOrder): readonly string[] {
+        const now = this.#options.clock.now();
+        return this.#candidates(this.#options.preferredHosts(group, endpoint, customer), endpoint)
+            .filter(host => !this.#isQuiet(host, now));
+    }
+
+    /** Runs an order that begins on the first of the hosts that can. */
+    async runInTurn(order: StatementOrder, candidates: readonly string[]): Promise<RelayedResult> {
         const { clock } = this.#options;
         const giveUpAt = clock.now() + order.patienceMs;
         let last: RelayedResult = notRun(NotRunReason.Unreachable);
-        const hosts = this.#candidates(order.group, order.endpoint).slice(0, MAX_HOSTS_PER_ORDER);
+        const hosts = candidates.slice(0, MAX_HOSTS_PER_ORDER);
         for (const [index, host] of hosts.entries()) {
             const leftMs = giveUpAt - clock.now();
             if (leftMs <= 0) {
@@ -210,10 +228,9 @@
             && (result.reason === NotRunReason.NoConnection || REFUSAL_PAUSES_MS[result.reason] !== undefined);
     }
 
-    /** Hosts to which an order may be sent, best first. */
-    #candidates(group: string, endpoint: string): readonly string[] {
+    /** Those of the hosts to which an order may be sent, best first. */
+    #candidates(hosts: readonly string[], endpoint: string): readonly string[] {
         const now = this.#options.clock.now();
-        const hosts = this.#options.hosts(group, endpoint);
         this.#retryLinks(hosts, now);
         const usable = hosts.filter(host => this.#mayRelay(host, endpoint, now));
         const quietHosts = usable.filter(host => this.#isQuiet(host, now));
--- a/packages/gateway/tests/test-gateway.ts
+++ b/packages/gateway/tests/test-gateway.ts
@@ -133,6 +133,7 @@
         clock: { now: () => performance.now(), wallClock: () => Date.now() },
         share: () => share,
         relays: () => [...peers.keys()].filter(id => id !== host),
+        preferredRelays: () => [],
         links: options.linkMs === undefined ? linksOf(host, peers, options.silent) : unreachableLinks(options.linkMs),
         permits: options.permits ?? UNRESTRICTED_PERMITS,
         random: () => 0,
