--- a/packages/daemon/src/message-router.ts
+++ b/packages/daemon/src/message-router.ts
@@ -4,6 +4,7 @@
     Host,
     LeaderReply,
     LeaderRequest,
+    LimitMessage,
     Message,
     MessageKind,
     RelayMessage,
@@ -26,7 +27,7 @@
 }
 
 /** The messages of processes that serve PostgreSQL; the others belong to the fleet package. */
-type RoutedKind = Exclude<MessageKind, (FleetMessage | RelayMessage)["kind"]>;
+type RoutedKind = Exclude<MessageKind, (FleetMessage | LimitMessage | RelayMessage)["kind"]>;
 
 type Handlers = {
     readonly [K in RoutedKind]: (message: Extract<Message, { kind: K; }>, from: Host) => void;
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -6,6 +6,7 @@
 export * from "./endpoint.js";
 export * from "./fleet-message.js";
 export * from "./host.js";
+export * from "./limit-message.js";
 export * from "./message-table.js";
 export * from "./position.js";
 export * from "./relay-message.js";
--- a/packages/protocol/src/message-table.ts
+++ b/packages/protocol/src/message-table.ts
@@ -1,10 +1,11 @@
 import type { ConsensusEnvelope } from "./consensus-message.js";
 import type { ControlMessage } from "./control-message.js";
 import type { FleetMessage } from "./fleet-message.js";
+import type { LimitMessage } from "./limit-message.js";
 import type { RelayMessage } from "./relay-message.js";
 
 /** Every message between processes. */
-export type Message = ConsensusEnvelope | ControlMessage | FleetMessage | RelayMessage;
+export type Message = ConsensusEnvelope | ControlMessage | FleetMessage | LimitMessage | RelayMessage;
 
 /** Discriminant of a message. */
 export type MessageKind = Message["kind"];
@@ -46,6 +47,8 @@
     relayEnd: 30,
     forwardedRenewal: 31,
     forwardedGrant: 32,
+    tokenRequest: 35,
+    tokenGrant: 36,
 } as const satisfies Record<MessageKind, number>;
 
 const KINDS_BY_ID: ReadonlyMap<number, MessageKind> = new Map(
