Share the connections among customers by weight and order waiting orders by what callers lose

Waiting orders were served by priority and arrival, so one customer's surge made all others wait until they were refused. WaitQueue now serves customers by start-time fair queueing on expected work, the most urgent order first among the customers within their share, and passes over orders that cannot be served yet. Targets shorten the wait in a standing queue. Orders without a customer are served as before.

--- a/packages/gateway/src/caller-identity.ts
+++ b/packages/gateway/src/caller-identity.ts
@@ -30,7 +30,7 @@
     }
 }
 
-/** Name of the identified customer; undefined for an anonymous caller. */
-export function customerNameOf(identification: Identification): string | undefined {
-    return identification.kind === "customer" ? identification.customer.name : undefined;
+/** The identified customer; undefined for an anonymous caller. */
+export function customerOf(identification: Identification): Customer | undefined {
+    return identification.kind === "customer" ? identification.customer : undefined;
 }
--- a/packages/gateway/src/caller-session.ts
+++ b/packages/gateway/src/caller-session.ts
@@ -1,3 +1,4 @@
+import type { Customer } from "@medlarledge/customers";
 import type { Clock } from "@medlarledge/runtime";
 import {
     type Answer,
@@ -13,7 +14,7 @@
     type TransactionState,
     TransactionStates,
 } from "@medlarledge/statements";
-import { type CallerIdentity, customerNameOf, type Identification } from "./caller-identity.js";
+import { type CallerIdentity, customerOf, type Identification } from "./caller-identity.js";
 import type { GatewayListener } from "./gateway-event.js";
 import type { Group } from "./group.js";
 import { NOT_RUN_CODES } from "./not-run-codes.js";
@@ -35,8 +36,8 @@
     readonly readOnly: boolean;
     /** Route at the begin; the transaction stays on it when the configuration changes. */
     readonly route: Route;
-    /** Name of the customer in whose name it runs; undefined for an anonymous caller. */
-    readonly customer: string | undefined;
+    /** Customer in whose name it runs; undefined for an anonymous caller. */
+    readonly customer: Customer | undefined;
     readonly group: Group;
     /** Endpoint on which it runs; undefined before its first statement. */
     endpoint: string | undefined;
@@ -199,7 +200,7 @@
                 key: this.#options.transactionKey(),
                 readOnly,
                 route,
-                customer: customerNameOf(identification),
+                customer: customerOf(identification),
                 group: this.#options.group(route.group),
                 endpoint: undefined,
                 wrote: false,
@@ -232,7 +233,7 @@
         const served = await this.#options.server.serve({
             requestId: request.id,
             route,
-            customer: transaction === undefined ? customerNameOf(identification) : transaction.customer,
+            customer: transaction === undefined ? customerOf(identification) : transaction.customer,
             statement: ordered,
             values: this.#sessionState.values,
             floor: this.#floor,
@@ -295,8 +296,10 @@
             opening: { kind: "continued" },
             transaction: key,
             values: this.#sessionState.values,
-            customer,
+            customer: customer?.name,
+            weight: customer?.weight,
             priority: route.priority,
+            targetMs: undefined,
             patienceMs: route.timeoutMs,
             timeoutMs: route.timeoutMs,
         };
--- a/packages/gateway/src/connection-pool.ts
+++ b/packages/gateway/src/connection-pool.ts
@@ -1,4 +1,4 @@
-import { SheddingLimit, StandingQueue, WaitQueue } from "@medlarledge/routing";
+import { type Claim, SheddingLimit, StandingQueue, WaitQueue } from "@medlarledge/routing";
 import { type Clock, StallTolerantTimer } from "@medlarledge/runtime";
 import type { ConnectFailure, EndpointAddress, EndpointConnector, StatementOrder } from "@medlarledge/statements";
 import { type ConnectionEvents, PooledConnection } from "./pooled-connection.js";
@@ -22,7 +22,9 @@
 const MAX_REPLACED_CONNECTIONS = 2;
 
 /** What the pool needs to know of an order that requests a connection. */
-export type ConnectionRequest = Pick<StatementOrder, "priority" | "patienceMs" | "timeoutMs" | "values">;
+export type ConnectionRequest =
+    & Pick<StatementOrder, "priority" | "patienceMs" | "timeoutMs" | "values">
+    & Partial<Pick<StatementOrder, "customer" | "weight" | "targetMs">>;
 
 interface Waiter {
     readonly request: ConnectionRequest;
@@ -133,13 +135,13 @@
             const now = this.#options.clock.now();
             const patienceMs = this.#standingQueue.patienceMs(request, now);
             const isHopeless = this.#isClosed || this.#options.limit() < 1
-                || this.#expectedWaitMs(request) > patienceMs;
+                || this.#expectedWaitMs(request, now) > patienceMs;
             if (isHopeless) {
                 resolve(undefined);
                 return;
             }
-            const { priority } = request;
-            this.#waiting.push({ item: { request, granted: resolve }, priority, giveUpAt: now + patienceMs });
+            const item = { request, granted: resolve };
+            this.#waiting.push({ ...this.#claimOf(request, now), item, giveUpAt: now + patienceMs });
             this.#serveWaiters();
         });
     }
@@ -245,13 +247,19 @@
     }
 
     /** Time until the requests ahead have been served, if each order takes the average time. */
-    #expectedWaitMs({ priority }: ConnectionRequest): number {
-        return this.#waiting.countAhead(priority) * this.#options.averageMs() / this.#concurrency;
+    #expectedWaitMs(request: ConnectionRequest, now: number): number {
+        const ahead = this.#waiting.countAhead(this.#claimOf(request, now));
+        return ahead * this.#options.averageMs() / this.#concurrency;
+    }
+
+    #claimOf({ priority, customer, weight, targetMs }: ConnectionRequest, now: number): Claim {
+        const dueAt = targetMs === undefined ? undefined : now + targetMs;
+        return { priority, customer, weight, dueAt, workMs: this.#options.averageMs() };
     }
 
     #serveWaiters(): void {
         while (this.#idle.length > 0 && this.#running < this.#concurrency) {
-            const next = this.#waiting.shift();
+            const next = this.#waiting.shift(this.#options.clock.now());
             if (next === undefined) {
                 break;
             }
--- a/packages/gateway/src/statement-router.ts
+++ b/packages/gateway/src/statement-router.ts
@@ -1,3 +1,4 @@
+import type { Customer } from "@medlarledge/customers";
 import { decideDuringOutage } from "@medlarledge/routing";
 import type { Clock } from "@medlarledge/runtime";
 import {
@@ -39,8 +40,8 @@
 export interface ServeRequest {
     readonly requestId: string;
     readonly route: Route;
-    /** Name of the customer in whose name it runs; undefined for an anonymous caller. */
-    readonly customer: string | undefined;
+    /** Customer in whose name it runs; undefined for an anonymous caller. */
+    readonly customer: Customer | undefined;
     readonly statement: OrderedStatement;
     readonly values: StatementOrder["values"];
     /** Position of the session's last commit. */
@@ -203,8 +204,12 @@
             opening,
             transaction,
             values,
-            customer,
+            customer: customer?.name,
+            weight: customer?.weight,
             priority: route.priority,
+            targetMs: customer === undefined || route.targetMs === undefined
+                ? undefined
+                : arrivedAt + route.targetMs - now,
             patienceMs: Math.max(1, giveUpAt - now),
             timeoutMs: Math.max(1, arrivedAt + route.timeoutMs - now),
         };
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -1,6 +1,7 @@
 export * from "./admission-queue.js";
 export * from "./availability.js";
 export * from "./classifier.js";
+export type { Claim } from "./customer-queue.js";
 export * from "./endpoint-health.js";
 export * from "./endpoint-load.js";
 export * from "./endpoint-reachability.js";
--- a/packages/routing/src/standing-queue.ts
+++ b/packages/routing/src/standing-queue.ts
@@ -10,12 +10,20 @@
  */
 const STANDING_WAIT_SHARE = 1 / 8;
 
+/**
+ * Share of an order's target that it may spend in a standing queue. As much again goes to the network, to running the
+ * order and to the other statements of its operation; beyond that, a late order takes the place of one in time.
+ */
+const STANDING_TARGET_SHARE = 1 / 2;
+
 /** Time limits of an order, in ms. */
 export interface OrderTimeLimits {
     /** Maximum wait for a connection. */
     readonly patienceMs: number;
     /** Time until the answer to the caller is due. */
     readonly timeoutMs: number;
+    /** Time until the caller wants the answer; undefined when only the timeout counts. */
+    readonly targetMs?: number | undefined;
 }
 
 /**
@@ -36,8 +44,11 @@
     }
 
     /** Maximum expected wait of an order in ms; an order that would wait longer should be refused at once. */
-    patienceMs({ patienceMs, timeoutMs }: OrderTimeLimits, now: number): number {
+    patienceMs({ patienceMs, timeoutMs, targetMs }: OrderTimeLimits, now: number): number {
         const isStanding = this.#filledAt !== undefined && now - this.#filledAt >= STANDING_AFTER_MS;
-        return isStanding ? Math.min(patienceMs, timeoutMs * STANDING_WAIT_SHARE) : patienceMs;
+        const standingMs = targetMs === undefined
+            ? timeoutMs * STANDING_WAIT_SHARE
+            : Math.max(0, targetMs * STANDING_TARGET_SHARE);
+        return isStanding ? Math.min(patienceMs, standingMs) : patienceMs;
     }
 }
--- a/packages/routing/tests/standing-queue.test.ts
+++ b/packages/routing/tests/standing-queue.test.ts
@@ -28,7 +28,7 @@
         const averageMs = SERVICE_MS * (1 + atEndpoint.length / SLOTS);
         for (let count = arrivals(now); count > 0; count--) {
             const patienceMs = standing.patienceMs(ORDER, now);
-            if (queue.countAhead(0) * averageMs / CONNECTIONS > patienceMs) {
+            if (queue.countAhead({ priority: 0 }) * averageMs / CONNECTIONS > patienceMs) {
                 refusedMs.push(0);
             }
             else {
@@ -41,7 +41,7 @@
         }
         slots.splice(0, slots.length, ...slots.filter(slot => slot.endsAt > now));
         while (queue.size > 0 && atEndpoint.length + slots.length < CONNECTIONS) {
-            const order = queue.shift();
+            const order = queue.shift(now);
             if (order !== undefined) {
                 atEndpoint.push(order);
             }
--- a/packages/statements/src/statement-order.ts
+++ b/packages/statements/src/statement-order.ts
@@ -32,8 +32,12 @@
     readonly values: readonly (readonly [name: string, value: string])[];
     /** Customer in whose name the statement runs; undefined where the deployment has none or the route is public. */
     readonly customer: string | undefined;
+    /** Part of scarce room of the customer relative to others; undefined without a customer. */
+    readonly weight: number | undefined;
     /** 0 is the most urgent. */
     readonly priority: number;
+    /** Time until the caller wants the answer, in ms; undefined without a customer or a target. */
+    readonly targetMs: number | undefined;
     /** Maximum wait for a connection, in ms. */
     readonly patienceMs: number;
     /** Time after which the order is given up, in ms. */
