--- a/packages/gateway/src/caller-session.ts
+++ b/packages/gateway/src/caller-session.ts
@@ -1,3 +1,4 @@
+import type { Customer } from "@medlarledge/customers";
 import type { Clock } from "@medlarledge/runtime";
 import {
     type Answer,
@@ -14,7 +15,7 @@
     type TransactionState,
     TransactionStates,
 } from "@medlarledge/statements";
-import { type CallerIdentity, customerNameOf, needsKey } from "./caller-identity.js";
+import { type CallerIdentity, customerOf, needsKey } from "./caller-identity.js";
 import { type GatewayListener, KeyRefusal } from "./gateway-event.js";
 import type { Group } from "./group.js";
 import { NOT_RUN_CODES } from "./not-run-codes.js";
@@ -48,8 +49,8 @@
     readonly readOnly: boolean;
     /** Route at the begin; the transaction stays on it when the configuration changes. */
     readonly route: Route;
-    /** Name of the customer in whose name it runs; undefined for an anonymous caller. */
-    readonly customer: string | undefined;
+    /** Customer in whose name it runs; undefined for an anonymous caller. */
+    readonly customer: Customer | undefined;
     readonly group: Group;
     /** Endpoint on which it runs; undefined before its first statement. */
     endpoint: string | undefined;
@@ -334,8 +335,10 @@
             opening: { kind: "continued" },
             transaction: key,
             values: this.#sessionState.values,
-            customer,
+            customer: customer?.name,
+            weight: customer?.weight,
             priority: route.priority,
+            targetMs: undefined,
             patienceMs: route.timeoutMs,
             timeoutMs: route.timeoutMs,
         };
@@ -419,8 +422,8 @@
         return answer;
     }
 
-    #customer(route: Route): string | undefined {
-        return customerNameOf(this.#options.identity.identify(route, this.#options.routing()));
+    #customer(route: Route): Customer | undefined {
+        return customerOf(this.#options.identity.identify(route, this.#options.routing()));
     }
 
     /** Returns true unless the session's next request needs a key that the configuration in force does not have. */
@@ -431,7 +434,7 @@
         const owner = this.#options.identity.ownerOf(this.#options.routing());
         // The endpoint connection of an open transaction was opened in the name of the former owner.
         return owner.kind === "customer"
-            && (this.#transaction === undefined || this.#transaction.customer === owner.customer.name);
+            && (this.#transaction === undefined || this.#transaction.customer?.name === owner.customer.name);
     }
 
     /** Returns why the caller's key does not permit a statement; undefined if it does, or if none is needed. */
--- a/packages/gateway/src/connection-pool.ts
+++ b/packages/gateway/src/connection-pool.ts
@@ -1,4 +1,4 @@
-import { MAX_OPENINGS, needsOpening, SheddingLimit, StandingQueue, WaitQueue } from "@medlarledge/routing";
+import { type Claim, MAX_OPENINGS, needsOpening, SheddingLimit, StandingQueue, WaitQueue } from "@medlarledge/routing";
 import { type Clock, StallTolerantTimer } from "@medlarledge/runtime";
 import type { ConnectFailure, EndpointAddress, EndpointConnector, StatementOrder } from "@medlarledge/statements";
 import { type ConnectionOwner, IdleConnections } from "./idle-connections.js";
@@ -30,7 +30,9 @@
 
 /** What the pool needs to know of an order that requests a connection. */
 export interface ConnectionRequest
-    extends Pick<StatementOrder, "priority" | "patienceMs" | "timeoutMs" | "values" | "customer">
+    extends
+        Pick<StatementOrder, "priority" | "patienceMs" | "timeoutMs" | "values" | "customer">,
+        Partial<Pick<StatementOrder, "weight" | "targetMs">>
 {
     /** A probe runs no caller's statement, so it may use any customer's connection. */
     readonly isProbe?: boolean;
@@ -152,14 +154,14 @@
             this.#hasCustomers ||= request.customer !== undefined;
             const patienceMs = this.#standingQueue.patienceMs(request, now);
             const isHopeless = this.#isClosed || this.#options.limit() < 1
-                || this.#expectedWaitMs(request) > patienceMs;
+                || this.#expectedWaitMs(request, now) > patienceMs;
             if (isHopeless) {
                 resolve(undefined);
                 return;
             }
-            const { priority, customer } = request;
+            const { customer } = request;
             const waiter: Waiter = { request, granted: resolve };
-            this.#waiting.push({ item: waiter, priority, giveUpAt: now + patienceMs });
+            this.#waiting.push({ ...this.#claimOf(request, now), item: waiter, giveUpAt: now + patienceMs });
             this.#waitingByOwner.set(customer, (this.#waitingByOwner.get(customer) ?? new Set()).add(waiter));
             this.#serveWaiters();
         });
@@ -269,17 +271,24 @@
      * Time until the requests ahead have been served, if each order takes the average time. Until the endpoint has as
      * many orders as it may, a customer's orders wait only for those of the same customer.
      */
-    #expectedWaitMs({ priority, customer }: ConnectionRequest): number {
+    #expectedWaitMs(request: ConnectionRequest, now: number): number {
+        const { customer } = request;
         const ahead = customer !== undefined && this.#running < this.#concurrency
             ? this.#waitingByOwner.get(customer)?.size ?? 0
-            : this.#waiting.countAhead(priority);
+            : this.#waiting.countAhead(this.#claimOf(request, now));
         return ahead * this.#options.averageMs() / this.#concurrency;
     }
 
+    #claimOf({ priority, customer, weight, targetMs }: ConnectionRequest, now: number): Claim {
+        const dueAt = targetMs === undefined ? undefined : now + targetMs;
+        return { priority, customer, weight, dueAt, workMs: this.#options.averageMs() };
+    }
+
     #serveWaiters(): void {
         while (this.#idle.size > 0 && this.#running < this.#concurrency) {
-            const next = this.#waiting.take(({ request }) =>
-                request.isProbe === true || this.#idle.isOwned(request.customer)
+            const next = this.#waiting.take(
+                ({ request }) => request.isProbe === true || this.#idle.isOwned(request.customer),
+                this.#options.clock.now(),
             );
             if (next === undefined) {
                 break;
