Divide reads by the reported load of endpoints

Each of many hosts sees too few of an endpoint's orders to know its load, and all chose the endpoint that looked cheapest. The results of relayed orders now carry the load of the endpoint at the answering host, and reads are divided in proportion to the expected capacity: typical durations, discounted by their age, failures, the data centre, and the work that only the primary can do.

--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -55,6 +55,8 @@
     readonly graceMs: number;
     /** See `ControlHostOptions.primariesStepDown`. */
     readonly primariesStepDown: boolean;
+    /** See `GatewayOptions.usesLoadReports`. */
+    readonly usesLoadReports: boolean;
 }
 
 type MessageOf<K extends Message["kind"]> = Extract<Message, { kind: K; }>;
@@ -150,6 +152,7 @@
             },
             permits: this.#lease ?? UNRESTRICTED_PERMITS,
             random,
+            usesLoadReports: options.usesLoadReports,
             listener: new GatewayReporter(log, meter, clock.now).listener,
         });
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -25,6 +25,11 @@
     readonly links: RelayLinks & { reply(host: string, result: RelayResult): void; };
     readonly permits: PrimaryPermits;
     readonly random: () => number;
+    /**
+     * Whether hosts report the load of endpoints with the results of relayed orders and divide reads by it. Otherwise
+     * each read goes to the endpoint that is cheapest by this host's own measurements.
+     */
+    readonly usesLoadReports: boolean;
     readonly listener: GatewayListener;
 }
 
@@ -230,7 +235,7 @@
     #group(name: string): Group {
         let group = this.#groups.get(name);
         if (group === undefined) {
-            const { dataCentre, connector, clock, permits, random, listener } = this.#options;
+            const { dataCentre, connector, clock, permits, random, usesLoadReports, listener } = this.#options;
             group = new Group({
                 name,
                 dataCentre,
@@ -242,6 +247,7 @@
                 permits,
                 promotionTimes: this.#promotionTimes,
                 random,
+                usesLoadReports,
                 listener,
             });
             this.#groups.set(name, group);
--- a/packages/gateway/src/group-endpoint.ts
+++ b/packages/gateway/src/group-endpoint.ts
@@ -1,10 +1,17 @@
 import type { EndpointRecord } from "@medlarledge/protocol";
-import { EndpointLoad, EndpointReachability, Reachability } from "@medlarledge/routing";
+import {
+    EndpointLoad,
+    EndpointReachability,
+    type LoadedTarget,
+    LoadEstimate,
+    Reachability,
+} from "@medlarledge/routing";
 import type { Clock } from "@medlarledge/runtime";
 import {
     type ConnectFailure,
     type EndpointConnector,
     isEndpointFault,
+    type LoadReport,
     type StatementOrder,
     type StatementOrderResult,
     UnknownReason,
@@ -57,6 +64,7 @@
     readonly #pool: EndpointPool;
     readonly #reachability = new EndpointReachability();
     readonly #load = new EndpointLoad();
+    readonly #estimate = new LoadEstimate(this.#load);
     /** Callbacks that give up outstanding reads of this endpoint, so that they run on another one. */
     readonly #abandonHandlers = new Set<(reason: UnknownReason) => void>();
     #record: EndpointRecord;
@@ -125,6 +133,23 @@
         return this.#load.expectedMs(this.#record.slots, now);
     }
 
+    /** What is known of the load of the endpoint from this host's orders and from the reports of others. */
+    loadEstimate(now: number): Pick<LoadedTarget, "expectedMs" | "failureShare" | "slots"> {
+        const { slots } = this.#record;
+        const expectedMs = this.#estimate.expectedMs(slots, now);
+        return { expectedMs, failureShare: this.#estimate.failureShare(now), slots };
+    }
+
+    /** Records the report of a host that ran an order, which took `tookMs` with its way there and back. */
+    loadReported(report: LoadReport, tookMs: number): void {
+        this.#estimate.reported(report, tookMs, this.#options.clock.now());
+    }
+
+    /** The report of this host for others that relay to it. */
+    loadReport(now: number): LoadReport {
+        return this.#estimate.report(now);
+    }
+
     condition(now: number): EndpointCondition {
         const { answeredAt, reach } = this.#reachability;
         const { size, idle, transactions, waiting } = this.#pool;
@@ -147,7 +172,11 @@
         this.#load.started();
         const result = await run();
         const now = clock.now();
-        this.#load.ended(this.#observedMs(result, now - startedAt, now), now);
+        const observedMs = this.#observedMs(result, now - startedAt, now);
+        this.#load.ended(observedMs, now);
+        if (observedMs !== undefined) {
+            this.#estimate.ended(observedMs, hasFailed(result), now);
+        }
         return result;
     }
 
@@ -159,11 +188,8 @@
         switch (result.kind) {
             case "notRun":
                 return undefined;
-            case "answered": {
-                const { completion } = result.answer;
-                const isFault = completion.kind === "error" && isEndpointFault(completion.code);
-                return isFault ? Math.max(tookMs, this.#load.overdueMs(now)) : tookMs;
-            }
+            case "answered":
+                return hasFailed(result) ? Math.max(tookMs, this.#load.overdueMs(now)) : tookMs;
             case "unknown":
                 return Math.min(tookMs, this.#load.overdueMs(now));
         }
@@ -278,3 +304,12 @@
         this.#options.reachabilityChanged({ endpoint: this.#record.id, reach, former, quietMs, cause });
     }
 }
+
+/** Returns true for an answer that tells of a fault of the endpoint, and for an order without an answer. */
+function hasFailed(result: StatementOrderResult): boolean {
+    if (result.kind !== "answered") {
+        return result.kind === "unknown";
+    }
+    const { completion } = result.answer;
+    return completion.kind === "error" && isEndpointFault(completion.code);
+}
--- a/packages/gateway/src/group-orders.ts
+++ b/packages/gateway/src/group-orders.ts
@@ -2,6 +2,7 @@
 import type { Clock } from "@medlarledge/runtime";
 import { NotRunReason, type StatementOrder, type StatementOrderResult, UnknownReason } from "@medlarledge/statements";
 import type { ElapsedClock } from "./elapsed-clock.js";
+import type { GroupBalance } from "./group-balance.js";
 import type { GroupEndpoint } from "./group-endpoint.js";
 import type { GroupState } from "./group-state.js";
 import { changesData, requiresPrimary } from "./primary-order.js";
@@ -30,6 +31,7 @@
     readonly random: () => number;
     readonly state: GroupState;
     readonly endpoint: (id: string) => GroupEndpoint | undefined;
+    readonly balance: GroupBalance;
 }
 
 /** Runs statement orders on one group's endpoints, over connections of this process or of others. */
@@ -52,6 +54,15 @@
         if (endpoint === undefined) {
             return UNREACHABLE;
         }
+        const { balance, clock } = this.#options;
+        const startedAt = clock.now();
+        balance.sent(order.endpoint);
+        const result = await this.#runMeasured(endpoint, order, repeatable);
+        balance.ran(requiresPrimary(order), result, clock.now() - startedAt, clock.now());
+        return result;
+    }
+
+    #runMeasured(endpoint: GroupEndpoint, order: StatementOrder, repeatable: boolean): Promise<StatementOrderResult> {
         if (!repeatable) {
             return endpoint.measure(() => this.#runDirectlyOrRelayed(endpoint, order));
         }
@@ -102,7 +113,7 @@
         const isContinued = order.opening.kind === "continued";
         const isOwn = isContinued ? endpoint.pool.holds(order.transaction ?? "") : endpoint.isDirectlyReachable;
         if (!isOwn) {
-            return this.#relay(order);
+            return this.#relay(endpoint, order);
         }
         if (isContinued || !relay.canReach(group, order.endpoint)) {
             return this.#runOn(endpoint, order);
@@ -113,7 +124,7 @@
             patienceMs: Math.min(order.patienceMs, MAX_FULL_POOL_WAIT_MS),
         });
         const leftMs = order.patienceMs - (clock.now() - startedAt);
-        return needsOtherHost(own) && leftMs > 0 ? this.#relay({ ...order, patienceMs: leftMs }) : own;
+        return needsOtherHost(own) && leftMs > 0 ? this.#relay(endpoint, { ...order, patienceMs: leftMs }) : own;
     }
 
     async #runOn(endpoint: GroupEndpoint, order: StatementOrder): Promise<StatementOrderResult> {
@@ -174,10 +185,14 @@
         return true;
     }
 
-    async #relay(order: StatementOrder): Promise<StatementOrderResult> {
-        const { elapsed, relay, state } = this.#options;
+    async #relay(endpoint: GroupEndpoint, order: StatementOrder): Promise<StatementOrderResult> {
+        const { clock, elapsed, relay, state } = this.#options;
         const sentAt = elapsed.now();
-        const { result, leader: primaryPosition } = await relay.run(order);
+        const startedAt = clock.now();
+        const { result, leader: primaryPosition, load } = await relay.run(order);
+        if (load !== undefined) {
+            endpoint.loadReported(load, clock.now() - startedAt);
+        }
         state.recordResult(order.endpoint, result, sentAt);
         if (primaryPosition !== undefined) {
             state.recordPrimaryPosition(primaryPosition, sentAt);
--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -2,16 +2,17 @@
 import {
     Availability,
     chooseForRead,
+    type LoadedTarget,
     type Outage,
     type PromotionTimes,
     type ReadChoice,
-    type ReadTarget,
 } from "@medlarledge/routing";
 import type { Clock } from "@medlarledge/runtime";
-import type { EndpointConnector, LogPosition } from "@medlarledge/statements";
+import type { EndpointConnector, LoadReport, LogPosition } from "@medlarledge/statements";
 import type { ElapsedClock } from "./elapsed-clock.js";
 import type { Eviction } from "./endpoint-pool.js";
 import type { GatewayListener } from "./gateway-event.js";
+import { GroupBalance } from "./group-balance.js";
 import type { GroupCondition } from "./group-condition.js";
 import { GroupEndpoint, type ReachabilityChange } from "./group-endpoint.js";
 import { GroupOrders } from "./group-orders.js";
@@ -36,6 +37,8 @@
     /** Shared by all groups. */
     readonly promotionTimes: PromotionTimes;
     readonly random: () => number;
+    /** Whether reads are divided by the reported load of endpoints; see `GatewayOptions`. */
+    readonly usesLoadReports: boolean;
     readonly listener: GatewayListener;
 }
 
@@ -49,6 +52,7 @@
 export class Group {
     readonly #options: GroupOptions;
     readonly #endpoints = new Map<string, GroupEndpoint>();
+    readonly #balance: GroupBalance;
     readonly #changeWaiters = new Set<() => void>();
     readonly #primaryAvailability = new Availability();
     readonly #endpointAvailability = new Availability();
@@ -63,7 +67,10 @@
         const leaderChanged = (): void => this.#notifyWaiters();
         this.state = new GroupState({ group, clock, elapsed, listener, permits, promotionTimes, leaderChanged });
         const endpoint = (id: string): GroupEndpoint | undefined => this.#endpoints.get(id);
-        this.orders = new GroupOrders({ group, clock, elapsed, relay, permits, random, state: this.state, endpoint });
+        this.#balance = new GroupBalance(random);
+        const { state } = this;
+        const balance = this.#balance;
+        this.orders = new GroupOrders({ group, clock, elapsed, relay, permits, random, state, endpoint, balance });
     }
 
     get name(): string {
@@ -180,20 +187,29 @@
         floor: LogPosition | undefined,
         tried: ReadonlySet<string>,
     ): ReadChoice | undefined {
-        const { clock, random, dataCentre } = this.#options;
+        const { clock, random, usesLoadReports } = this.#options;
         const now = clock.now();
         const required = this.state.required(route, floor);
         const primary = this.primary();
         const targets = [...this.#endpoints]
             .filter(([id, endpoint]) => this.#isUsable(endpoint) && !tried.has(id))
-            .map(([id, endpoint]): ReadTarget => ({
+            .map(([id, endpoint]): LoadedTarget => ({
                 id,
                 isPrimary: id === primary,
-                isLocal: endpoint.isDirectlyReachable && endpoint.record.dataCentre === dataCentre,
-                expectedMs: endpoint.expectedMs(now),
+                isLocal: this.#isLocal(endpoint),
+                ...endpoint.loadEstimate(now),
+                ...(usesLoadReports ? {} : { expectedMs: endpoint.expectedMs(now) }),
                 isExpectedCaughtUp: required === undefined || this.state.mayHaveReached(id, required),
             }));
-        return chooseForRead({ required, targets, random: random() });
+        return usesLoadReports
+            ? this.#balance.choose(required, targets, this.#activeSlots())
+            : chooseForRead({ required, targets, random: random() });
+    }
+
+    /** The load of an endpoint as this host observes it, for hosts that relay to it; undefined unless reports are on. */
+    loadReport(endpoint: string): LoadReport | undefined {
+        const { usesLoadReports, clock } = this.#options;
+        return usesLoadReports ? this.#endpoints.get(endpoint)?.loadReport(clock.now()) : undefined;
     }
 
     /** True when a usable replica does not lag: it will soon have reached the position that a read requires now. */
@@ -268,6 +284,7 @@
     #remove(id: string, endpoint: GroupEndpoint): void {
         this.#endpoints.delete(id);
         this.state.forget(id);
+        this.#balance.forget(id);
         endpoint.close();
     }
 
@@ -276,6 +293,20 @@
         return record.state === EndpointState.Active && this.#canReach(record.id);
     }
 
+    /** Without load reports an endpoint behind a relay counts as remote, since the time on the way is not measured. */
+    #isLocal({ record, isDirectlyReachable }: GroupEndpoint): boolean {
+        const { dataCentre, usesLoadReports } = this.#options;
+        return record.dataCentre === dataCentre && (usesLoadReports || isDirectlyReachable);
+    }
+
+    /** Slots of the endpoints that take new requests. */
+    #activeSlots(): number {
+        return [...this.#endpoints.values()].reduce(
+            (sum, endpoint) => sum + (this.#isUsable(endpoint) ? endpoint.record.slots : 0),
+            0,
+        );
+    }
+
     #needsRelay(id: string): boolean {
         const endpoint = this.#endpoints.get(id);
         return endpoint !== undefined && !endpoint.isDirectlyReachable;
--- a/packages/gateway/src/relay-client.ts
+++ b/packages/gateway/src/relay-client.ts
@@ -1,6 +1,12 @@
 import type { PrimaryPositionReport, RelayOrder, RelayResult, RelayRollback } from "@medlarledge/protocol";
 import type { Clock } from "@medlarledge/runtime";
-import { NotRunReason, type StatementOrder, type StatementOrderResult, UnknownReason } from "@medlarledge/statements";
+import {
+    type LoadReport,
+    NotRunReason,
+    type StatementOrder,
+    type StatementOrderResult,
+    UnknownReason,
+} from "@medlarledge/statements";
 
 /** Time after which a host that refused an order gets orders for the same endpoint again, by reason. */
 const REFUSAL_PAUSES_MS: Partial<Record<NotRunReason, number>> = {
@@ -43,13 +49,15 @@
 
 interface OutstandingOrder {
     readonly host: string;
-    readonly resolve: (result: StatementOrderResult, leader: PrimaryPositionReport | undefined) => void;
+    readonly resolve: (relayed: RelayedResult) => void;
     readonly timer: NodeJS.Timeout;
 }
 
 export interface RelayedResult {
     readonly result: StatementOrderResult;
     readonly leader: PrimaryPositionReport | undefined;
+    /** The answering host's report on the endpoint. */
+    readonly load: LoadReport | undefined;
 }
 
 /** Runs orders over connections that other entry hosts hold. */
@@ -113,12 +121,12 @@
         return true;
     }
 
-    resultReceived({ id, result, leader }: RelayResult): void {
+    resultReceived({ id, result, leader, load }: RelayResult): void {
         const outstanding = this.#outstanding.get(id);
         if (outstanding !== undefined) {
             this.#unansweredSince.set(outstanding.host, this.#options.clock.now());
             this.#finish(id, outstanding);
-            outstanding.resolve(result, leader);
+            outstanding.resolve({ result, leader, load });
         }
     }
 
@@ -133,7 +141,7 @@
         for (const [id, outstanding] of [...this.#outstanding]) {
             if (outstanding.host === host) {
                 this.#finish(id, outstanding);
-                outstanding.resolve({ kind: "unknown", reason: UnknownReason.RelayLost }, undefined);
+                outstanding.resolve(unknown(UnknownReason.RelayLost));
             }
         }
         for (const [transaction, at] of [...this.#transactions]) {
@@ -167,10 +175,9 @@
         return new Promise(resolve => {
             const timer = setTimeout(() => {
                 this.#forget(id, host);
-                resolve({ result: { kind: "unknown", reason: UnknownReason.Timeout }, leader: undefined });
+                resolve(unknown(UnknownReason.Timeout));
             }, order.timeoutMs);
-            const resolveOrder: OutstandingOrder["resolve"] = (result, leader) => resolve({ result, leader });
-            this.#outstanding.set(id, { host, resolve: resolveOrder, timer });
+            this.#outstanding.set(id, { host, resolve, timer });
             if (!this.#unansweredSince.has(host)) {
                 this.#unansweredSince.set(host, this.#options.clock.now());
             }
@@ -268,7 +275,11 @@
 }
 
 function notRun(reason: NotRunReason): RelayedResult {
-    return { result: { kind: "notRun", reason, position: undefined }, leader: undefined };
+    return { result: { kind: "notRun", reason, position: undefined }, leader: undefined, load: undefined };
+}
+
+function unknown(reason: UnknownReason): RelayedResult {
+    return { result: { kind: "unknown", reason }, leader: undefined, load: undefined };
 }
 
 function keyOf(host: string, endpoint: string): string {
--- a/packages/gateway/src/relay-server.ts
+++ b/packages/gateway/src/relay-server.ts
@@ -48,7 +48,8 @@
                 this.#transactions.delete(order.transaction);
             }
         }
-        this.#send(from, { kind: "relayResult", id, result, leader: group?.state.primaryPositionReport() });
+        const leader = group?.state.primaryPositionReport();
+        this.#send(from, { kind: "relayResult", id, result, leader, load: group?.loadReport(order.endpoint) });
     }
 
     /** Rolls back a transaction of another host. */
--- a/packages/gateway/tests/test-gateway.ts
+++ b/packages/gateway/tests/test-gateway.ts
@@ -118,6 +118,9 @@
     /** If set, no link can be opened, and attempts fail after this time. */
     readonly linkMs?: number;
     readonly permits?: PrimaryPermits;
+    readonly usesLoadReports?: boolean;
+    /** Called for every message that the gateway sends. */
+    readonly sent?: (message: RelayMessage) => void;
 }
 
 /** Creates a gateway for three simulated endpoints, with fake timers. Endpoint `a` is the primary. */
@@ -133,9 +136,10 @@
         clock: { now: () => performance.now(), wallClock: () => Date.now() },
         share: () => share,
         relays: () => [...peers.keys()].filter(id => id !== host),
-        links: options.linkMs === undefined ? linksOf(host, peers, options.silent) : unreachableLinks(options.linkMs),
+        links: options.linkMs === undefined ? linksOf(host, peers, options) : unreachableLinks(options.linkMs),
         permits: options.permits ?? UNRESTRICTED_PERMITS,
         random: () => 0,
+        usesLoadReports: options.usesLoadReports ?? false,
         listener: event => events.push(event),
     });
     peers.set(host, gateway);
@@ -164,8 +168,9 @@
 }
 
 /** Links between gateways, with a delay of 1 ms per message. */
-function linksOf(self: string, peers: ReadonlyMap<string, Gateway>, silent: ReadonlySet<string> = new Set()) {
+function linksOf(self: string, peers: ReadonlyMap<string, Gateway>, { silent = new Set(), sent }: TestGatewayOptions) {
     const send = (host: string, message: RelayMessage): boolean => {
+        sent?.(message);
         if (!silent.has(host)) {
             setTimeout(() => peers.get(host)?.relayMessageReceived(self, message), 1);
         }
--- a/packages/protocol/src/relay-message.ts
+++ b/packages/protocol/src/relay-message.ts
@@ -1,4 +1,4 @@
-import type { LogPosition, StatementOrder, StatementOrderResult } from "@medlarledge/statements";
+import type { LoadReport, LogPosition, StatementOrder, StatementOrderResult } from "@medlarledge/statements";
 
 /** Entry host to entry host: run a statement order over a connection of the receiver. */
 export interface RelayOrder {
@@ -19,6 +19,8 @@
     readonly id: number;
     readonly result: StatementOrderResult;
     readonly leader: PrimaryPositionReport | undefined;
+    /** Load of the endpoint at the sender; undefined where hosts do not report it. */
+    readonly load: LoadReport | undefined;
 }
 
 /** Entry host to entry host: roll back a transaction. */
--- /dev/null
+++ b/packages/routing/src/load-estimate.ts
@@ -0,0 +1,110 @@
+import type { LoadReport } from "@medlarledge/statements";
+import type { EndpointLoad } from "./endpoint-load.js";
+import { TypicalTime } from "./typical-time.js";
+
+/** Half-life of the weight of an observation: an endpoint that becomes slow or recovers is noticed within a second. */
+const HALF_LIFE_MS = 400;
+
+/** Weight of one answer in the average of the time on the way. */
+const TRIP_WEIGHT = 1 / 8;
+
+/** Weight of one result in the share of failed results. */
+const FAILURE_WEIGHT = 1 / 8;
+
+/** Half-life of the share of failures without results, after which the endpoint is tried again with more requests. */
+const FAILURE_HALF_LIFE_MS = 3_000;
+
+/** Weight of a new report in the share of failed results; a report covers many results. */
+const REPORTED_FAILURE_WEIGHT = 1 / 2;
+
+/** Maximum weight of the reports; more reports than this make the estimate react too slowly. */
+const MAX_REPORT_WEIGHT = 4;
+
+/** Ages above this are reported as this; such a report has no weight. */
+const MAX_REPORTED_AGE_MS = 60_000;
+
+/** Combines what this host observes of one endpoint with the age-discounted reports of other hosts. */
+export class LoadEstimate {
+    readonly #own: EndpointLoad;
+    readonly #typical = new TypicalTime();
+    /** Typical duration in the reports; meaningful while the weight is above 0. */
+    #reportedMs = 0;
+    #weight = 0;
+    #weightAt = 0;
+    /** Time that orders take beyond the durations in the reports, for the way to the reporting hosts and back. */
+    #tripMs = 0;
+    #failureShare = 0;
+    #failureShareAt = 0;
+    #reportedAt: number | undefined;
+    #reportedOutstanding = 0;
+
+    constructor(own: EndpointLoad) {
+        this.#own = own;
+    }
+
+    /** Records the report of another host, which arrived with the answer to an order that took `tookMs`. */
+    reported({ typicalMs, failureShare, ageMs, outstanding }: LoadReport, tookMs: number, now: number): void {
+        const added = discount(ageMs);
+        if (added < Number.EPSILON || !Number.isFinite(typicalMs)) {
+            return;
+        }
+        const weight = Math.min(MAX_REPORT_WEIGHT, this.#reportWeight(now));
+        this.#reportedMs = (this.#reportedMs * weight + typicalMs * added) / (weight + added);
+        this.#weight = weight + added;
+        this.#weightAt = now;
+        this.#tripMs += (Math.max(0, tookMs - typicalMs) - this.#tripMs) * TRIP_WEIGHT;
+        this.#reportedAt = now - ageMs;
+        this.#reportedOutstanding = outstanding;
+        this.#addFailures(failureShare, REPORTED_FAILURE_WEIGHT * added, now);
+    }
+
+    /** Records an order that ran: how long it took, and whether it failed. */
+    ended(durationMs: number, hasFailed: boolean, now: number): void {
+        this.#typical.answered(durationMs, now);
+        this.#addFailures(hasFailed ? 1 : 0, FAILURE_WEIGHT, now);
+    }
+
+    /** Share of recent orders that failed or were left unanswered. */
+    failureShare(now: number): number {
+        return this.#failureShare * 0.5 ** (Math.max(0, now - this.#failureShareAt) / FAILURE_HALF_LIFE_MS);
+    }
+
+    /** Expected duration of one more order, in ms. */
+    expectedMs(slots: number, now: number): number {
+        const reportWeight = this.#reportWeight(now);
+        const reported = this.#reportedMs + this.#tripMs;
+        const durationMs = (this.#typical.valueMs(now) + reported * reportWeight) / (1 + reportWeight);
+        return durationMs * (1 + this.#own.running / Math.max(1, slots));
+    }
+
+    /** The report of this host about the endpoint. */
+    report(now: number): LoadReport {
+        return {
+            outstanding: this.#own.running,
+            typicalMs: Math.round(this.#typical.valueMs(now) * 10) / 10,
+            failureShare: Math.round(this.failureShare(now) * 100) / 100,
+            ageMs: Math.round(Math.min(MAX_REPORTED_AGE_MS, now - this.#typical.answeredAt)),
+        };
+    }
+
+    /** Age of the newest report of another host and the orders that it had outstanding; undefined before the first. */
+    newestReport(now: number): { readonly ageMs: number; readonly outstanding: number; } | undefined {
+        return this.#reportedAt === undefined
+            ? undefined
+            : { ageMs: now - this.#reportedAt, outstanding: this.#reportedOutstanding };
+    }
+
+    #reportWeight(now: number): number {
+        return this.#weight * discount(now - this.#weightAt);
+    }
+
+    #addFailures(share: number, weight: number, now: number): void {
+        const former = this.failureShare(now);
+        this.#failureShare = former + (share - former) * weight;
+        this.#failureShareAt = now;
+    }
+}
+
+function discount(ageMs: number): number {
+    return 0.5 ** (Math.max(0, ageMs) / HALF_LIFE_MS);
+}
--- a/packages/routing/src/read-choice.ts
+++ b/packages/routing/src/read-choice.ts
@@ -38,13 +38,18 @@
         const primary = targets.find(target => target.isPrimary);
         return primary === undefined ? undefined : { endpoint: primary.id, opening: { kind: "proven" } };
     }
-    const eligible = targets.filter(target => target.isExpectedCaughtUp || target.isPrimary);
+    const eligible = eligibleTargets(targets);
     const start = Math.floor(random * eligible.length);
     const rotated = [...eligible.slice(start), ...eligible.slice(0, start)];
     const [best] = rotated.sort((left, right) => costOf(left) - costOf(right));
     return best === undefined ? undefined : { endpoint: best.id, opening: { kind: "bare", after: required } };
 }
 
+/** Targets that may serve a read at a required position. */
+export function eligibleTargets<T extends ReadTarget>(targets: readonly T[]): readonly T[] {
+    return targets.filter(target => target.isExpectedCaughtUp || target.isPrimary);
+}
+
 function costOf({ expectedMs, isPrimary, isLocal }: ReadTarget): number {
     return expectedMs * (isPrimary ? PRIMARY_COST_FACTOR : 1) + (isLocal ? 0 : REMOTE_PENALTY_MS);
 }
--- a/packages/statements/src/index.ts
+++ b/packages/statements/src/index.ts
@@ -11,6 +11,7 @@
     EndpointConnector,
 } from "./endpoint-connection.js";
 export { ErrorCode, guaranteesNoEffect, isEndpointFault } from "./error-code.js";
+export type { LoadReport } from "./load-report.js";
 export type { LogPosition } from "./log-position.js";
 export { compareLogPositions, laterLogPosition } from "./log-position.js";
 export type { OrderedStatement, StatementOrder, StatementOrderResult, TransactionContext } from "./statement-order.js";
