--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -59,6 +59,8 @@
     readonly primariesStepDown: boolean;
     /** Time after which a revoked key must not work on any host, in ms; undefined when there is no such limit. */
     readonly revocationMs: number | undefined;
+    /** See `GatewayOptions.usesLoadReports`. */
+    readonly usesLoadReports: boolean;
 }
 
 type MessageOf<K extends Message["kind"]> = Extract<Message, { kind: K; }>;
@@ -174,6 +176,7 @@
             permits: this.#lease ?? UNRESTRICTED_PERMITS,
             acceptsKeys: () => this.#acceptsKeys,
             random,
+            usesLoadReports: options.usesLoadReports,
             listener: new GatewayReporter(log, meter, clock.now).listener,
         });
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -31,6 +31,11 @@
     /** Returns whether the keys of the configuration in force may be accepted now. */
     readonly acceptsKeys: () => boolean;
     readonly random: () => number;
+    /**
+     * Whether hosts report the load of endpoints with the results of relayed orders and divide reads by it. Otherwise
+     * each read goes to the endpoint that is cheapest by this host's own measurements.
+     */
+    readonly usesLoadReports: boolean;
     readonly listener: GatewayListener;
 }
 
@@ -274,7 +279,7 @@
     #group(name: string): Group {
         let group = this.#groups.get(name);
         if (group === undefined) {
-            const { dataCentre, connector, clock, permits, random, listener } = this.#options;
+            const { dataCentre, connector, clock, permits, random, usesLoadReports, listener } = this.#options;
             group = new Group({
                 name,
                 dataCentre,
@@ -286,6 +291,7 @@
                 permits,
                 promotionTimes: this.#promotionTimes,
                 random,
+                usesLoadReports,
                 listener,
             });
             this.#groups.set(name, group);
--- a/packages/gateway/tests/test-gateway.ts
+++ b/packages/gateway/tests/test-gateway.ts
@@ -119,6 +119,9 @@
     readonly linkMs?: number;
     readonly permits?: PrimaryPermits;
     readonly acceptsKeys?: () => boolean;
+    readonly usesLoadReports?: boolean;
+    /** Called for every message that the gateway sends. */
+    readonly sent?: (message: RelayMessage) => void;
 }
 
 /** Creates a gateway for three simulated endpoints, with fake timers. Endpoint `a` is the primary. */
@@ -135,10 +138,11 @@
         share: () => share,
         relays: () => [...peers.keys()].filter(id => id !== host),
         preferredRelays: () => [],
-        links: options.linkMs === undefined ? linksOf(host, peers, options.silent) : unreachableLinks(options.linkMs),
+        links: options.linkMs === undefined ? linksOf(host, peers, options) : unreachableLinks(options.linkMs),
         permits: options.permits ?? UNRESTRICTED_PERMITS,
         acceptsKeys: options.acceptsKeys ?? (() => true),
         random: () => 0,
+        usesLoadReports: options.usesLoadReports ?? false,
         listener: event => events.push(event),
     });
     peers.set(host, gateway);
@@ -167,8 +171,9 @@
 }
 
 /** Links between gateways, with a delay of 1 ms per message. */
-function linksOf(self: string, peers: ReadonlyMap<string, Gateway>, silent: ReadonlySet<string> = new Set()) {
+function linksOf(self: string, peers: ReadonlyMap<string, Gateway>, { silent = new Set(), sent }: TestGatewayOptions) {
     const send = (host: string, message: RelayMessage): boolean => {
+        sent?.(message);
         if (!silent.has(host)) {
             setTimeout(() => peers.get(host)?.relayMessageReceived(self, message), 1);
         }
