Take the customer of an accepted request from its key alone

A lease that ended between the check of a request and the look-up of its customer let the request run in no customer's name. After the start, callers that can't be accepted are refused at once instead of after 1.5 s.

--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -93,6 +93,8 @@
     #acceptedKeys = true;
     /** True once the platform has had the time to redirect new callers and idle sessions are being closed. */
     #isClosingIdleSessions = false;
+    /** Whether `#started` has resolved. Callers that cannot be accepted later are refused at once. */
+    #hasStarted = false;
     #setStarted: () => void = () => undefined;
     /** Resolves when a configuration is in force and its keys, if it has any, are accepted for the first time. */
     readonly #started = new Promise<void>(resolve => (this.#setStarted = resolve));
@@ -206,7 +208,7 @@
      */
     async accept(caller: Caller): Promise<Acceptance> {
         const acceptance = this.#gateway.accept(caller);
-        if (acceptance.kind !== "unavailable") {
+        if (acceptance.kind !== "unavailable" || this.#hasStarted) {
             return acceptance;
         }
         await Promise.race([this.#started, pause(ACCEPT_TIMEOUT_MS)]);
@@ -403,6 +405,7 @@
             this.#gateway.closeIdleKeyedSessions(KEYS_LAPSED);
         }
         else if (this.#gateway.routing.number > 0) {
+            this.#hasStarted = true;
             this.#setStarted();
         }
     }
--- a/packages/gateway/src/caller-session.ts
+++ b/packages/gateway/src/caller-session.ts
@@ -419,8 +419,10 @@
         return answer;
     }
 
+    /** Name of the customer for a request whose key was accepted on its arrival; undefined for an anonymous caller. */
     #customer(route: Route): string | undefined {
-        return customerNameOf(this.#options.identity.identify(route, this.#options.routing()));
+        const routing = this.#options.routing();
+        return needsKey(route, routing) ? customerNameOf(this.#options.identity.ownerOf(routing)) : undefined;
     }
 
     /** Returns true unless the session's next request needs a key that the configuration in force does not have. */
