Enforce customers' limits over all hosts

Hosts ask the control group's leader for tokens and refuse operations beyond the limit as not run, with the time after which a return makes sense. Enforced where the settings state the window of a limit.

--- a/packages/customers/src/token-ledger.ts
+++ b/packages/customers/src/token-ledger.ts
@@ -9,13 +9,14 @@
  */
 const MAX_REFILL_MS = 100;
 
-/** Until a new ledger has heard of its hosts, a lack of tokens does not mean that a customer has reached its limit. */
+/** A new account starts without tokens, so at first a lack of them does not mean that the customer is at its limit. */
 const START_MS = 500;
 
 /** Part of the tokens that may be handed out ahead of demand; the rest is left for operations that wait. */
 const AHEAD_SHARE = 0.5;
 
 interface Account {
+    readonly since: number;
     limit: OperationLimit;
     /** Tokens that may be granted. */
     level: number;
@@ -54,7 +55,6 @@
  */
 export class TokenLedger {
     readonly #accuracy: LimitAccuracy;
-    readonly #startedAt: number;
     readonly #accounts = new Map<string, Account>();
     readonly #hosts = new Map<string, HostAccount>();
     #refilledAt: number;
@@ -62,7 +62,6 @@
     /** Starts without tokens, since the former ledger may have granted all of them just before. */
     constructor(accuracy: LimitAccuracy, now: number) {
         this.#accuracy = accuracy;
-        this.#startedAt = now;
         this.#refilledAt = now;
     }
 
@@ -78,7 +77,7 @@
             }
         }
         for (const [customer, limit] of view.limits) {
-            const account = this.#accounts.get(customer) ?? { limit, level: 0, outstanding: 0 };
+            const account = this.#accounts.get(customer) ?? { since: now, limit, level: 0, outstanding: 0 };
             this.#accounts.set(customer, account);
             account.limit = limit;
             const added = limit.perSecond * share * elapsedMs / 1_000;
@@ -122,7 +121,7 @@
         const tokens = urgent + early;
         account.level -= tokens;
         this.#hold(host, customer, tokens);
-        const isExhausted = urgent < waiting && account.level < 1 && now - this.#startedAt >= START_MS;
+        const isExhausted = urgent < waiting && account.level < 1 && now - account.since >= START_MS;
         const retryAfterMs = isExhausted
             ? Math.ceil((1 - account.level) / account.limit.perSecond * 1_000)
             : undefined;
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -1,3 +1,4 @@
+import type { LimitAccuracy } from "@medlarledge/customers";
 import { EndpointDirectory } from "@medlarledge/directory";
 import {
     ChangeOutcome,
@@ -19,6 +20,7 @@
 import { type ConfigurationReadResult, GroupMember } from "./group-member.js";
 import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
 import { HostListSchedule } from "./host-list-schedule.js";
+import { LimitAuthority } from "./limit-authority.js";
 import type { ConfigurationReader, ControlService, PromotionAuthority } from "./ports.js";
 import { PromotionAnnouncer } from "./promotion-announcer.js";
 import { PromotionManager } from "./promotion-manager.js";
@@ -60,6 +62,8 @@
      * need leases to use a primary.
      */
     readonly primariesStepDown: boolean;
+    /** See `EntryHostOptions.limitAccuracy`. */
+    readonly limitAccuracy: LimitAccuracy | undefined;
 }
 
 interface KnownEntryHost {
@@ -81,6 +85,7 @@
     readonly #directory = new EndpointDirectory();
     readonly #promotionManager: PromotionManager;
     readonly #announcer: PromotionAnnouncer;
+    readonly #limits: LimitAuthority | undefined;
     readonly #hostListSchedule = new HostListSchedule();
     readonly #loopDelay: LoopDelay;
     readonly #client: LeaderClient;
@@ -103,6 +108,7 @@
         leaderReply: message => this.#client.handleReply(message),
         forwardedRenewal: (message, from) => this.#forwardedRenewal(message, from),
         renewLease: (message, from) => this.#announcer.renewed(from, message),
+        tokenRequest: (message, from) => this.#limits?.requested(from, message),
         revoked: ({ database, term }, from) => this.#announcer.confirmed(from.id, database, term),
     };
 
@@ -150,6 +156,18 @@
             newestOrder: group => this.#directory.newestOrder(group),
             ended: ({ order, ...fields }) => this.#promotionStep("promotionAnnounced", { ...order, ...fields }),
         });
+        this.#limits = options.limitAccuracy === undefined ? undefined : new LimitAuthority({
+            accuracy: options.limitAccuracy,
+            member: this.#member,
+            clock,
+            log,
+            meter: options.meter,
+            configurations,
+            configuration: () => this.#configuration,
+            hasContact: (host, withinMs, now) => this.#links.hasRecentContact(host, withinMs, now),
+            hostCount: () => this.#entries.size,
+            send: (to, grant) => this.#links.send(to, grant),
+        });
         this.#promotionManager = new PromotionManager({
             directory: this.#directory,
             connector,
@@ -286,6 +304,7 @@
             this.#requestMembership();
         }
         this.#announcer.tick();
+        this.#limits?.tick();
         this.#forgetEntries(now);
         this.#sendHostList(now);
     }
@@ -370,7 +389,10 @@
         }
     }
 
-    #hostsReceived({ control }: MessageOf<"hostList">): void {
+    #hostsReceived({ control, entries }: MessageOf<"hostList">): void {
+        if (entries !== undefined) {
+            this.#limits?.hostsListed(entries.length);
+        }
         this.#seeds = [...new Set([...this.#seeds, ...control])];
         this.#updateLinks();
     }
@@ -383,6 +405,7 @@
 
     #roleChanged(): void {
         this.#announcer.leadershipChanged();
+        this.#limits?.leadershipChanged();
         this.#options.log.event("leaderChanged", { leader: this.#member.leader, term: this.#member.term });
         this.#updateLinks();
         this.#sendHostList(this.#options.clock.now());
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -1,3 +1,4 @@
+import type { LimitAccuracy } from "@medlarledge/customers";
 import { EndpointDirectory } from "@medlarledge/directory";
 import { Gateway, UNRESTRICTED_PERMITS } from "@medlarledge/gateway";
 import type { EndpointRecord, Host, Message, PromotionOrder } from "@medlarledge/protocol";
@@ -11,6 +12,7 @@
 import { LoopDelay, setGroupGauges } from "./gauges.js";
 import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
 import { LeaseHolder } from "./lease-holder.js";
+import { HostLimits } from "./operation-limits.js";
 import type { ConfigurationReader } from "./ports.js";
 import { PrimaryReporter } from "./primary-reporter.js";
 
@@ -55,6 +57,8 @@
     readonly graceMs: number;
     /** See `ControlHostOptions.primariesStepDown`. */
     readonly primariesStepDown: boolean;
+    /** How exactly the limits of customers are kept; undefined where they are not enforced. */
+    readonly limitAccuracy: LimitAccuracy | undefined;
 }
 
 type MessageOf<K extends Message["kind"]> = Extract<Message, { kind: K; }>;
@@ -73,6 +77,7 @@
     readonly #plans: ConnectionPlans;
     /** The lease that this host needs to use primaries; undefined where primaries step down by themselves. */
     readonly #lease: LeaseHolder | undefined;
+    readonly #limits: HostLimits | undefined;
     #seeds: readonly string[];
     #control: readonly string[] = [];
     #leader: string | undefined;
@@ -95,6 +100,7 @@
         forwardedRenewal: message => void this.#sendToLeader(message),
         forwardedGrant: message => this.#forwardedGrant(message),
         leaseGranted: message => this.#lease?.granted(message),
+        tokenGrant: message => this.#limits?.granted(message),
         hostList: message => this.#hostsReceived(message),
         configurationOffer: (message, from) => this.#offeredBy(from, message.number),
         configurationUpdate: message => this.#configure(message),
@@ -126,6 +132,15 @@
                 sendToLeader: message => this.#sendToLeader(message),
                 sendToOthers: message => this.#sendToOthers(message),
             });
+        this.#limits = options.limitAccuracy === undefined ? undefined : new HostLimits({
+            self,
+            accuracy: options.limitAccuracy,
+            clock,
+            log,
+            meter,
+            entries: () => this.#plans.entries.map(({ id }) => id),
+            sendToLeader: message => this.#sendToLeader(message),
+        });
         this.#mesh = new PeerMesh({
             self,
             identity: undefined,
@@ -148,6 +163,7 @@
                 send: (host, message) => this.#links.send(host, message),
                 reply: (host, result) => this.#links.send(host, result),
             },
+            limits: this.#limits,
             permits: this.#lease ?? UNRESTRICTED_PERMITS,
             random,
             listener: new GatewayReporter(log, meter, clock.now).listener,
@@ -214,6 +230,7 @@
         this.#gateway.abortTransactions(STOPPING);
         await this.#waitForCallers(graceMs / 3);
         clearInterval(this.#timer);
+        this.#limits?.stop();
         this.#gateway.close(STOPPING);
         await this.#mesh.close();
     }
@@ -238,6 +255,7 @@
         const now = this.#options.clock.now();
         this.#loopDelay.tick(now);
         this.#lease?.tick();
+        this.#limits?.tick();
         this.#logLease();
         this.#gateway.check();
         this.#links.closeIdle(id => this.#gateway.isRelayingWith(id), now);
@@ -280,6 +298,7 @@
             this.#links.opened(event.host.id);
             if (event.host.id === this.#leader) {
                 this.#lease?.leaderChanged();
+                this.#limits?.leaderChanged();
             }
             if (event.host.control) {
                 this.#contacts.controlHostLinked(event.host);
@@ -327,11 +346,13 @@
         this.#leader = leader ?? this.#leader;
         this.#contacts.retainControlHosts(control);
         this.#plans.hostsChanged(entries ?? this.#plans.entries);
+        this.#limits?.hostsChanged();
         const counts = { control: control.length, entries: this.#plans.entries.length };
         this.#options.log.event("hostsChanged", { term, leader: this.#leader, ...counts });
         this.#updateLinks();
         if (this.#leader !== formerLeader || term !== formerTerm) {
             this.#lease?.leaderChanged();
+            this.#limits?.leaderChanged();
         }
     }
 
--- a/packages/gateway/src/caller-session.ts
+++ b/packages/gateway/src/caller-session.ts
@@ -17,6 +17,7 @@
 import type { GatewayListener } from "./gateway-event.js";
 import type { Group } from "./group.js";
 import { NOT_RUN_CODES } from "./not-run-codes.js";
+import { giveBackAdmission, type OperationLimits, refusedByLimit } from "./operation-limits.js";
 import { type Outcome, type ReportedRequest, reportOutcome } from "./request-report.js";
 import type { Route, Routing } from "./route.js";
 import { isWrite, type RunnableStatement, SessionState } from "./session-state.js";
@@ -52,6 +53,7 @@
     readonly identity: CallerIdentity;
     readonly clock: Clock;
     readonly server: StatementRouter;
+    readonly limits: OperationLimits | undefined;
     readonly routing: () => Routing;
     readonly group: (name: string) => Group;
     /** Creates a key that is unique among the transactions of all processes. */
@@ -164,7 +166,7 @@
         }
         switch (statement.kind) {
             case "begin":
-                return this.#begin(request.id, statement.readOnly);
+                return this.#begin(request, statement.readOnly, now);
             case "rollback":
                 this.#endTransaction();
                 return this.#done();
@@ -185,7 +187,7 @@
         }
     }
 
-    #begin(requestId: string, readOnly: boolean): Answer {
+    async #begin(request: CallerRequest, readOnly: boolean, now: number): Promise<Answer> {
         if (this.#transaction === undefined) {
             const route = this.#route();
             if (route === undefined) {
@@ -195,16 +197,21 @@
             if (identification.kind === "notAuthorized") {
                 return this.#fail(ErrorCode.NotAuthorized, NOT_AUTHORIZED);
             }
+            const group = this.#options.group(route.group);
+            const refusal = await this.#refuseByLimit(request, route, group, identification, now);
+            if (refusal !== undefined) {
+                return refusal;
+            }
             this.#transaction = {
                 key: this.#options.transactionKey(),
                 readOnly,
                 route,
                 customer: customerNameOf(identification),
-                group: this.#options.group(route.group),
+                group,
                 endpoint: undefined,
                 wrote: false,
                 failure: undefined,
-                requestId,
+                requestId: request.id,
             };
         }
         return this.#done();
@@ -229,6 +236,12 @@
             return this.#fail(ErrorCode.NotAuthorized, NOT_AUTHORIZED);
         }
         const group = transaction?.group ?? this.#options.group(route.group);
+        if (transaction === undefined) {
+            const refusal = await this.#refuseByLimit(request, route, group, identification, now);
+            if (refusal !== undefined) {
+                return refusal;
+            }
+        }
         const served = await this.#options.server.serve({
             requestId: request.id,
             route,
@@ -244,12 +257,36 @@
             transaction.requestId = request.id;
             return this.#firstStatementFinished(transaction, served, isWrite(ordered));
         }
+        if (served.attempts === 0) {
+            giveBackAdmission(this.#options.limits, identification);
+        }
         if (isWrite(ordered) && served.answer.completion.kind === "done") {
             this.#committed(served.answer.position);
         }
         return served.answer;
     }
 
+    /** Returns the refusal of an operation that exceeds its customer's limit. */
+    async #refuseByLimit(
+        request: CallerRequest,
+        route: Route,
+        group: Group,
+        identification: Identification,
+        now: number,
+    ): Promise<Answer | undefined> {
+        const { limits } = this.#options;
+        const answer = await refusedByLimit(limits, identification);
+        if (answer === undefined && this.#isClosed) {
+            giveBackAdmission(limits, identification);
+            return errorAnswer(ErrorCode.Busy, "the caller has left", TransactionStates.Idle);
+        }
+        if (answer !== undefined) {
+            const outcome = { answer, endpoint: undefined, attempts: 0, waitedMs: 0, cause: "limit" };
+            this.#report({ request, route, group, transaction: undefined }, outcome, now);
+        }
+        return answer;
+    }
+
     /** Updates a transaction with the result of its first statement. */
     #firstStatementFinished(transaction: Transaction, served: ServeResult, wrote: boolean): Answer {
         const { answer, endpoint } = served;
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import { ElapsedClock } from "./elapsed-clock.js";
 import type { GatewayListener } from "./gateway-event.js";
 import { Group } from "./group.js";
+import type { OperationLimits } from "./operation-limits.js";
 import type { PrimaryPermits } from "./primary-permits.js";
 import { RelayClient, type RelayLinks } from "./relay-client.js";
 import { RelayServer } from "./relay-server.js";
@@ -24,6 +25,8 @@
     readonly relays: (record: EndpointRecord, routing: Routing) => readonly string[];
     readonly links: RelayLinks & { reply(host: string, result: RelayResult): void; };
     readonly permits: PrimaryPermits;
+    /** Undefined where limits are not enforced. */
+    readonly limits: OperationLimits | undefined;
     readonly random: () => number;
     readonly listener: GatewayListener;
 }
@@ -155,6 +158,7 @@
             identity,
             clock: this.#options.clock,
             server: this.#statementRouter,
+            limits: this.#options.limits,
             routing: () => this.#routing,
             group: name => this.#group(name),
             transactionKey: () => this.#transactionKey(),
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -3,6 +3,7 @@
 export { Gateway, type GatewayOptions } from "./gateway.js";
 export type { EndpointCondition, GroupCondition } from "./group-condition.js";
 export type { Group, PrimaryState } from "./group.js";
+export type { OperationLimits } from "./operation-limits.js";
 export { type PrimaryPermits, UNRESTRICTED_PERMITS } from "./primary-permits.js";
 export type { RelayLinks } from "./relay-client.js";
 export { Consistency, type GroupSettings, type Route, type Routing } from "./route.js";
--- a/packages/gateway/tests/test-gateway.ts
+++ b/packages/gateway/tests/test-gateway.ts
@@ -1,3 +1,4 @@
+import type { CustomerDirectory } from "@medlarledge/customers";
 import { type EndpointRecord, EndpointRole, EndpointState, type RelayMessage } from "@medlarledge/protocol";
 import type { Answer, Caller, CallerHandler, EndpointConnector, Statement } from "@medlarledge/statements";
 import { vi } from "vitest";
@@ -5,6 +6,7 @@
     Consistency,
     Gateway,
     type GatewayEvent,
+    type OperationLimits,
     type PrimaryPermits,
     type Route,
     UNRESTRICTED_PERMITS,
@@ -101,7 +103,7 @@
     readonly events: GatewayEvent[];
     /** Endpoints from which this gateway is partitioned. */
     readonly cut: Set<string>;
-    connect(database: string): TestCaller;
+    connect(database: string, key?: string): TestCaller;
     /** Sends the gateway the announcements of all endpoints. */
     announce(changes?: Partial<Record<string, Partial<EndpointRecord>>>): void;
 }
@@ -118,6 +120,8 @@
     /** If set, no link can be opened, and attempts fail after this time. */
     readonly linkMs?: number;
     readonly permits?: PrimaryPermits;
+    readonly limits?: OperationLimits;
+    readonly customers?: CustomerDirectory;
 }
 
 /** Creates a gateway for three simulated endpoints, with fake timers. Endpoint `a` is the primary. */
@@ -134,6 +138,7 @@
         share: () => share,
         relays: () => [...peers.keys()].filter(id => id !== host),
         links: options.linkMs === undefined ? linksOf(host, peers, options.silent) : unreachableLinks(options.linkMs),
+        limits: options.limits,
         permits: options.permits ?? UNRESTRICTED_PERMITS,
         random: () => 0,
         listener: event => events.push(event),
@@ -146,8 +151,8 @@
         const records = IDS.map(id => ({ ...record(id, sequence, endpoints.get(id).leads), ...changes[id] }));
         gateway.updateGroup("orders", records);
     };
-    const connect = (database: string): TestCaller => {
-        const caller = new TestCaller(database);
+    const connect = (database: string, key?: string): TestCaller => {
+        const caller = new TestCaller(database, key);
         const acceptance = gateway.accept(caller);
         caller.handler = acceptance.kind === "accepted" ? acceptance.handler : undefined;
         return caller;
@@ -156,7 +161,7 @@
         number: 1,
         routes: new Map(ROUTES.map(route => [route.database, route])),
         groups: new Map([["orders", { connections: 16 }]]),
-        customers: undefined,
+        customers: options.customers,
         transactionIdleMs: 3_000,
     });
     announce();
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -42,6 +42,16 @@
         level: "warn",
         meaning: "This host has had no lease to use primaries for 0.5 s and is not ready, or has one again.",
     },
+    limitsAutonomous: {
+        level: "warn",
+        meaning:
+            "The leader does not answer, and this host admits operations by its part of each limit; or it answers.",
+    },
+    customerLimited: {
+        level: "warn",
+        meaning: "Operations of a customer were refused: the first one, or the `refused` ones of the last second.",
+    },
+    limitLedgerStarted: { level: "info", meaning: "This host leads and grants the operations of customers' limits." },
     hostsChanged: { level: "info", meaning: "The list of hosts changed, and with it the shares of connections." },
     primaryOrdered: { level: "info", meaning: "News of an order that makes an endpoint the primary." },
     promotionChoosing: { level: "warn", meaning: "A primary is to be replaced; the other endpoints are asked." },
--- a/packages/telemetry/src/metric.ts
+++ b/packages/telemetry/src/metric.ts
@@ -33,6 +33,9 @@
     ),
     "statement.unknown": counter("statements", ["group", "statement", "cause"], "Statements whose outcome is unknown."),
     "statement.failed": counter("statements", ["group", "statement", "cause"], "Statements answered with an error."),
+    "limit.granted": counter("operations", [], "Operations of limited customers that the leader allowed to hosts."),
+    "limit.refused": counter("operations", ["cause"], "Operations refused because of their customer's limit."),
+    "limit.waits": counter("operations", [], "Operations that waited for the leader's answer."),
     "statement.retried": counter(
         "attempts",
         ["group", "cause"],
