--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -1,3 +1,4 @@
+import type { LimitAccuracy } from "@medlarledge/customers";
 import { EndpointDirectory } from "@medlarledge/directory";
 import { Gateway, UNRESTRICTED_PERMITS } from "@medlarledge/gateway";
 import type { EndpointRecord, Host, Message, PromotionOrder } from "@medlarledge/protocol";
@@ -12,6 +13,7 @@
 import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
 import { KeyLeaseHolder } from "./key-lease-holder.js";
 import { LeaseHolder } from "./lease-holder.js";
+import { HostLimits } from "./operation-limits.js";
 import type { ConfigurationReader } from "./ports.js";
 import { PrimaryReporter } from "./primary-reporter.js";
 
@@ -61,6 +63,8 @@
     readonly revocationMs: number | undefined;
     /** See `GatewayOptions.usesLoadReports`. */
     readonly usesLoadReports: boolean;
+    /** How exactly the limits of customers are kept; undefined where they are not enforced. */
+    readonly limitAccuracy: LimitAccuracy | undefined;
 }
 
 type MessageOf<K extends Message["kind"]> = Extract<Message, { kind: K; }>;
@@ -81,6 +85,7 @@
     readonly #lease: LeaseHolder | undefined;
     /** The permission to accept keys; undefined where a host may accept them without contact to control. */
     readonly #keyLease: KeyLeaseHolder | undefined;
+    readonly #limits: HostLimits | undefined;
     #seeds: readonly string[];
     #control: readonly string[] = [];
     #leader: string | undefined;
@@ -109,6 +114,7 @@
         freshnessRequest: message => void this.#keyLease?.forward(message),
         freshnessAnswer: message => this.#freshnessAnswered(message),
         leaseGranted: message => this.#lease?.granted(message),
+        tokenGrant: message => this.#limits?.granted(message),
         hostList: message => this.#hostsReceived(message),
         configurationOffer: (message, from) => this.#offeredBy(from, message.number),
         configurationUpdate: message => this.#configure(message),
@@ -140,7 +146,7 @@
                 sendToLeader: message => this.#sendToLeader(message),
                 sendToOthers: message => this.#sendToOthers(message),
             });
-        const { revocationMs } = options;
+        const { revocationMs, limitAccuracy } = options;
         this.#keyLease = revocationMs === undefined ? undefined : new KeyLeaseHolder({
             self,
             clock,
@@ -150,6 +156,15 @@
             send: (host, message) => this.#links.send(host, message),
             sendToOthers: message => this.#sendToOthers(message),
         });
+        this.#limits = limitAccuracy === undefined ? undefined : new HostLimits({
+            self,
+            accuracy: limitAccuracy,
+            clock,
+            log,
+            meter,
+            entries: () => this.#plans.entries.map(({ id }) => id),
+            sendToLeader: message => this.#sendToLeader(message),
+        });
         this.#mesh = new PeerMesh({
             self,
             identity: undefined,
@@ -175,6 +190,7 @@
                 send: (host, message) => this.#links.send(host, message),
                 reply: (host, result) => this.#links.send(host, result),
             },
+            limits: this.#limits,
             permits: this.#lease ?? UNRESTRICTED_PERMITS,
             acceptsKeys: () => this.#acceptsKeys,
             random,
@@ -243,6 +259,7 @@
         this.#gateway.abortTransactions(STOPPING);
         await this.#waitForCallers(graceMs / 3);
         clearInterval(this.#timer);
+        this.#limits?.stop();
         this.#gateway.close(STOPPING);
         await this.#mesh.close();
     }
@@ -269,6 +286,7 @@
         this.#loopDelay.tick(now);
         this.#lease?.tick();
         this.#keyLease?.tick();
+        this.#limits?.tick();
         this.#logLease();
         this.#keyLeaseChecked();
         this.#gateway.check();
@@ -359,6 +377,7 @@
         this.#leader = leader ?? this.#leader;
         this.#contacts.retainControlHosts(control);
         this.#plans.hostsChanged(entries ?? this.#plans.entries);
+        this.#limits?.hostsChanged();
         const counts = { control: control.length, entries: this.#plans.entries.length };
         this.#options.log.event("hostsChanged", { term, leader: this.#leader, ...counts });
         this.#updateLinks();
@@ -370,6 +389,7 @@
     #leaderChanged(): void {
         this.#lease?.leaderChanged();
         this.#keyLease?.requestNow();
+        this.#limits?.leaderChanged();
     }
 
     /** Keeps links to the leader and some other control hosts; to the seed hosts while no list of hosts is known. */
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -7,6 +7,7 @@
 import { ElapsedClock } from "./elapsed-clock.js";
 import { type GatewayListener, KeyRefusal } from "./gateway-event.js";
 import { Group } from "./group.js";
+import type { OperationLimits } from "./operation-limits.js";
 import type { PrimaryPermits } from "./primary-permits.js";
 import { RelayClient, type RelayLinks } from "./relay-client.js";
 import { RelayServer } from "./relay-server.js";
@@ -30,6 +31,8 @@
     readonly permits: PrimaryPermits;
     /** Returns whether the keys of the configuration in force may be accepted now. */
     readonly acceptsKeys: () => boolean;
+    /** Undefined where limits are not enforced. */
+    readonly limits: OperationLimits | undefined;
     readonly random: () => number;
     /**
      * Whether hosts report the load of endpoints with the results of relayed orders and divide reads by it. Otherwise
@@ -189,6 +192,7 @@
             identity,
             clock: this.#options.clock,
             server: this.#statementRouter,
+            limits: this.#options.limits,
             routing: () => this.#routing,
             group: name => this.#group(name),
             transactionKey: () => this.#transactionKey(),
--- /dev/null
+++ b/packages/gateway/src/operation-limits.ts
@@ -0,0 +1,33 @@
+import type { Admission, Customer } from "@medlarledge/customers";
+import { type Answer, errorAnswer, ErrorCode, TransactionStates } from "@medlarledge/statements";
+
+/** Admits operations within the limits of customers. An operation is a single statement or a transaction. */
+export interface OperationLimits {
+    /** Settles whether an operation of the customer may run; to be called once for each, before it is ordered. */
+    admit(customer: Customer): Promise<Admission>;
+    /** Takes back the admission of an operation that was refused without having been ordered. */
+    giveBack(customer: Customer): void;
+}
+
+/** Admits an operation of a customer; an anonymous caller has no limit. Returns the refusal, or undefined. */
+export async function refusedByLimit(
+    limits: OperationLimits | undefined,
+    customer: Customer | undefined,
+): Promise<Answer | undefined> {
+    if (limits === undefined || customer?.limit === undefined) {
+        return undefined;
+    }
+    const admission = await limits.admit(customer);
+    return admission.kind === "admitted" ? undefined : errorAnswer(
+        ErrorCode.Busy,
+        `not run (limit); retry in ${admission.retryAfterMs} ms`,
+        TransactionStates.Idle,
+    );
+}
+
+/** Gives back the admission of a customer's operation that was not ordered. */
+export function giveBackAdmission(limits: OperationLimits | undefined, customer: Customer | undefined): void {
+    if (customer?.limit !== undefined) {
+        limits?.giveBack(customer);
+    }
+}
