--- a/packages/routing/tests/even-load.test.ts
+++ b/packages/routing/tests/even-load.test.ts
@@ -1,4 +1,5 @@
 import { expect, test } from "vitest";
+import { PrimaryWork } from "../src/index.js";
 import { Chooser, percentile, simulate, worstImbalance } from "./even-load.simulation.js";
 
 const SEED = 26;
@@ -63,3 +64,15 @@
     expect(Math.min(...whileFailing)).toBeGreaterThan(0);
     expect(mean(counts.slice(-3))).toBeGreaterThan(mean(whileFailing));
 });
+
+// Guards against a primary that is overrun because it gets the same reads as the replicas besides its writes.
+test("the primary's share of reads leaves its slots as busy as those of the replicas", () => {
+    const work = new PrimaryWork();
+    expect(work.readFactor(5, 15)).toBe(1);
+    work.ran(true, 1_000, 0);
+    work.ran(false, 8_000, 0);
+    // 9,000 ms of work are 3,000 ms for each endpoint; the primary has 1,000 ms of its own, and 2,667 ms are its even share of reads.
+    expect(work.readFactor(5, 15)).toBeCloseTo(2_000 / (8_000 / 3), 5);
+    work.ran(true, 9_000, 0);
+    expect(work.readFactor(5, 15)).toBe(0.05);
+});
