Ignore load reports with values that are no numbers

A report of another version could make the estimates of an endpoint unusable for good. Only orders for which an endpoint was chosen count towards the balance of reads.

--- a/packages/gateway/src/group-orders.ts
+++ b/packages/gateway/src/group-orders.ts
@@ -56,7 +56,10 @@
         }
         const { balance, clock } = this.#options;
         const startedAt = clock.now();
-        balance.sent(order.endpoint);
+        // Later statements of a transaction and writes have no choice among endpoints.
+        if (order.opening.kind !== "continued" && !changesData(order)) {
+            balance.sent(order.endpoint);
+        }
         const result = await this.#runMeasured(endpoint, order, repeatable);
         balance.ran(requiresPrimary(order), result, clock.now() - startedAt, clock.now());
         return result;
--- a/packages/routing/src/load-estimate.ts
+++ b/packages/routing/src/load-estimate.ts
@@ -48,8 +48,12 @@
 
     /** Records the report of another host, which arrived with the answer to an order that took `tookMs`. */
     reported({ typicalMs, failureShare, ageMs }: LoadReport, tookMs: number, now: number): void {
+        // Another version may send other fields; a value that is no number would make all later estimates unusable.
+        if (![typicalMs, failureShare, ageMs].every(value => Number.isFinite(value))) {
+            return;
+        }
         const added = discount(ageMs);
-        if (added < Number.EPSILON || !Number.isFinite(typicalMs)) {
+        if (added < Number.EPSILON) {
             return;
         }
         const weight = Math.min(MAX_REPORT_WEIGHT, this.#reportWeight(now));
