Remove the waiting orders of callers that have left

An order whose caller had closed its connection stayed in the queue and took a connection, here or at the relaying host, and was retried elsewhere. A closed session now cancels its order: it leaves the local queue, or the other host's with one message (relayCancel), and is not sent to further hosts. Orders carry the session's id, since request ids are chosen by callers and may collide. Statements already sent keep their connection until their answer.

--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -101,6 +101,7 @@
         primaryCheck: message => void this.#reportPrimary(message),
         relayOrder: (message, from) => this.#gateway.relayMessageReceived(from.id, message),
         relayResult: (message, from) => this.#gateway.relayMessageReceived(from.id, message),
+        relayCancel: (message, from) => this.#gateway.relayMessageReceived(from.id, message),
         relayEnd: (message, from) => this.#gateway.relayMessageReceived(from.id, message),
     };
 
--- a/packages/gateway/src/caller-session.ts
+++ b/packages/gateway/src/caller-session.ts
@@ -55,7 +55,7 @@
     readonly server: StatementRouter;
     readonly routing: () => Routing;
     readonly group: (name: string) => Group;
-    /** Creates a key that is unique among the transactions of all processes. */
+    /** Creates a key that is unique among the transactions and sessions of all processes. */
     readonly transactionKey: () => string;
     readonly listener: GatewayListener;
     /** The session has answered all of its requests; a transaction may still be open. */
@@ -66,6 +66,7 @@
 /** Session of one caller: serves its requests in order, one at a time. */
 export class CallerSession implements CallerHandler {
     readonly #options: SessionOptions;
+    readonly #id: string;
     readonly #sessionState = new SessionState();
     readonly #queue: CallerRequest[] = [];
     #transaction: Transaction | undefined;
@@ -76,11 +77,14 @@
     #position: LogPosition | undefined;
     /** Id of the request that is being served. */
     #outstandingRequestId: string | undefined;
+    /** Group whose endpoints run the outstanding request. */
+    #outstandingGroup: Group | undefined;
     #isBusy = false;
     #isClosed = false;
 
     constructor(options: SessionOptions) {
         this.#options = options;
+        this.#id = options.transactionKey();
     }
 
     /** True while no request is outstanding and no transaction is open. */
@@ -99,6 +103,9 @@
         if (!this.#isClosed) {
             this.#isClosed = true;
             this.#queue.length = 0;
+            if (this.#outstandingRequestId !== undefined) {
+                this.#outstandingGroup?.orders.cancel(this.#id);
+            }
             this.#endTransaction();
             this.#options.ended(this);
         }
@@ -230,8 +237,10 @@
             return this.#fail(ErrorCode.NotAuthorized, NOT_AUTHORIZED);
         }
         const group = transaction?.group ?? this.#options.group(route.group);
+        this.#outstandingGroup = group;
         const served = await this.#options.server.serve({
             requestId: request.id,
+            session: this.#id,
             route,
             customer: transaction === undefined ? customerOf(identification) : transaction.customer,
             statement: ordered,
@@ -239,6 +248,7 @@
             floor: this.#floor,
             transaction,
             arrivedAt: now,
+            hasLeft: () => this.#isClosed,
         }, group);
         this.#report({ request, route, group, transaction: transaction?.key }, served, now);
         if (transaction !== undefined) {
@@ -292,6 +302,7 @@
             group: route.group,
             endpoint: endpoint ?? "",
             requestId: request.id,
+            session: this.#id,
             statement,
             opening: { kind: "continued" },
             transaction: key,
@@ -345,8 +356,10 @@
     /** Commits a transaction without statements. An endpoint does it too, since its answer carries a signature. */
     async #commitEmpty(request: CallerRequest, transaction: Transaction, now: number): Promise<Answer> {
         const { route, group } = transaction;
+        this.#outstandingGroup = group;
         const served = await this.#options.server.serve({
             requestId: request.id,
+            session: this.#id,
             route,
             customer: transaction.customer,
             statement: { kind: "commit", wrote: false },
@@ -354,6 +367,7 @@
             floor: this.#floor,
             transaction,
             arrivedAt: now,
+            hasLeft: () => this.#isClosed,
         }, group);
         this.#report({ request, route, group, transaction: transaction.key }, served, now);
         return served.answer;
--- a/packages/gateway/src/connection-pool.ts
+++ b/packages/gateway/src/connection-pool.ts
@@ -24,7 +24,7 @@
 /** What the pool needs to know of an order that requests a connection. */
 export type ConnectionRequest =
     & Pick<StatementOrder, "priority" | "patienceMs" | "timeoutMs" | "values">
-    & Partial<Pick<StatementOrder, "customer" | "weight" | "targetMs">>;
+    & Partial<Pick<StatementOrder, "session" | "customer" | "weight" | "targetMs">>;
 
 interface Waiter {
     readonly request: ConnectionRequest;
@@ -146,6 +146,13 @@
         });
     }
 
+    /** Refuses the waiting orders of a session whose caller has left. Returns false when none waits. */
+    cancel(session: string): boolean {
+        const cancelled = this.#waiting.remove(({ request }) => request.session === session);
+        this.#refuseWaiters(cancelled);
+        return cancelled.length > 0;
+    }
+
     /** Records that the endpoint rejected an order because its queue is full. */
     orderRejected(): void {
         this.#sheddingLimit.rejected(this.#running, this.#options.clock.now());
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -154,6 +154,11 @@
         this.#connectionPool.rollBack(connection);
     }
 
+    /** Refuses the waiting orders of a session whose caller has left. Returns false when none waits. */
+    cancel(session: string): boolean {
+        return this.#connectionPool.cancel(session);
+    }
+
     /** Opens connections until `count` are open or being opened. */
     warmUp(count: number): void {
         this.#connectionPool.warmUp(count);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -111,6 +111,9 @@
             case "relayEnd":
                 this.#relayServer.ended(message);
                 break;
+            case "relayCancel":
+                this.#relayServer.cancelled(message);
+                break;
         }
     }
 
--- a/packages/gateway/src/group-endpoint.ts
+++ b/packages/gateway/src/group-endpoint.ts
@@ -201,6 +201,11 @@
         return this.#pool.run(order);
     }
 
+    /** Refuses the waiting orders of a session whose caller has left. Returns false when none waits. */
+    cancel(session: string): boolean {
+        return this.#pool.cancel(session);
+    }
+
     /** Opens a connection ahead of the first request. */
     warmUp(): void {
         this.#pool.warmUp(MIN_CONNECTIONS);
--- a/packages/gateway/src/group-orders.ts
+++ b/packages/gateway/src/group-orders.ts
@@ -36,6 +36,10 @@
 export class GroupOrders {
     readonly #options: GroupOrdersOptions;
     readonly #retryBudget: RetryBudget;
+    /** Endpoints at which the orders of this host's callers run or wait, by session. */
+    readonly #running = new Map<string, string>();
+    /** Sessions with running orders whose callers have left. */
+    readonly #cancelled = new Set<string>();
 
     constructor(options: GroupOrdersOptions) {
         this.#options = options;
@@ -52,6 +56,34 @@
         if (endpoint === undefined) {
             return UNREACHABLE;
         }
+        this.#running.set(order.session, order.endpoint);
+        const result = await this.#runMeasured(endpoint, order, repeatable);
+        this.#running.delete(order.session);
+        this.#cancelled.delete(order.session);
+        return result;
+    }
+
+    /**
+     * Removes the order of a session whose caller has left from the queue in which it waits, here or at another host.
+     * What was sent to an endpoint already runs to its end.
+     */
+    cancel(session: string): void {
+        const endpoint = this.#running.get(session);
+        if (endpoint === undefined) {
+            return;
+        }
+        this.#cancelled.add(session);
+        if (this.#options.endpoint(endpoint)?.cancel(session) !== true) {
+            this.#options.relay.cancel(session);
+        }
+    }
+
+    /** Removes a waiting order of another host's caller, who has left. */
+    cancelLocally(endpoint: string, session: string): void {
+        this.#options.endpoint(endpoint)?.cancel(session);
+    }
+
+    #runMeasured(endpoint: GroupEndpoint, order: StatementOrder, repeatable: boolean): Promise<StatementOrderResult> {
         if (!repeatable) {
             return endpoint.measure(() => this.#runDirectlyOrRelayed(endpoint, order));
         }
@@ -113,7 +145,8 @@
             patienceMs: Math.min(order.patienceMs, MAX_FULL_POOL_WAIT_MS),
         });
         const leftMs = order.patienceMs - (clock.now() - startedAt);
-        return needsOtherHost(own) && leftMs > 0 ? this.#relay({ ...order, patienceMs: leftMs }) : own;
+        const mayRelay = leftMs > 0 && !this.#cancelled.has(order.session);
+        return needsOtherHost(own) && mayRelay ? this.#relay({ ...order, patienceMs: leftMs }) : own;
     }
 
     async #runOn(endpoint: GroupEndpoint, order: StatementOrder): Promise<StatementOrderResult> {
--- a/packages/gateway/src/relay-client.ts
+++ b/packages/gateway/src/relay-client.ts
@@ -1,4 +1,10 @@
-import type { PrimaryPositionReport, RelayOrder, RelayResult, RelayRollback } from "@medlarledge/protocol";
+import type {
+    PrimaryPositionReport,
+    RelayCancellation,
+    RelayOrder,
+    RelayResult,
+    RelayRollback,
+} from "@medlarledge/protocol";
 import type { Clock } from "@medlarledge/runtime";
 import { NotRunReason, type StatementOrder, type StatementOrderResult, UnknownReason } from "@medlarledge/statements";
 
@@ -31,7 +37,7 @@
 export interface RelayLinks {
     /** Opens a link unless one is open. Resolves to false when it cannot be opened in time. */
     open(host: string, timeoutMs: number): Promise<boolean>;
-    send(host: string, message: RelayOrder | RelayRollback): boolean;
+    send(host: string, message: RelayOrder | RelayCancellation | RelayRollback): boolean;
 }
 
 export interface RelayClientOptions {
@@ -43,6 +49,9 @@
 
 interface OutstandingOrder {
     readonly host: string;
+    readonly order: StatementOrder;
+    /** Whether its caller has left; it is not sent to further hosts then. */
+    isCancelled: boolean;
     readonly resolve: (result: StatementOrderResult, leader: PrimaryPositionReport | undefined) => void;
     readonly timer: NodeJS.Timeout;
 }
@@ -50,6 +59,7 @@
 export interface RelayedResult {
     readonly result: StatementOrderResult;
     readonly leader: PrimaryPositionReport | undefined;
+    readonly isCancelled?: boolean;
 }
 
 /** Runs orders over connections that other entry hosts hold. */
@@ -94,7 +104,7 @@
             }
             const patienceMs = index === hosts.length - 1 ? leftMs : Math.min(leftMs, MAX_FULL_POOL_WAIT_MS);
             last = await this.#runAt(host, { ...order, patienceMs });
-            if (!this.#isHostRefusal(last)) {
+            if (last.isCancelled || !this.#isHostRefusal(last)) {
                 return last;
             }
             this.#noteRefusal(host, order.endpoint, last.result);
@@ -113,6 +123,17 @@
         return true;
     }
 
+    /** Has the waiting orders of a session whose caller has left removed at the hosts to which they were sent. */
+    cancel(session: string): void {
+        for (const outstanding of this.#outstanding.values()) {
+            if (outstanding.order.session === session && !outstanding.isCancelled) {
+                outstanding.isCancelled = true;
+                const { group, endpoint } = outstanding.order;
+                this.#options.links.send(outstanding.host, { kind: "relayCancel", group, endpoint, session });
+            }
+        }
+    }
+
     resultReceived({ id, result, leader }: RelayResult): void {
         const outstanding = this.#outstanding.get(id);
         if (outstanding !== undefined) {
@@ -169,8 +190,14 @@
                 this.#forget(id, host);
                 resolve({ result: { kind: "unknown", reason: UnknownReason.Timeout }, leader: undefined });
             }, order.timeoutMs);
-            const resolveOrder: OutstandingOrder["resolve"] = (result, leader) => resolve({ result, leader });
-            this.#outstanding.set(id, { host, resolve: resolveOrder, timer });
+            const outstanding: OutstandingOrder = {
+                host,
+                order,
+                isCancelled: false,
+                resolve: (result, leader) => resolve({ result, leader, isCancelled: outstanding.isCancelled }),
+                timer,
+            };
+            this.#outstanding.set(id, outstanding);
             if (!this.#unansweredSince.has(host)) {
                 this.#unansweredSince.set(host, this.#options.clock.now());
             }
--- a/packages/gateway/src/relay-server.ts
+++ b/packages/gateway/src/relay-server.ts
@@ -1,4 +1,4 @@
-import type { RelayOrder, RelayResult, RelayRollback } from "@medlarledge/protocol";
+import type { RelayCancellation, RelayOrder, RelayResult, RelayRollback } from "@medlarledge/protocol";
 import { NotRunReason, type StatementOrderResult } from "@medlarledge/statements";
 import type { Group } from "./group.js";
 
@@ -51,6 +51,11 @@
         this.#send(from, { kind: "relayResult", id, result, leader: group?.state.primaryPositionReport() });
     }
 
+    /** Removes the waiting orders of another host's caller, who has left. Their results are still sent back. */
+    cancelled({ group, endpoint, session }: RelayCancellation): void {
+        this.#group(group)?.orders.cancelLocally(endpoint, session);
+    }
+
     /** Rolls back a transaction of another host. */
     ended({ group, endpoint, transaction }: RelayRollback): void {
         this.#transactions.delete(transaction);
--- a/packages/gateway/src/statement-router.ts
+++ b/packages/gateway/src/statement-router.ts
@@ -37,8 +37,13 @@
 /** Delay after which a caller that was refused should retry. */
 const RETRY_AFTER_MS = 200;
 
+/** Cause that is reported when a request was given up because its caller closed the connection. */
+const CALLER_LEFT = "callerLeft";
+
 export interface ServeRequest {
     readonly requestId: string;
+    /** Id of the caller's session. */
+    readonly session: string;
     readonly route: Route;
     /** Customer in whose name it runs; undefined for an anonymous caller. */
     readonly customer: Customer | undefined;
@@ -49,6 +54,8 @@
     /** The caller's transaction, if the statement is the first one in it. */
     readonly transaction: { readonly key: string; readonly readOnly: boolean; } | undefined;
     readonly arrivedAt: number;
+    /** Whether the caller has closed its connection, so that nobody waits for the answer. */
+    readonly hasLeft: () => boolean;
 }
 
 export interface ServeResult extends Outcome {
@@ -120,6 +127,9 @@
             if (this.#clock.now() >= giveUpAt) {
                 return resultAtDeadline(progress);
             }
+            if (request.hasLeft()) {
+                return { ...resultAtDeadline(progress), cause: CALLER_LEFT };
+            }
             const target = chooseEndpoint(request, group, progress.tried);
             const serveResult = target === undefined
                 ? await this.#wait(request, group, progress)
@@ -169,6 +179,9 @@
             }
             return { answer, ...attempt, attempts, waitedMs, cause: errorOf(answer) };
         }
+        if (request.hasLeft()) {
+            return { ...resultAtDeadline(progress), cause: CALLER_LEFT };
+        }
         if (result.kind === "unknown" && mayChangeData(request)) {
             return unknownOutcome(progress, endpoint, result.reason);
         }
@@ -194,12 +207,13 @@
     }
 
     #order(request: ServeRequest, { endpoint, opening, transaction }: Attempt, giveUpAt: number): StatementOrder {
-        const { route, customer, requestId, statement, values, arrivedAt } = request;
+        const { route, customer, requestId, session, statement, values, arrivedAt } = request;
         const now = this.#clock.now();
         return {
             group: route.group,
             endpoint,
             requestId,
+            session,
             statement,
             opening,
             transaction,
--- a/packages/protocol/src/message-table.ts
+++ b/packages/protocol/src/message-table.ts
@@ -46,6 +46,7 @@
     relayEnd: 30,
     forwardedRenewal: 31,
     forwardedGrant: 32,
+    relayCancel: 37,
 } as const satisfies Record<MessageKind, number>;
 
 const KINDS_BY_ID: ReadonlyMap<number, MessageKind> = new Map(
--- a/packages/protocol/src/relay-message.ts
+++ b/packages/protocol/src/relay-message.ts
@@ -29,4 +29,12 @@
     readonly transaction: string;
 }
 
-export type RelayMessage = RelayOrder | RelayResult | RelayRollback;
+/** Entry host to entry host: the caller of a session has left; remove its orders that still wait. */
+export interface RelayCancellation {
+    readonly kind: "relayCancel";
+    readonly group: string;
+    readonly endpoint: string;
+    readonly session: string;
+}
+
+export type RelayMessage = RelayOrder | RelayResult | RelayRollback | RelayCancellation;
--- a/packages/routing/src/wait-queue.ts
+++ b/packages/routing/src/wait-queue.ts
@@ -90,9 +90,9 @@
         return entry.waiter.item;
     }
 
-    /** Removes an entry that is not needed any more. Returns false when it does not wait here. */
-    remove(item: Item): boolean {
-        return this.#removeWhere(waiter => waiter.item === item).length > 0;
+    /** Removes and returns the entries that match. */
+    remove(matches: (item: Item) => boolean): readonly Item[] {
+        return this.#removeWhere(waiter => matches(waiter.item));
     }
 
     /** Removes and returns the entries whose maximum wait has passed. */
--- a/packages/routing/tests/wait-queue-loads.test.ts
+++ b/packages/routing/tests/wait-queue-loads.test.ts
@@ -83,7 +83,7 @@
             }
         }
         if (policy === "fair") {
-            orders.slice(0, next).filter(order => order.leavesAt === now).forEach(order => queue.remove(order));
+            queue.remove(order => order.leavesAt <= now);
         }
         queue.expired(now).forEach(order => note(order, order.kind.timeoutMs));
         for (const [slot, at] of freeAt.entries()) {
--- a/packages/statements/src/statement-order.ts
+++ b/packages/statements/src/statement-order.ts
@@ -24,6 +24,8 @@
     readonly group: string;
     readonly endpoint: string;
     readonly requestId: string;
+    /** Id of the caller's session, unique among all processes; a session runs one order at a time. */
+    readonly session: string;
     readonly statement: OrderedStatement;
     readonly opening: TransactionContext;
     /** Id of the caller's transaction, unique among all processes; undefined outside a transaction. */
