--- a/packages/gateway/src/connection-pool.ts
+++ b/packages/gateway/src/connection-pool.ts
@@ -32,7 +32,7 @@
 export interface ConnectionRequest
     extends
         Pick<StatementOrder, "priority" | "patienceMs" | "timeoutMs" | "values" | "customer">,
-        Partial<Pick<StatementOrder, "weight" | "targetMs">>
+        Partial<Pick<StatementOrder, "session" | "weight" | "targetMs">>
 {
     /** A probe runs no caller's statement, so it may use any customer's connection. */
     readonly isProbe?: boolean;
@@ -167,6 +167,13 @@
         });
     }
 
+    /** Refuses the waiting orders of a session whose caller has left. Returns false when none waits. */
+    cancel(session: string): boolean {
+        const cancelled = this.#waiting.remove(({ request }) => request.session === session);
+        this.#refuseWaiters(cancelled);
+        return cancelled.length > 0;
+    }
+
     /** Records that the endpoint rejected an order because its queue is full. */
     orderRejected(): void {
         this.#sheddingLimit.rejected(this.#running, this.#options.clock.now());
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -146,6 +146,9 @@
             case "relayEnd":
                 this.#relayServer.ended(message);
                 break;
+            case "relayCancel":
+                this.#relayServer.cancelled(message);
+                break;
         }
     }
 
--- a/packages/protocol/src/message-table.ts
+++ b/packages/protocol/src/message-table.ts
@@ -51,6 +51,7 @@
     freshnessAnswer: 34,
     tokenRequest: 35,
     tokenGrant: 36,
+    relayCancel: 37,
 } as const satisfies Record<MessageKind, number>;
 
 const KINDS_BY_ID: ReadonlyMap<number, MessageKind> = new Map(
