Keep connections at all hosts where each has at least two

Holders for customers are used only where not all hosts have two connections, as at full size.

After a refusal for too many connections a pool with customers does not grow for 3 s; it replaces its own.

--- a/packages/fleet/src/connection-share.ts
+++ b/packages/fleet/src/connection-share.ts
@@ -13,7 +13,7 @@
 const HOLDER_SHARE = 5;
 
 /**
- * Least number of connections per host where they belong to customers: a connection serves a single customer, so that
+ * Least number of connections per holder where they belong to customers and not all hosts have some: a connection serves a single customer, so that
  * few large pools need fewer than many small ones, and a host that is busy with one customer has some for the others.
  */
 const CUSTOMER_HOLDER_SHARE = 16;
@@ -40,15 +40,15 @@
     hasCustomers = false,
 ): ConnectionPlan {
     const usable = Math.max(0, limit - CONTROL_CONNECTIONS);
-    if (hasCustomers && entries.length > 0) {
-        const wanted = Math.max(MIN_CUSTOMER_HOLDERS, Math.floor(usable / CUSTOMER_HOLDER_SHARE));
-        const count = Math.min(wanted, entries.length);
-        return { share: Math.max(1, Math.floor(usable / count)), holders: firstRanked(record, entries, count) };
-    }
     const share = Math.floor(usable / Math.max(1, entries.length));
     if (share >= MIN_SHARE || entries.length === 0) {
         return { share: Math.max(1, share), holders: firstRanked(record, entries, entries.length) };
     }
+    if (hasCustomers) {
+        const wanted = Math.max(MIN_CUSTOMER_HOLDERS, Math.floor(usable / CUSTOMER_HOLDER_SHARE));
+        const count = Math.min(wanted, entries.length, Math.max(1, usable));
+        return { share: Math.max(1, Math.floor(usable / count)), holders: firstRanked(record, entries, count) };
+    }
     const count = Math.max(1, Math.floor(usable / HOLDER_SHARE));
     return { share: Math.min(HOLDER_SHARE, usable), holders: firstRanked(record, entries, count) };
 }
--- a/packages/gateway/src/connection-pool.ts
+++ b/packages/gateway/src/connection-pool.ts
@@ -1,8 +1,9 @@
 import { MAX_OPENINGS, needsOpening, SheddingLimit, StandingQueue, WaitQueue } from "@medlarledge/routing";
-import { type Clock, StallTolerantTimer } from "@medlarledge/runtime";
-import type { ConnectFailure, EndpointAddress, EndpointConnector, StatementOrder } from "@medlarledge/statements";
+import { StallTolerantTimer } from "@medlarledge/runtime";
+import type { ConnectionPoolOptions, ConnectionRequest } from "./connection-pool-options.js";
 import { type ConnectionOwner, IdleConnections } from "./idle-connections.js";
 import { type ConnectionEvents, PooledConnection } from "./pooled-connection.js";
+import { type OwnedWaiter, WaitingOwners } from "./waiting-owners.js";
 
 /** Limit for opening a connection. An endpoint with a free slot takes 12 ms, a busy one takes longer. */
 const CONNECT_TIMEOUT_MS = 500;
@@ -19,6 +20,12 @@
  */
 const MAX_CUSTOMER_IDLE_MS = 45_000;
 
+/**
+ * After the endpoint's refusal for too many connections, the pool does not grow for this time. Endpoints keep the
+ * connections of a process that fell silent for 3 s.
+ */
+const FULL_ENDPOINT_MS = 3_000;
+
 /** Limit for the answers that are outstanding when a connection is released. Ending a transaction needs no slot. */
 const RETURN_TIMEOUT_MS = 500;
 
@@ -28,45 +35,11 @@
  */
 const MAX_REPLACED_CONNECTIONS = 2;
 
-/** What the pool needs to know of an order that requests a connection. */
-export interface ConnectionRequest
-    extends Pick<StatementOrder, "priority" | "patienceMs" | "timeoutMs" | "values" | "customer">
-{
-    /** A probe runs no caller's statement, so it may use any customer's connection. */
-    readonly isProbe?: boolean;
-}
-
-interface Waiter {
+interface Waiter extends OwnedWaiter {
     readonly request: ConnectionRequest;
     readonly granted: (connection: PooledConnection | undefined) => void;
 }
 
-export interface ConnectionPoolEvents {
-    answered(): void;
-    connected(): void;
-    /** An attempt that began at `startedAt` failed. */
-    connectFailed(failure: ConnectFailure, startedAt: number): void;
-    /** A connection was closed by the endpoint, the network or this process. */
-    closed(connection: PooledConnection, reason: string): void;
-    /** The number of waiting orders or of usable connections may have changed. */
-    demandChanged(): void;
-}
-
-export interface ConnectionPoolOptions {
-    readonly address: EndpointAddress;
-    readonly connector: EndpointConnector;
-    readonly clock: Clock;
-    /** Maximum number of connections that this process may have. */
-    readonly limit: () => number;
-    /** Average time that the endpoint takes for an order, in ms. */
-    readonly averageMs: () => number;
-    /** Time after which the answer to an order is overdue, in ms. */
-    readonly overdueMs: () => number;
-    /** Whether the connection is reserved for a caller's transaction. */
-    readonly isReserved: (connection: PooledConnection) => boolean;
-    readonly events: ConnectionPoolEvents;
-}
-
 /** Pool of the connections of one process to one endpoint. Waiting orders get connections by priority. */
 export class ConnectionPool {
     readonly #options: ConnectionPoolOptions;
@@ -75,8 +48,7 @@
     /** Connections in use, with the time at which the use began. */
     readonly #inUseSince = new Map<PooledConnection, number>();
     readonly #waiting = new WaitQueue<Waiter>();
-    /** The waiting orders by the owner of the connection that they need, the owner that has waited longest first. */
-    readonly #waitingByOwner = new Map<ConnectionOwner, Set<Waiter>>();
+    readonly #waitingOwners = new WaitingOwners<Waiter>();
     readonly #openingByOwner = new Map<ConnectionOwner, number>();
     readonly #standingQueue = new StandingQueue();
     readonly #sheddingLimit = new SheddingLimit();
@@ -85,6 +57,8 @@
     /** Whether orders of customers have come, so that connections have different owners. */
     #hasCustomers = false;
     #isReplacing = false;
+    /** Limit while the endpoint has no room for more connections. */
+    #fullLimit = { size: 0, until: Number.NEGATIVE_INFINITY };
     #connectNotBefore = 0;
     #expiryTimer: NodeJS.Timeout | undefined;
     #isClosed = false;
@@ -158,9 +132,9 @@
                 return;
             }
             const { priority, customer } = request;
-            const waiter: Waiter = { request, granted: resolve };
+            const waiter: Waiter = { request, priority, owner: customer, granted: resolve };
             this.#waiting.push({ item: waiter, priority, giveUpAt: now + patienceMs });
-            this.#waitingByOwner.set(customer, (this.#waitingByOwner.get(customer) ?? new Set()).add(waiter));
+            this.#waitingOwners.add(waiter);
             this.#serveWaiters();
         });
     }
@@ -271,7 +245,7 @@
      */
     #expectedWaitMs({ priority, customer }: ConnectionRequest): number {
         const ahead = customer !== undefined && this.#running < this.#concurrency
-            ? this.#waitingByOwner.get(customer)?.size ?? 0
+            ? this.#waitingOwners.count(customer)
             : this.#waiting.countAhead(priority);
         return ahead * this.#options.averageMs() / this.#concurrency;
     }
@@ -284,7 +258,7 @@
             if (next === undefined) {
                 break;
             }
-            this.#forgetWaiter(next);
+            this.#waitingOwners.delete(next);
             next.granted(this.#takeIdle(next.request));
         }
         this.#openForWaiters();
@@ -305,11 +279,11 @@
     /** Opens connections for waiting orders, at the limit in place of the idle connections of least value. */
     #openForWaiters(): void {
         while (this.#mayOpen() && this.#mayRunMore()) {
-            const owner = this.#nextOwner();
-            if (owner === undefined || !this.#makeRoom(owner.customer)) {
+            const next = this.#waitingOwners.next((owner, waiting) => this.#needsOpening(owner, waiting));
+            if (next === undefined || !this.#makeRoom(next.owner)) {
                 return;
             }
-            void this.#open(owner.customer);
+            void this.#open(next.owner);
             if (!this.#hasCustomers) {
                 return;
             }
@@ -327,7 +301,9 @@
      * queue cannot take all.
      */
     #makeRoom(owner: ConnectionOwner): boolean {
-        const limit = this.#options.limit();
+        const { clock, limit: share } = this.#options;
+        const { size, until } = this.#fullLimit;
+        const limit = this.#hasCustomers && clock.now() < until ? Math.min(size, share()) : share();
         if (this.#hasCustomers && limit > 0 && this.#countedSize === limit) {
             const count = this.#usableBy(owner).length + (this.#openingByOwner.get(owner) ?? 0);
             const isProtected = (other: ConnectionOwner): boolean => this.#countOf(other) <= count;
@@ -344,18 +320,6 @@
         return open + (this.#openingByOwner.get(owner) ?? 0);
     }
 
-    /** The owner for whom to open the next connection: the one with the most urgent order, or that waits longest. */
-    #nextOwner(): { readonly customer: ConnectionOwner; } | undefined {
-        let next: { readonly customer: ConnectionOwner; readonly priority: number; } | undefined;
-        for (const [customer, waiters] of this.#waitingByOwner) {
-            const priority = Math.min(...[...waiters].map(({ request }) => request.priority));
-            if ((next === undefined || priority < next.priority) && this.#needsOpening(customer, waiters.size)) {
-                next = { customer, priority };
-            }
-        }
-        return next;
-    }
-
     #needsOpening(owner: ConnectionOwner, waiting: number): boolean {
         const opening = this.#openingByOwner.get(owner) ?? 0;
         if (!this.#hasCustomers) {
@@ -373,15 +337,6 @@
         );
     }
 
-    #forgetWaiter(waiter: Waiter): void {
-        const { customer } = waiter.request;
-        const waiters = this.#waitingByOwner.get(customer);
-        waiters?.delete(waiter);
-        if (waiters?.size === 0) {
-            this.#waitingByOwner.delete(customer);
-        }
-    }
-
     #mayOpen(): boolean {
         return !this.#isClosed && !this.#isReplacing && this.#options.clock.now() >= this.#connectNotBefore;
     }
@@ -396,6 +351,9 @@
         this.#openingByOwner.set(owner, (this.#openingByOwner.get(owner) ?? 1) - 1);
         if (!connected.ok) {
             this.#connectNotBefore = clock.now() + RECONNECT_DELAY_MS;
+            if (connected.failure.kind === "tooMany") {
+                this.#fullLimit = { size: Math.max(1, this.size), until: clock.now() + FULL_ENDPOINT_MS };
+            }
             events.connectFailed(connected.failure, startedAt);
             this.#openFailed();
             return;
@@ -422,7 +380,7 @@
 
     #refuseWaiters(waiting: readonly Waiter[]): void {
         for (const waiter of waiting) {
-            this.#forgetWaiter(waiter);
+            this.#waitingOwners.delete(waiter);
             waiter.granted(undefined);
         }
     }
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -6,7 +6,8 @@
     type StatementOrderResult,
     UnknownReason,
 } from "@medlarledge/statements";
-import { ConnectionPool, type ConnectionPoolEvents, type ConnectionPoolOptions } from "./connection-pool.js";
+import type { ConnectionPoolEvents, ConnectionPoolOptions } from "./connection-pool-options.js";
+import { ConnectionPool } from "./connection-pool.js";
 import { OpenTransactions } from "./open-transactions.js";
 import type { PooledConnection } from "./pooled-connection.js";
 import { requiresPrimary } from "./primary-order.js";
--- a/packages/gateway/src/index.ts
+++ b/packages/gateway/src/index.ts
@@ -1,3 +1,5 @@
+export type { ConnectionPoolOptions } from "./connection-pool-options.js";
+export { ConnectionPool } from "./connection-pool.js";
 export { ElapsedClock } from "./elapsed-clock.js";
 export { type AnsweredRequest, Failure, type GatewayEvent, type GatewayListener } from "./gateway-event.js";
 export { Gateway, type GatewayOptions } from "./gateway.js";
