--- a/packages/fleet/src/connection-plans.ts
+++ b/packages/fleet/src/connection-plans.ts
@@ -30,7 +30,7 @@
     readonly openFrom: number;
     /** Other hosts that have connections. */
     readonly relays: Relays;
-    /** The division of which it is a part, where connections belong to customers. */
+    /** The division of which it is a part, where only some hosts have connections and these belong to customers. */
     readonly byCustomer: ConnectionPlan | undefined;
 }
 
@@ -136,7 +136,8 @@
         const hasFormerHolder = plan.holders.length < this.#entries.length && (former?.share ?? 0) === 0;
         const handoverMs = hasCustomers ? CUSTOMER_HANDOVER_MS : HANDOVER_MS;
         const openFrom = hasFormerHolder ? now + handoverMs : former?.openFrom ?? Number.NEGATIVE_INFINITY;
-        const byCustomer = hasCustomers ? plan : undefined;
+        // Where all hosts have connections, a relay costs more time than the opening that it may save.
+        const byCustomer = hasCustomers && plan.holders.length < this.#entries.length ? plan : undefined;
         const own = { share: isHolder ? plan.share : 0, openFrom, relays, byCustomer };
         this.#plans.set(record.id, own);
         return own;
