Ask a new leader until it knows the host

A leader fills buckets by the hosts that it has heard. The host now repeats its report until it is answered.

--- a/packages/customers/src/token-holder.ts
+++ b/packages/customers/src/token-holder.ts
@@ -84,6 +84,8 @@
     #tokensUntil = Number.NEGATIVE_INFINITY;
     #spentSince: number | undefined;
     #isReportDue = false;
+    /** Whether the present leader has answered yet. It fills buckets by the hosts that it has heard only. */
+    #isKnownToLeader = true;
     #ownAt: number | undefined;
 
     constructor(accuracy: LimitAccuracy, part: () => OwnPart) {
@@ -96,8 +98,8 @@
         return this.#unansweredSince !== undefined && now - this.#unansweredSince >= AUTONOMY_AFTER_MS;
     }
 
-    /** Settles, at once or later, whether an operation of the customer may run. */
-    admit(customer: string, limit: OperationLimit, now: number, settle: (admission: Admission) => void): void {
+    /** Settles whether an operation of the customer may run. Returns true if that takes an answer of the leader. */
+    admit(customer: string, limit: OperationLimit, now: number, settle: (admission: Admission) => void): boolean {
         this.tick(now);
         const stock = this.#stock(customer, limit, now);
         stock.use = decayed(stock, now) + 1_000 / USE_MS;
@@ -113,7 +115,9 @@
         }
         else {
             stock.waiters.push({ since: now, settle });
+            return true;
         }
+        return false;
     }
 
     /** Takes back the token of an operation that was not run, unless it has been reported to the leader as spent. */
@@ -130,6 +134,7 @@
         this.#dropTokens();
         this.#inFlight = undefined;
         this.#isReportDue = true;
+        this.#isKnownToLeader = false;
     }
 
     /** Expires tokens and waits; to be called about every 50 ms. */
@@ -175,6 +180,7 @@
         }
         const isAutonomous = this.isAutonomous(now);
         const isAnswerWanted = this.#unansweredSince !== undefined
+            || !this.#isKnownToLeader
             || needs.some(({ waiting, ahead: wanted }) => waiting + wanted > 0);
         this.#sequence += 1;
         this.#sentAt = now;
@@ -191,6 +197,7 @@
             return;
         }
         this.#isReportDue ||= this.isAutonomous(now);
+        this.#isKnownToLeader = true;
         this.#tokensUntil = this.#inFlight.sentAt + TOKEN_LIFE_MS;
         this.#inFlight = undefined;
         this.#unansweredSince = undefined;
--- a/packages/customers/tests/token-model.test.ts
+++ b/packages/customers/tests/token-model.test.ts
@@ -51,6 +51,8 @@
 
 interface Leader {
     readonly term: number;
+    /** A new leader ignores requests until it has applied what was committed before. */
+    readonly opensAt: number;
     ledger: TokenLedger;
     isFrozen: boolean;
     deposedAt: number | undefined;
@@ -79,6 +81,7 @@
     hosts.forEach(({ holder }) => holder.leaderChanged());
     const newLeader = (term: number): Leader => ({
         term,
+        opensAt: now + 500,
         ledger: new TokenLedger(accuracy, now),
         isFrozen: false,
         deposedAt: undefined,
@@ -115,7 +118,7 @@
         }
         later(() => {
             const mayGrant = leader.deposedAt === undefined || now < leader.deposedAt + STEP_DOWN_MS;
-            if (!leader.isFrozen && mayGrant && host.incarnation === incarnation) {
+            if (!leader.isFrozen && now >= leader.opensAt && mayGrant && host.incarnation === incarnation) {
                 leader.heardAt.set(host.id, now);
                 leader.ledger.refill(view(leader), now);
                 const grant = leader.ledger.requested({ id: host.id, incarnation: `${incarnation}` }, message, now);
--- a/packages/fleet/src/operation-limits.ts
+++ b/packages/fleet/src/operation-limits.ts
@@ -51,13 +51,11 @@
         }
         const now = this.#elapsed.now();
         return new Promise(resolve => {
-            let isSettled = false;
-            this.#holder.admit(name, limit, now, admission => {
-                isSettled = true;
+            const isWaiting = this.#holder.admit(name, limit, now, admission => {
                 this.#count(name, admission);
                 resolve(admission);
             });
-            if (!isSettled) {
+            if (isWaiting) {
                 this.#options.meter.count("limit.waits", 1);
             }
             this.#send(now);
