--- a/packages/gateway/src/caller-session.ts
+++ b/packages/gateway/src/caller-session.ts
@@ -292,7 +292,6 @@
             }
         }
         this.#outstandingGroup = group;
-        const customer = transaction === undefined ? customerOf(identification) : transaction.customer;
         const served = await this.#options.server.serve({
             requestId: request.id,
             session: this.#id,
@@ -335,7 +334,7 @@
         }
         if (answer !== undefined) {
             const outcome = { answer, endpoint: undefined, attempts: 0, waitedMs: 0, cause: "limit" };
-            this.#report({ request, route, group, transaction: undefined }, outcome, now);
+            this.#report({ request, route, group, customer, transaction: undefined }, outcome, now);
         }
         return answer;
     }
