--- a/packages/fleet/src/gateway-reporter.ts
+++ b/packages/fleet/src/gateway-reporter.ts
@@ -27,6 +27,8 @@
         aborted: event => this.#write("transactionAborted", event),
         cut: event => this.#write("sessionCut", event),
         reach: event => this.#write(event.reach === "reachable" ? "endpointReached" : "endpointUnreachable", event),
+        opening: ({ group, endpoint, owner, cause }) =>
+            this.#meter.count("pool.openings", 1, { group, endpoint, owner, cause }),
         primary: event => this.#write("primarySeen", event),
         denied: event => this.#write("primaryDenied", event),
     };
--- a/packages/fleet/tests/connection-handover.test.ts
+++ b/packages/fleet/tests/connection-handover.test.ts
@@ -1,3 +1,5 @@
+import { CustomerDirectory } from "@medlarledge/customers";
+import type { Routing } from "@medlarledge/gateway";
 import { type EndpointRecord, EndpointRole, EndpointState, type HostPlacement } from "@medlarledge/protocol";
 import { expect, test } from "vitest";
 import { ConnectionPlans } from "../src/connection-plans.js";
@@ -41,6 +43,11 @@
     readonly #plans = new Map<string, ConnectionPlans>();
     readonly #lists = new Map<string, readonly { readonly at: number; readonly hosts: readonly HostPlacement[]; }[]>();
     readonly #held = new Map<string, number>();
+    readonly #routing: Routing;
+
+    constructor(routing: Routing) {
+        this.#routing = routing;
+    }
 
     send(hosts: readonly HostPlacement[]): void {
         for (const [index, host] of hosts.entries()) {
@@ -72,7 +79,7 @@
             plans.hostsChanged(due?.hosts ?? []);
             for (const endpoint of due === undefined ? [] : ENDPOINTS) {
                 const key = `${host} ${endpoint.id}`;
-                const share = plans.share(endpoint, ROUTING, this.now);
+                const share = plans.share(endpoint, this.#routing, this.now);
                 this.moved += Math.max(0, share - (this.#held.get(key) ?? 0));
                 this.#held.set(key, share);
             }
@@ -83,7 +90,7 @@
 // Pattern: 38 of 233 hosts join within two seconds. Guards against endpoints that refuse connections beyond their limit
 // because old and new holders have them at the same time, and against endpoints that lose most of their holders.
 test("connections move to joining hosts without exceeding an endpoint's limit", () => {
-    const fleet = new Fleet();
+    const fleet = new Fleet(ROUTING);
     fleet.send(placements(195));
     fleet.run(1_000);
     const results = [205, 215, 225, 233].map(count => {
@@ -98,7 +105,7 @@
 
 // Pattern: hosts are restarted in turn. Guards against dividing all connections anew for each restarted host.
 test("a list with the same hosts moves no connection", () => {
-    const fleet = new Fleet();
+    const fleet = new Fleet(ROUTING);
     fleet.send(placements(195));
     fleet.run(1_000);
     const { moved } = fleet;
@@ -106,3 +113,17 @@
     fleet.run(1_000);
     expect(fleet.moved).toBe(moved);
 });
+
+// Guards against the same where few holders have many connections of customers: 8 of 63 hosts are restarted in turn.
+test("customers' connections move without exceeding an endpoint's limit", () => {
+    const fleet = new Fleet({ ...ROUTING, customers: new CustomerDirectory([]) });
+    fleet.send(placements(63));
+    fleet.run(3_000);
+    const results = Array.from({ length: 8 }, (_, index) => {
+        fleet.send(placements(63).filter(({ id }) => id !== `h${index * 7}`));
+        return fleet.run(700);
+    });
+    expect(Math.max(...results.map(({ mostConnections }) => mostConnections)))
+        .toBeLessThanOrEqual(LIMIT - CONTROL_CONNECTIONS);
+    expect(Math.min(...results.map(({ fewestHolders }) => fewestHolders))).toBeGreaterThanOrEqual(1);
+});
--- a/packages/fleet/tests/customer-placement.test.ts
+++ b/packages/fleet/tests/customer-placement.test.ts
@@ -113,7 +113,14 @@
         averageMs: () => 10,
         overdueMs: () => 150,
         isReserved: () => false,
-        events: { answered: ignore, connected: ignore, connectFailed: ignore, closed: ignore, demandChanged: ignore },
+        events: {
+            answered: ignore,
+            opening: ignore,
+            connected: ignore,
+            connectFailed: ignore,
+            closed: ignore,
+            demandChanged: ignore,
+        },
     });
 }
 
--- a/packages/gateway/src/connection-pool-options.ts
+++ b/packages/gateway/src/connection-pool-options.ts
@@ -10,7 +10,25 @@
     readonly isProbe?: boolean;
 }
 
+/** Why a connection is opened. */
+export const OpeningCause = {
+    /** Ahead of the first order. */
+    WarmUp: "warmUp",
+    /** Orders wait, and the limit is not reached. */
+    Growth: "growth",
+    /** Orders wait, and another customer's connection was closed for it. */
+    Replacement: "replacement",
+} as const;
+export type OpeningCause = (typeof OpeningCause)[keyof typeof OpeningCause];
+
+export interface Opening {
+    readonly cause: OpeningCause;
+    /** Whether the connection belongs to a customer or to the proxy itself. */
+    readonly owner: "customer" | "proxy";
+}
+
 export interface ConnectionPoolEvents {
+    opening(opening: Opening): void;
     answered(): void;
     connected(): void;
     /** An attempt that began at `startedAt` failed. */
--- a/packages/gateway/src/connection-pool.ts
+++ b/packages/gateway/src/connection-pool.ts
@@ -1,6 +1,6 @@
 import { MAX_OPENINGS, needsOpening, SheddingLimit, StandingQueue, WaitQueue } from "@medlarledge/routing";
 import { StallTolerantTimer } from "@medlarledge/runtime";
-import type { ConnectionPoolOptions, ConnectionRequest } from "./connection-pool-options.js";
+import { type ConnectionPoolOptions, type ConnectionRequest, OpeningCause } from "./connection-pool-options.js";
 import { type ConnectionOwner, IdleConnections } from "./idle-connections.js";
 import { type ConnectionEvents, PooledConnection } from "./pooled-connection.js";
 import { type OwnedWaiter, WaitingOwners } from "./waiting-owners.js";
@@ -200,7 +200,7 @@
     /** Opens connections until `count` are open or being opened. */
     warmUp(count: number): void {
         while (this.size < Math.min(count, this.#options.limit()) && this.#mayOpen()) {
-            void this.#open(undefined);
+            void this.#open(undefined, OpeningCause.WarmUp);
         }
     }
 
@@ -280,10 +280,11 @@
     #openForWaiters(): void {
         while (this.#mayOpen() && this.#mayRunMore()) {
             const next = this.#waitingOwners.next((owner, waiting) => this.#needsOpening(owner, waiting));
-            if (next === undefined || !this.#makeRoom(next.owner)) {
+            const cause = next === undefined ? undefined : this.#makeRoom(next.owner);
+            if (next === undefined || cause === undefined) {
                 return;
             }
-            void this.#open(next.owner);
+            void this.#open(next.owner, cause);
             if (!this.#hasCustomers) {
                 return;
             }
@@ -296,15 +297,17 @@
     }
 
     /**
-     * Returns true if a connection may be opened, after closing another customer's idle one where necessary. Customers
-     * with no more connections than the one who needs another keep those that they use, so that a customer with a long
-     * queue cannot take all.
+     * Closes another customer's idle connection where necessary for opening one. Returns undefined if there is no room.
+     * Customers with no more connections than the one who needs another keep those that they use, so that a customer
+     * with a long queue cannot take all.
      */
-    #makeRoom(owner: ConnectionOwner): boolean {
+    #makeRoom(owner: ConnectionOwner): OpeningCause | undefined {
         const { clock, limit: share } = this.#options;
         const { size, until } = this.#fullLimit;
         const limit = this.#hasCustomers && clock.now() < until ? Math.min(size, share()) : share();
+        let cause: OpeningCause = OpeningCause.Growth;
         if (this.#hasCustomers && limit > 0 && this.#countedSize === limit) {
+            cause = OpeningCause.Replacement;
             const count = this.#usableBy(owner).length + (this.#openingByOwner.get(owner) ?? 0);
             const isProtected = (other: ConnectionOwner): boolean => this.#countOf(other) <= count;
             this.#isReplacing = true;
@@ -312,7 +315,7 @@
                 ?.close("replaced by a connection of another customer");
             this.#isReplacing = false;
         }
-        return this.#countedSize < limit;
+        return this.#countedSize < limit ? cause : undefined;
     }
 
     #countOf(owner: ConnectionOwner): number {
@@ -341,10 +344,11 @@
         return !this.#isClosed && !this.#isReplacing && this.#options.clock.now() >= this.#connectNotBefore;
     }
 
-    async #open(owner: ConnectionOwner): Promise<void> {
+    async #open(owner: ConnectionOwner, cause: OpeningCause): Promise<void> {
         const { connector, address, clock, events } = this.#options;
         this.#openingCount += 1;
         this.#openingByOwner.set(owner, (this.#openingByOwner.get(owner) ?? 0) + 1);
+        events.opening({ cause, owner: owner === undefined ? "proxy" : "customer" });
         const startedAt = clock.now();
         const connected = await connector.connect(address, owner, CONNECT_TIMEOUT_MS);
         this.#openingCount -= 1;
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -72,6 +72,7 @@
             isReserved: connection => this.#transactions.isReserved(connection),
             events: {
                 answered: () => events.answered(),
+                opening: opening => events.opening(opening),
                 connected: () => events.connected(),
                 connectFailed: (failure, startedAt) => events.connectFailed(failure, startedAt),
                 closed: (connection, reason) => {
--- a/packages/gateway/src/gateway-event.ts
+++ b/packages/gateway/src/gateway-event.ts
@@ -1,5 +1,6 @@
 import type { Reachability } from "@medlarledge/routing";
 import type { ErrorCode, LogPosition, Statement } from "@medlarledge/statements";
+import type { Opening } from "./connection-pool-options.js";
 import type { GroupCondition } from "./group-condition.js";
 
 /** A request that was answered. */
@@ -88,6 +89,8 @@
         readonly quietMs: number | undefined;
         readonly cause: string;
     }
+    /** A connection to an endpoint is being opened. */
+    | ({ readonly kind: "opening"; readonly group: string; readonly endpoint: string; } & Opening)
     /** The endpoint answered as primary, and the primary or its term was a different one before. */
     | {
         readonly kind: "primary";
--- a/packages/gateway/src/group-endpoint.ts
+++ b/packages/gateway/src/group-endpoint.ts
@@ -9,6 +9,7 @@
     type StatementOrderResult,
     UnknownReason,
 } from "@medlarledge/statements";
+import type { Opening } from "./connection-pool-options.js";
 import { EndpointPool, type Eviction, type ProbeResult } from "./endpoint-pool.js";
 import type { EndpointCondition } from "./group-condition.js";
 
@@ -47,6 +48,8 @@
     /** Whether statements that only the primary may run can be sent to the endpoint now. */
     readonly mayUsePrimary: () => boolean;
     readonly reachabilityChanged: (change: ReachabilityChange) => void;
+    /** A connection is being opened. */
+    readonly opening: (endpoint: string, opening: Opening) => void;
     /** A caller's idle transaction was rolled back. */
     readonly evicted: (endpoint: string, eviction: Eviction) => void;
 }
@@ -76,6 +79,7 @@
             overdueMs: () => this.#load.overdueMs(options.clock.now()),
             events: {
                 answered: () => this.#answerReceived(),
+                opening: opening => options.opening(this.#record.id, opening),
                 connected: () => this.#answerReceived(),
                 connectFailed: (failure, startedAt) => this.#connectFailed(failure, startedAt),
                 closed: () => this.#pool.warmUp(MIN_CONNECTIONS),
--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -250,7 +250,7 @@
     }
 
     #add(record: EndpointRecord): GroupEndpoint {
-        const { name, connector, clock, share, permits } = this.#options;
+        const { name, connector, clock, share, permits, listener } = this.#options;
         const reachabilityChanged = (change: ReachabilityChange): void => this.#reachabilityChanged(change);
         const evicted = (id: string, eviction: Eviction): void => this.#transactionEvicted(id, eviction);
         const endpoint = new GroupEndpoint(record, {
@@ -259,6 +259,7 @@
             share,
             mayUsePrimary: () => permits.mayUse(name, record.id),
             reachabilityChanged,
+            opening: (id, opening) => listener({ kind: "opening", group: name, endpoint: id, ...opening }),
             evicted,
         });
         this.#endpoints.set(record.id, endpoint);
--- a/packages/gateway/tests/connection-pool.test.ts
+++ b/packages/gateway/tests/connection-pool.test.ts
@@ -15,7 +15,14 @@
         averageMs: () => 5,
         overdueMs: () => 150,
         isReserved: () => false,
-        events: { answered: ignore, connected: ignore, connectFailed: ignore, closed: ignore, demandChanged: ignore },
+        events: {
+            answered: ignore,
+            opening: ignore,
+            connected: ignore,
+            connectFailed: ignore,
+            closed: ignore,
+            demandChanged: ignore,
+        },
     });
 }
 
--- a/packages/gateway/tests/customer-connections.test.ts
+++ b/packages/gateway/tests/customer-connections.test.ts
@@ -45,7 +45,14 @@
         averageMs: () => 8,
         overdueMs: () => 150,
         isReserved: () => false,
-        events: { answered: ignore, connected: ignore, connectFailed: ignore, closed: ignore, demandChanged: ignore },
+        events: {
+            answered: ignore,
+            opening: ignore,
+            connected: ignore,
+            connectFailed: ignore,
+            closed: ignore,
+            demandChanged: ignore,
+        },
     });
 }
 
--- a/packages/telemetry/src/metric.ts
+++ b/packages/telemetry/src/metric.ts
@@ -45,6 +45,11 @@
         ["group", "endpoint", "state"],
         "Connections to an endpoint by their use.",
     ),
+    "pool.openings": counter(
+        "connections",
+        ["group", "endpoint", "owner", "cause"],
+        "Attempts to open a connection, by its owner (customer or proxy) and cause (warmUp, growth, replacement).",
+    ),
     "pool.waiting": gauge("statements", ["group", "endpoint"], "Statements that wait for a connection."),
     "endpoint.reachable": gauge("0 or 1", ["group", "endpoint"], "1 while an endpoint answers this host."),
     "promotion.steps": counter("steps", ["group", "step"], "Steps of replacements of primaries."),
