--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -269,7 +269,7 @@
     }
 
     #add(record: EndpointRecord): GroupEndpoint {
-        const { name, connector, clock, share, permits } = this.#options;
+        const { name, connector, clock, share, permits, listener } = this.#options;
         const reachabilityChanged = (change: ReachabilityChange): void => this.#reachabilityChanged(change);
         const evicted = (id: string, eviction: Eviction): void => this.#transactionEvicted(id, eviction);
         const endpoint = new GroupEndpoint(record, {
@@ -279,6 +279,7 @@
             mayUsePrimary: () => permits.mayUse(name, record.id),
             reachabilityChanged,
             failingChanged: change => this.#failingChanged(change),
+            opening: (id, opening) => listener({ kind: "opening", group: name, endpoint: id, ...opening }),
             evicted,
         });
         this.#endpoints.set(record.id, endpoint);
