Grant a customer's operations up to the slack of its limit

The rate now gets 0.35 of the slack, caps and burst less; the sum stays under the bound, which the model test checks.

--- a/packages/customers/src/limit-slack.ts
+++ b/packages/customers/src/limit-slack.ts
@@ -12,12 +12,14 @@
 
 /**
  * Division of the slack of a window. Tokens of the ledgers of two successive leaders and the hosts' own tokens may be
- * unspent at the same time, so two of the first part, one of the second and one of the third make the whole. The third
- * enlarges the burst: the random arrivals of a small customer exceed its burst while its window is far below the limit.
+ * unspent at the same time, so two of the first part, and one of each other part, make less than the whole. The rate
+ * gets the largest part: what a customer asks within the slack is not refused, since a refusal near the limit costs
+ * its callers more than the exceeded limit costs others.
  */
-const LEDGER_SHARE = 0.25;
-const OWN_SHARE = 0.2;
-const BURST_SHARE = 0.3;
+const LEDGER_SHARE = 0.2;
+const OWN_SHARE = 0.1;
+const BURST_SHARE = 0.1;
+const RATE_SHARE = 0.35;
 
 /** Operations that a window may exceed the limit by. */
 function slack({ perSecond, burst }: OperationLimit, accuracy: LimitAccuracy): number {
@@ -44,3 +46,8 @@
 export function ledgerBurst(limit: OperationLimit, accuracy: LimitAccuracy): number {
     return limit.burst + slack(limit, accuracy) * BURST_SHARE;
 }
+
+/** Operations a second that a ledger may grant in the long run. */
+export function ledgerRate(limit: OperationLimit, accuracy: LimitAccuracy): number {
+    return limit.perSecond + slack(limit, accuracy) * RATE_SHARE / (accuracy.windowMs / 1_000);
+}
--- a/packages/customers/src/token-ledger.ts
+++ b/packages/customers/src/token-ledger.ts
@@ -1,6 +1,6 @@
 import type { GrantedTokens, TokenGrant, TokenRequest } from "@medlarledge/protocol";
 import type { OperationLimit } from "./customer.js";
-import { ledgerBurst, ledgerCap, type LimitAccuracy } from "./limit-slack.js";
+import { ledgerBurst, ledgerCap, ledgerRate, type LimitAccuracy } from "./limit-slack.js";
 import { LEDGER_MEMORY_MS } from "./token-timing.js";
 
 /**
@@ -80,7 +80,7 @@
             const account = this.#accounts.get(customer) ?? { since: now, limit, level: 0, outstanding: 0 };
             this.#accounts.set(customer, account);
             account.limit = limit;
-            const added = limit.perSecond * share * elapsedMs / 1_000;
+            const added = ledgerRate(limit, this.#accuracy) * share * elapsedMs / 1_000;
             account.level = Math.min(ledgerBurst(limit, this.#accuracy), account.level + added);
         }
     }
@@ -123,7 +123,7 @@
         this.#hold(host, customer, tokens);
         const isExhausted = urgent < waiting && account.level < 1 && now - account.since >= START_MS;
         const retryAfterMs = isExhausted
-            ? Math.ceil((1 - account.level) / account.limit.perSecond * 1_000)
+            ? Math.ceil((1 - account.level) / ledgerRate(account.limit, this.#accuracy) * 1_000)
             : undefined;
         return { customer, tokens, retryAfterMs };
     }
