--- a/review/stand-ins/backend.mjs
+++ b/review/stand-ins/backend.mjs
@@ -128,10 +128,10 @@
     }
 
     /** Signs a statement that ran. */
-    sign(id, rows = []) {
+    sign(id, values, rows = []) {
         this.#signatures += 1;
         const signature = `${this.id}.${this.term}.${this.#signatures}`;
-        this.service.runs.push({ id, signature, rows: rows.join("|") });
+        this.service.runs.push({ id, backend: this.id, signature, rows: rows.join("|"), values });
         return signature;
     }
 
@@ -187,11 +187,21 @@
         return false;
     }
 
+    /** Stops like a crash: connections end, nothing listens; the log stays. */
     close() {
+        this.isUp = false;
         clearInterval(this.#timer);
         this.#server?.close();
         this.connections.forEach(connection => connection.destroy());
     }
+
+    /** Starts again after a crash, with its log. */
+    restart() {
+        this.isUp = true;
+        this.#born = Date.now();
+        this.#sequence = 0;
+        return this.listen();
+    }
 }
 
 /** Makes an HTTP call. Resolves with the status, or with undefined when no response came. */
@@ -417,13 +427,13 @@
             this.#fail();
             return { error: `READONLY ${backend.id}` };
         }
+        const values = [...this.values].map(([name, value]) => `${name}=${value}`).sort().join(",");
         if (kind === "WRITE") {
             this.#write(id);
-            return { signature: backend.sign(id) };
+            return { signature: backend.sign(id, values) };
         }
-        const values = [...this.values].map(([name, value]) => `${name}=${value}`).join(",");
-        const rows = [`row-of-${id}${values === "" ? "" : `[${values}]`}`];
-        return { rows, signature: backend.sign(id, rows) };
+        const rows = [`row-of-${id}`];
+        return { rows, signature: backend.sign(id, values, rows) };
     }
 
     #write(id) {
@@ -455,7 +465,7 @@
         if (transaction !== undefined && transaction.writes.length > 0) {
             this.#append([...transaction.writes, id]);
         }
-        return { signature: backend.sign(id) };
+        return { signature: backend.sign(id, "") };
     }
 }
 
--- a/review/stand-ins/system.mjs
+++ b/review/stand-ins/system.mjs
@@ -187,6 +187,8 @@
     core = [];
     services = [];
     promotions = [];
+    /** Returns for a promotion in how many ms it is carried out without an answer; undefined to answer it at once. */
+    lateMs = () => undefined;
     version = 0;
     #platform;
 
@@ -315,16 +317,32 @@
         call.on("data", chunk => (text += chunk));
         call.on("end", () => {
             const { service, id } = JSON.parse(text);
-            const holder = call.headers["x-lease-holder"];
-            const fence = Number(call.headers["x-fencing-token"]);
-            const newest = Math.max(0, ...this.promotions.filter(p => p.service === service).map(p => p.fence));
-            const isStale = this.requireFencing && fence < newest;
-            this.promotions.push({ service, id, holder, fence });
-            const isDone = !isStale && this.services.find(({ name }) => name === service)?.promote(id) === true;
-            this.record.add("platform", `promotion of ${id} by ${holder}, token ${fence}: ${isDone ? 200 : 409}`);
-            response.writeHead(isDone ? 200 : 409, { "content-length": 2 }).end("{}");
+            const order = {
+                service,
+                id,
+                holder: call.headers["x-lease-holder"],
+                fence: Number(call.headers["x-fencing-token"]),
+            };
+            const lateMs = this.lateMs(order);
+            if (lateMs === undefined) {
+                response.writeHead(this.#promote(order), { "content-length": 2 }).end("{}");
+                return;
+            }
+            this.record.add("platform", `promotion of ${id}, token ${order.fence}: no answer, carried out in ${lateMs} ms`);
+            setTimeout(() => this.#promote(order), lateMs);
         });
     }
+
+    /** Carries out a promotion unless its fence is too low. Returns the status of the answer. */
+    #promote(order) {
+        const { service, id, holder, fence } = order;
+        const newest = Math.max(0, ...this.promotions.filter(other => other.service === service).map(other => other.fence));
+        const isStale = this.requireFencing && fence < newest;
+        this.promotions.push(order);
+        const isDone = !isStale && this.services.find(({ name }) => name === service)?.promote(id) === true;
+        this.record.add("platform", `promotion of ${id} by ${holder}, token ${fence}: ${isDone ? 200 : 409}`);
+        return isDone ? 200 : 409;
+    }
 }
 
 function listen(server, address) {
