--- a/review/stand-ins/backend.mjs
+++ b/review/stand-ins/backend.mjs
@@ -13,11 +13,15 @@
     runs = [];
     term = 1;
     lagMs = 20;
+    /** Called when a backend takes the lead, before the others lose what it has not received. */
+    promoted = () => undefined;
     #timer;
 
-    constructor(name, record) {
+    /** @param syncReplicas number of replicas that have to receive a commit before it is acknowledged */
+    constructor(name, record, syncReplicas = 0) {
         this.name = name;
         this.record = record;
+        this.syncReplicas = syncReplicas;
         this.#timer = setInterval(() => this.#replicate(), REPLICATION_MS);
     }
 
@@ -47,6 +51,7 @@
         setTimeout(() => {
             this.term += 1;
             this.record.add("platform", `${id} leads term ${this.term} with ${chosen.log.length} commits`);
+            this.promoted(chosen);
             for (const other of this.backends) {
                 other.isPrimary = other === chosen;
                 other.log = other.log.filter(commit => chosen.log.includes(commit));
@@ -361,7 +366,12 @@
                 this.prepared.clear();
                 return { isNoted: true };
             case "STATUS":
+                // "`STATUS` occupies a slot and returns either `BUSY` or a row".
+                if (backend.busy >= backend.slots) {
+                    return { error: `BUSY ${backend.id}`, isNoted: true };
+                }
                 return {
+                    isNoted: true,
                     rows: [
                         `${backend.isPrimary ? "primary" : "replica"} ${backend.term} ${backend.received} ${backend.term}`
                         + ` 0 ${backend.busy} ${backend.connections.size}`,
@@ -429,27 +439,33 @@
         }
         const values = [...this.values].map(([name, value]) => `${name}=${value}`).sort().join(",");
         if (kind === "WRITE") {
-            this.#write(id);
+            if (this.transaction === undefined) {
+                await this.#append([id]);
+            }
+            else {
+                this.transaction.writes.push(id);
+            }
             return { signature: backend.sign(id, values) };
         }
         const rows = [`row-of-${id}`];
         return { rows, signature: backend.sign(id, values, rows) };
     }
 
-    #write(id) {
-        if (this.transaction === undefined) {
-            this.#append([id]);
-        }
-        else {
-            this.transaction.writes.push(id);
+    /** Appends a commit. Resolves once as many replicas have received it as the service wants. */
+    async #append(ids) {
+        const { backend } = this;
+        const commit = { ids, at: performance.now() };
+        backend.log.push(commit);
+        backend.applied = backend.log.length;
+        const { service } = backend;
+        const others = service.backends.filter(other => other !== backend);
+        while (
+            backend.isUp && others.filter(other => other.isUp && other.log.includes(commit)).length < service.syncReplicas
+        ) {
+            await pause(1);
         }
     }
 
-    #append(ids) {
-        this.backend.log.push({ ids, at: performance.now(), number: this.backend.log.length + 1 });
-        this.backend.applied = this.backend.log.length;
-    }
-
     async #commit(id) {
         const { backend, transaction } = this;
         const free = await backend.slot(this);
@@ -463,7 +479,7 @@
         }
         this.transaction = undefined;
         if (transaction !== undefined && transaction.writes.length > 0) {
-            this.#append([...transaction.writes, id]);
+            await this.#append([...transaction.writes, id]);
         }
         return { signature: backend.sign(id, "") };
     }
--- a/review/stand-ins/system.mjs
+++ b/review/stand-ins/system.mjs
@@ -225,8 +225,8 @@
     }
 
     /** Starts a service with a backend in each zone; the first one is the primary. */
-    async addService(name, { slots, connectionLimit }) {
-        const service = new Service(name, this.record);
+    async addService(name, { slots, connectionLimit, syncReplicas }) {
+        const service = new Service(name, this.record, syncReplicas);
         const number = this.services.push(service);
         for (const [index, zone] of this.zones.entries()) {
             const backend = new Backend({
