--- a/review/5/case.mjs
+++ b/review/5/case.mjs
@@ -61,11 +61,11 @@
         await pause(3_000);
         record.add("platform", `${former.id} crashes`);
         former.close();
-        await pause(3_500);
+        await pause(3_000);
         deaf.isDeaf = false;
     }
     else {
-        await pause(6_500);
+        await pause(6_000);
     }
     isEnding = true;
     await Promise.all(clients);
