Refuse and survive endpoint records with an address that no machine can have

Cause: readAnnouncement took any port of one to five digits, node:net throws on it within the promise of LineConnector.connect, and its callers start that without waiting. The unhandled rejection ended the process, and the stored or forwarded record ended the next one.

--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -25,6 +25,7 @@
 import { PromotionAnnouncer } from "./promotion-announcer.js";
 import { PromotionManager } from "./promotion-manager.js";
 import { SavedStateFile } from "./saved-state-file.js";
+import { usableRecords } from "./usable-records.js";
 
 /** Interval of the leader's periodic work and of the retries of requests to the leader. */
 const TICK_MS = 50;
@@ -202,7 +203,8 @@
     async #loadState(): Promise<void> {
         const { configuration, records, orders } = await this.#savedStateFile.load();
         this.#configuration = configuration;
-        for (const record of records) {
+        const { clock, log } = this.#options;
+        for (const record of usableRecords(records, "file", clock.wallClock(), log)) {
             this.#directory.merge(record);
         }
         for (const order of orders) {
@@ -397,7 +399,9 @@
 
     /** Forwards changed records to entry hosts only: control hosts have links to each other and got them directly. */
     #recordsReceived(records: readonly EndpointRecord[], from: Host): void {
-        const news = records.filter(record => this.#directory.merge(record) === "changed");
+        const { clock, log } = this.#options;
+        const news = usableRecords(records, from.id, clock.wallClock(), log)
+            .filter(record => this.#directory.merge(record) === "changed");
         if (news.length > 0) {
             this.#saveState();
         }
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -16,6 +16,7 @@
 import { HostLimits } from "./operation-limits.js";
 import type { ConfigurationReader } from "./ports.js";
 import { PrimaryReporter } from "./primary-reporter.js";
+import { usableRecords } from "./usable-records.js";
 
 /** Interval of the periodic work, such as reports to control and probes. */
 const TICK_MS = 50;
@@ -107,7 +108,7 @@
     readonly #started = new Promise<void>(resolve => (this.#setStarted = resolve));
 
     readonly #handlers: Handlers = {
-        endpointRecords: message => this.#recordsReceived(message.records),
+        endpointRecords: (message, from) => this.#recordsReceived(message.records, from),
         primaryOrders: message => this.#ordersReceived(message.orders),
         forwardedRenewal: message => void this.#sendToLeader(message),
         forwardedGrant: message => this.#forwardedGrant(message),
@@ -342,9 +343,10 @@
         }
     }
 
-    #recordsReceived(records: readonly EndpointRecord[]): void {
+    #recordsReceived(records: readonly EndpointRecord[], from: Host): void {
+        const { clock, log } = this.#options;
         const groups = new Set<string>();
-        for (const record of records) {
+        for (const record of usableRecords(records, from.id, clock.wallClock(), log)) {
             const former = this.#directory.record(record.id)?.group;
             if (this.#directory.merge(record) === "changed") {
                 groups.add(record.group);
--- a/packages/fleet/src/saved-state-file.ts
+++ b/packages/fleet/src/saved-state-file.ts
@@ -32,11 +32,18 @@
         this.#onFailure = failed;
     }
 
-    /** Reads the file. Returns an empty state when it is missing or damaged; a damaged file is reported. */
+    /**
+     * Reads the file. Returns an empty state when it is missing or damaged; a damaged file is reported. The records may
+     * be those of an earlier version, which checked less.
+     */
     async load(): Promise<SavedState> {
         try {
             const value: unknown = JSON.parse(await readFile(join(this.#folder, FILE_NAME), "utf8"));
-            return isSavedState(value) ? value : EMPTY_STATE;
+            if (isSavedState(value)) {
+                return value;
+            }
+            this.#onFailure("the file does not contain a saved state");
+            return EMPTY_STATE;
         }
         catch (error) {
             if (!isMissing(error)) {
@@ -93,7 +100,13 @@
 
 function isSavedState(value: unknown): value is SavedState {
     return typeof value === "object" && value !== null && "records" in value && Array.isArray(value.records)
-        && "orders" in value && Array.isArray(value.orders);
+        && "orders" in value && Array.isArray(value.orders)
+        && (!("configuration" in value) || isConfigurationChange(value.configuration));
+}
+
+function isConfigurationChange(value: unknown): boolean {
+    return typeof value === "object" && value !== null && "number" in value && typeof value.number === "number"
+        && "files" in value && Array.isArray(value.files);
 }
 
 function isMissing(error: unknown): boolean {
--- a/packages/protocol/src/endpoint-record.ts
+++ b/packages/protocol/src/endpoint-record.ts
@@ -1,4 +1,15 @@
-import type { EndpointRole, EndpointState } from "./endpoint.js";
+import { isIP } from "node:net";
+import { EndpointRole, EndpointState } from "./endpoint.js";
+
+const MAX_PORT = 65_535;
+
+/** Maximum length of an id or a name, in characters. */
+const MAX_NAME_LENGTH = 255;
+
+const MAX_SLOTS = 10_000;
+
+/** Maximum lead of an endpoint's clock over the clock of a host, in ms. */
+const MAX_CLOCK_LEAD_MS = 60 * 60 * 1_000;
 
 /** The latest announcement of an endpoint. */
 export interface EndpointRecord {
@@ -26,3 +37,30 @@
     /** Fencing token of the order; a higher one is newer. */
     readonly fence: number;
 }
+
+/**
+ * Returns true when a value has all fields of a record and each of them can be used. Records may be written by another
+ * program or by an earlier version that checked less.
+ * @param wallClock present time in ms since 1970; an endpoint that started later than that is not plausible, and would
+ *     hide all real announcements with the same id
+ */
+export function isEndpointRecord(value: unknown, wallClock: number): value is EndpointRecord {
+    if (typeof value !== "object" || value === null) {
+        return false;
+    }
+    const { id, group, dataCentre, host, port, slots, born, sequence, state, role } = value as Readonly<
+        Partial<Record<keyof EndpointRecord, unknown>>
+    >;
+    return isName(id) && isName(group) && isName(dataCentre) && typeof host === "string" && isIP(host) !== 0
+        && isCount(port, MAX_PORT) && port > 0 && isCount(slots, MAX_SLOTS)
+        && isCount(born, wallClock + MAX_CLOCK_LEAD_MS) && isCount(sequence, Number.MAX_SAFE_INTEGER - 1)
+        && Object.values<unknown>(EndpointState).includes(state) && Object.values<unknown>(EndpointRole).includes(role);
+}
+
+function isName(value: unknown): value is string {
+    return typeof value === "string" && value !== "" && value.length <= MAX_NAME_LENGTH && !/\s/.test(value);
+}
+
+function isCount(value: unknown, max: number): value is number {
+    return Number.isSafeInteger(value) && (value as number) >= 0 && (value as number) <= max;
+}
--- a/packages/runtime/src/peer-dialer.ts
+++ b/packages/runtime/src/peer-dialer.ts
@@ -48,14 +48,10 @@
             // When the open link is lost, `lost` dials again.
             return;
         }
-        const material = this.#options.material();
-        const scheme = material === undefined ? "ws" : "wss";
-        const socket = new WebSocket(`${scheme}://${this.#options.address}/`, {
-            handshakeTimeout: this.#options.connectMs,
-            maxPayload: MAX_MESSAGE_BYTES,
-            perMessageDeflate: false,
-            ...(material === undefined ? {} : this.#tlsOptions(material)),
-        });
+        const socket = this.#openSocket();
+        if (socket === undefined) {
+            return;
+        }
         let transport: Socket | undefined;
         socket.once("upgrade", response => (transport = response.socket));
         socket.once("error", error => this.#failed(error.message));
@@ -67,6 +63,24 @@
         });
     }
 
+    /** Starts a connection. The address may come from another host and be unusable, for which the library throws. */
+    #openSocket(): WebSocket | undefined {
+        const material = this.#options.material();
+        const scheme = material === undefined ? "ws" : "wss";
+        try {
+            return new WebSocket(`${scheme}://${this.#options.address}/`, {
+                handshakeTimeout: this.#options.connectMs,
+                maxPayload: MAX_MESSAGE_BYTES,
+                perMessageDeflate: false,
+                ...(material === undefined ? {} : this.#tlsOptions(material)),
+            });
+        }
+        catch (error) {
+            this.#failed(error instanceof Error ? error.message : String(error));
+            return undefined;
+        }
+    }
+
     /** Called for every link that ended. Dials again if this dialer opened it and no other link is open by then. */
     ended(link: PeerLink): void {
         if (this.#link === link) {
--- a/packages/runtime/tests/peer-mesh.test.ts
+++ b/packages/runtime/tests/peer-mesh.test.ts
@@ -89,6 +89,19 @@
         await expect.poll(() => roundTrip(left, right)).toBe(true);
         await expect.poll(() => roundTrip(right, left)).toBe(true);
     });
+
+    // Guards against an exception that ends the process when another host lists a host whose address cannot be used.
+    it.each(["127.0.0.1:80800", "no address", ""])("logs that it cannot dial %j and stays usable", async address => {
+        const refusals: LogFields[] = [];
+        const log: Log = { event: (name, fields = {}) => name === "peerRefused" && refusals.push(fields) };
+        const left = await start("a1", undefined, log);
+        const right = await start("b1", undefined);
+        left.mesh.keepConnected("c1", address);
+        left.mesh.connectOnce("d1", address);
+        expect(refusals.map(({ peer }) => peer)).toEqual(["c1", "d1"]);
+        right.mesh.keepConnected("a1", left.host.peerAddress);
+        await until(left, event => event.kind === "connected");
+    });
 });
 
 interface Running {
--- a/packages/statements/src/endpoint-connection.ts
+++ b/packages/statements/src/endpoint-connection.ts
@@ -47,6 +47,7 @@
 /** Opens connections to endpoints. */
 export interface EndpointConnector {
     /**
+     * Opens a connection. Never rejects; every failure is a result, also that of an address which cannot be used.
      * @param customer in whose name the connection is opened; undefined for the proxy itself
      * @param timeoutMs maximum time until the connection is ready for use
      */
