Match results of relayed orders and replies of the leader to one process

Cause: orders were numbered from 1 in each process, and a result was matched by that number alone, though the other host sent it to whichever process had the link by then.

Change: ids of relayed orders and of requests to the leader consist of the incarnation of the process and a number. A lease that comes over a third host names the incarnation.

--- a/packages/daemon/src/control-task.ts
+++ b/packages/daemon/src/control-task.ts
@@ -34,7 +34,7 @@
     | {
         readonly kind: "reply";
         readonly to: string;
-        readonly id: number;
+        readonly id: string;
         readonly ok: boolean;
         readonly body: unknown;
     }
@@ -54,7 +54,7 @@
 
 interface OpenRequest {
     readonly from: string;
-    readonly id: number;
+    readonly id: string;
 }
 
 type Executors = { readonly [K in LeaderEffect["kind"]]: (effect: Extract<LeaderEffect, { kind: K; }>) => void; };
@@ -144,7 +144,7 @@
     }
 
     /** Takes a request of a host; the reply is reported. */
-    request(from: string, id: number, name: string, body: unknown): void {
+    request(from: string, id: string, name: string, body: unknown): void {
         if (name === "joinGroup") {
             this.#joining.add(String(body));
             this.#reports.push({ kind: "reply", to: from, id, ok: true, body: undefined });
--- a/packages/daemon/src/entry-task.ts
+++ b/packages/daemon/src/entry-task.ts
@@ -98,7 +98,10 @@
         this.#lease = new HostLease(options.timing);
         // Hosts begin with different control hosts, so that a first search spreads over them.
         this.#leaders = new LeaderTracker(options.listed, options.self.id.length);
-        this.#client = new LeaderClient(request => options.send(this.#leaders.target(), request));
+        this.#client = new LeaderClient(
+            options.self.incarnation,
+            request => options.send(this.#leaders.target(), request),
+        );
     }
 
     start(): void {
--- a/packages/daemon/src/membership-start.ts
+++ b/packages/daemon/src/membership-start.ts
@@ -89,7 +89,12 @@
                 return decision;
             }
             this.#others.forEach(id =>
-                this.#send(id, { kind: "leaderRequest", id: 0, name: MEMBER_PHASE_REQUEST, body: undefined })
+                this.#send(id, {
+                    kind: "leaderRequest",
+                    id: MEMBER_PHASE_REQUEST,
+                    name: MEMBER_PHASE_REQUEST,
+                    body: undefined,
+                })
             );
             await new Promise(resolve => setTimeout(resolve, ASK_MS));
             if (!told && this.#phases.size < this.#others.length) {
--- a/packages/daemon/src/message-router.ts
+++ b/packages/daemon/src/message-router.ts
@@ -108,13 +108,12 @@
         }
     }
 
-    #answer(to: Host, id: number, ok: boolean, body: unknown): void {
+    #answer(to: Host, id: string, ok: boolean, body: unknown): void {
         this.#targets.send(to.id, { kind: "leaderReply", id, ok, body });
     }
 
-    /** Number 0 is that of the questions at the start of a control host. */
     #reply(reply: LeaderReply, from: Host): void {
-        if (reply.id === 0) {
+        if (reply.id === MEMBER_PHASE_REQUEST) {
             this.#targets.control?.membershipStart.replied(from.id, reply);
         }
         else {
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -128,7 +128,7 @@
             timing: FLEET_LINK_TIMING,
         });
         this.#links = new HostLinks(this.#mesh, self.id);
-        this.#client = new LeaderClient(request => this.#sendToLeader(request));
+        this.#client = new LeaderClient(self.incarnation, request => this.#sendToLeader(request));
         this.#savedStateFile = new SavedStateFile(
             dataFolder,
             reason => log.event("lastKnownFailed", { reason }),
@@ -278,7 +278,8 @@
     #forwardedRenewal({ host, sequence, confirmed }: MessageOf<"forwardedRenewal">, from: Host): void {
         this.#announcer.renewedOver(host, sequence, confirmed, durationMs => {
             const orders = this.#directory.orders();
-            this.#links.send(from.id, { kind: "forwardedGrant", to: host.id, sequence, durationMs, orders });
+            const { id: to, incarnation } = host;
+            this.#links.send(from.id, { kind: "forwardedGrant", to, incarnation, sequence, durationMs, orders });
         });
     }
 
@@ -334,7 +335,8 @@
 
     #requestMembership(): void {
         const body = this.#member.memberId;
-        const request = { kind: "leaderRequest", id: 0, name: "join", body } as const;
+        // Nobody answers this request: the group's log shows the result.
+        const request = { kind: "leaderRequest", id: "", name: "join", body } as const;
         this.#links.sendAll(this.#links.connected().filter(host => host.control), request);
     }
 
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -178,7 +178,8 @@
         });
         this.#links = new HostLinks(this.#mesh, self.id);
         this.#gateway = new Gateway({
-            hostId: `${self.id}/${self.incarnation}`,
+            hostId: self.id,
+            incarnation: self.incarnation,
             dataCentre: self.dataCentre,
             connector,
             clock,
@@ -465,10 +466,14 @@
     }
 
     #forwardedGrant(message: MessageOf<"forwardedGrant">): void {
-        if (message.to !== this.#options.self.id) {
+        const { self } = this.#options;
+        if (message.to !== self.id) {
             this.#links.send(message.to, message);
             return;
         }
+        if (message.incarnation !== self.incarnation) {
+            return;
+        }
         this.#ordersReceived(message.orders);
         this.#lease?.forwardedGrant(message);
     }
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -18,6 +18,8 @@
 
 export interface GatewayOptions {
     readonly hostId: string;
+    /** Random id of this process, which distinguishes it from former processes of the host. */
+    readonly incarnation: string;
     readonly dataCentre: string;
     readonly connector: EndpointConnector;
     readonly clock: Clock;
@@ -78,6 +80,7 @@
             options.listener({ kind: "retried", requestId, group: route.group, ...retry });
         });
         this.#relay = new RelayClient({
+            incarnation: options.incarnation,
             clock: options.clock,
             links: options.links,
             hosts: (...order) => this.#relayHosts(options.relays, ...order),
@@ -280,7 +283,7 @@
 
     #transactionKey(): string {
         this.#transactionCount += 1;
-        return `${this.#options.hostId}/${this.#transactionCount}`;
+        return `${this.#options.hostId}/${this.#options.incarnation}/${this.#transactionCount}`;
     }
 
     #group(name: string): Group {
--- a/packages/gateway/src/relay-client.ts
+++ b/packages/gateway/src/relay-client.ts
@@ -47,6 +47,8 @@
 }
 
 export interface RelayClientOptions {
+    /** Random id of this process. */
+    readonly incarnation: string;
     readonly clock: Clock;
     readonly links: RelayLinks;
     /** Hosts that may hold connections to an endpoint for a customer, best first, without this one. */
@@ -75,7 +77,7 @@
 /** Runs orders over connections that other entry hosts hold. */
 export class RelayClient {
     readonly #options: RelayClientOptions;
-    readonly #outstanding = new Map<number, OutstandingOrder>();
+    readonly #outstanding = new Map<string, OutstandingOrder>();
     /** Hosts at which the callers' transactions run, by transaction key. */
     readonly #transactions = new Map<string, string>();
     /** For each host with outstanding orders, when it last answered or, before an answer, got the first of them. */
@@ -84,7 +86,7 @@
     readonly #retryAt = new Map<string, number>();
     /** Hosts to which no link could be opened, with the time of the last attempt. */
     readonly #linkFailedAt = new Map<string, number>();
-    #lastId = 0;
+    #lastNumber = 0;
 
     constructor(options: RelayClientOptions) {
         this.#options = options;
@@ -160,6 +162,7 @@
         }
     }
 
+    /** Handles a result. One of an order that was given up, or of a former process of this host, is ignored. */
     resultReceived({ id, result, leader, load }: RelayResult): void {
         const outstanding = this.#outstanding.get(id);
         if (outstanding !== undefined) {
@@ -209,8 +212,8 @@
     }
 
     #send(host: string, order: StatementOrder): Promise<RelayedResult> {
-        this.#lastId += 1;
-        const id = this.#lastId;
+        this.#lastNumber += 1;
+        const id = `${this.#options.incarnation}-${this.#lastNumber}`;
         return new Promise(resolve => {
             const timer = setTimeout(() => {
                 this.#forget(id, host);
@@ -306,12 +309,12 @@
         }
     }
 
-    #finish(id: number, { host, timer }: OutstandingOrder): void {
+    #finish(id: string, { host, timer }: OutstandingOrder): void {
         clearTimeout(timer);
         this.#forget(id, host);
     }
 
-    #forget(id: number, host: string): void {
+    #forget(id: string, host: string): void {
         this.#outstanding.delete(id);
         if (![...this.#outstanding.values()].some(outstanding => outstanding.host === host)) {
             this.#unansweredSince.delete(host);
--- a/packages/gateway/tests/relay.test.ts
+++ b/packages/gateway/tests/relay.test.ts
@@ -242,3 +242,41 @@
 function unlinkedHosts(count: number): Map<string, Gateway> {
     return new Map(Array.from({ length: count }, (_, index) => [`far-${index}`, other.gateway]));
 }
+
+// Guards against a success with the rows of another caller's read: results were matched by a number that each process
+// counted from 1 (review case 1, MIXED).
+test("a restarted host takes no results of orders of its former process", async () => {
+    await other.connect("confirm").execute(read("0"));
+    endpoints.get("a").serviceMs = 100;
+    void other.connect("confirm").send(read("1"));
+    await advanceTime(20);
+    other.gateway.close("the process was killed");
+    const restarted = createTestGateway({ endpoints, peers, host: "other", share: 0, incarnation: "2" });
+    const ranAtAnswer: boolean[] = [];
+    for (const item of ["2", "3", "4"]) {
+        void restarted.connect("confirm").send(write(item)).then(() => {
+            ranAtAnswer.push(endpoints.ran.some(({ text }) => text === `WRITE ${item} data`));
+        });
+    }
+    await advanceTime(600);
+    expect(ranAtAnswer).toEqual([true, true, true]);
+    restarted.gateway.close("the test ends");
+});
+
+// Guards against a transaction that nobody ends, and that keeps one of the few connections to the endpoint.
+test("a transaction that begins after the link to its host was lost is rolled back", async () => {
+    const silent = new Set<string>();
+    const killed = createTestGateway({ endpoints, peers, host: "killed", share: 0, silent });
+    await killed.connect("confirm").execute(read("0"));
+    endpoints.get("a").serviceMs = 100;
+    const caller = killed.connect("confirm");
+    await caller.execute(begin);
+    void caller.send(read("1"));
+    await advanceTime(20);
+    silent.add("holder");
+    holder.gateway.disconnected("killed");
+    await advanceTime(200);
+    expect(endpoints.ran.map(({ text }) => text)).toContain("READ 1");
+    expect(transactionsAtHolder()).toBe(0);
+    killed.gateway.close("the test ends");
+});
--- a/packages/gateway/tests/test-gateway.ts
+++ b/packages/gateway/tests/test-gateway.ts
@@ -113,6 +113,8 @@
     readonly share?: number;
     readonly endpoints?: FakeEndpoints;
     readonly host?: string;
+    /** Id of the process; differs from that of a former process of the host. */
+    readonly incarnation?: string;
     /** All linked gateways by host id; `createTestGateway` adds the new one. */
     readonly peers?: Map<string, Gateway>;
     /** Hosts to which messages from this one are lost while their links stay open. */
@@ -136,6 +138,7 @@
     const cut = new Set<string>();
     const gateway = new Gateway({
         hostId: host,
+        incarnation: options.incarnation ?? "1",
         dataCentre: "antwerp",
         connector: partitionable(endpoints, cut),
         clock: { now: () => performance.now(), wallClock: () => Date.now() },
--- a/packages/protocol/src/control-message.ts
+++ b/packages/protocol/src/control-message.ts
@@ -98,7 +98,8 @@
 /** A request to the leader made on behalf of an HTTP or command-line client. */
 export interface LeaderRequest {
     readonly kind: "leaderRequest";
-    readonly id: number;
+    /** Unique among all requests of all processes, so that a restarted process takes no reply to its predecessor. */
+    readonly id: string;
     /** Name of the request handler of the leader. */
     readonly name: string;
     readonly body: unknown;
@@ -106,7 +107,7 @@
 
 export interface LeaderReply {
     readonly kind: "leaderReply";
-    readonly id: number;
+    readonly id: string;
     readonly ok: boolean;
     readonly body: unknown;
 }
--- a/packages/protocol/src/fleet-message.ts
+++ b/packages/protocol/src/fleet-message.ts
@@ -69,6 +69,8 @@
     readonly kind: "forwardedGrant";
     /** Id of the host that asked. */
     readonly to: string;
+    /** Incarnation of that host, so that a restarted process takes no grant of the former one. */
+    readonly incarnation: string;
     readonly sequence: number;
     /** Duration of the lease in ms; undefined when none is granted. */
     readonly durationMs: number | undefined;
--- a/packages/protocol/src/relay-message.ts
+++ b/packages/protocol/src/relay-message.ts
@@ -3,7 +3,8 @@
 /** Entry host to entry host: run a statement order over a connection of the receiver. */
 export interface RelayOrder {
     readonly kind: "relayOrder";
-    readonly id: number;
+    /** Unique among all orders of all processes, so that a restarted process takes no result of its predecessor's. */
+    readonly id: string;
     readonly order: StatementOrder;
 }
 
@@ -16,7 +17,7 @@
 /** Answer to one `relayOrder`. */
 export interface RelayResult {
     readonly kind: "relayResult";
-    readonly id: number;
+    readonly id: string;
     readonly result: StatementOrderResult;
     readonly leader: PrimaryPositionReport | undefined;
     /** Load of the endpoint at the sender; undefined where hosts do not report it. */
--- a/packages/runtime/src/leader-client.ts
+++ b/packages/runtime/src/leader-client.ts
@@ -16,19 +16,25 @@
 
 /** Sends requests to the leader and resends them until they are answered. Every request must be idempotent. */
 export class LeaderClient {
+    readonly #incarnation: string;
     readonly #send: (request: LeaderRequest) => boolean;
-    readonly #pending = new Map<number, PendingRequest>();
-    #lastId = 0;
+    readonly #pending = new Map<string, PendingRequest>();
+    #lastNumber = 0;
 
-    /** `send` sends a request to the current leader and returns false when no leader is known. */
-    constructor(send: (request: LeaderRequest) => boolean) {
+    /**
+     * @param incarnation random id of this process
+     * @param send sends a request to the current leader and returns false when no leader is known
+     */
+    constructor(incarnation: string, send: (request: LeaderRequest) => boolean) {
+        this.#incarnation = incarnation;
         this.#send = send;
     }
 
     /** Sends a request. Resolves with the answer, or with `unavailable` if there is none by `deadlineAt`. */
     request(name: string, body: unknown, deadlineAt: number, now: number): Promise<LeaderAnswer> {
-        this.#lastId += 1;
-        const request: LeaderRequest = { kind: "leaderRequest", id: this.#lastId, name, body };
+        this.#lastNumber += 1;
+        const id = `${this.#incarnation}-${this.#lastNumber}`;
+        const request: LeaderRequest = { kind: "leaderRequest", id, name, body };
         return new Promise(resolve => {
             this.#pending.set(request.id, { request, deadlineAt, sentAt: now, resolve });
             this.#send(request);
--- a/packages/testing/src/faults/simulated-control.ts
+++ b/packages/testing/src/faults/simulated-control.ts
@@ -33,7 +33,7 @@
 /** The control part of a simulated host: the agreement with its store, the replicated state and the leader. */
 export class SimulatedControl {
     readonly #joining = new Set<string>();
-    readonly #requests = new Map<number, { readonly from: string; readonly id: number; }>();
+    readonly #requests = new Map<number, { readonly from: string; readonly id: string; }>();
     readonly #writes: WriteQueue;
     readonly #connected = new Map<string, Host>();
     #state = new ControlState();
@@ -126,7 +126,7 @@
         }
     }
 
-    request(from: string, id: number, name: string, body: unknown): void {
+    request(from: string, id: string, name: string, body: unknown): void {
         if (name === "joinGroup") {
             this.world.reach("membership:asked");
             this.#joining.add(String(body));
--- a/packages/testing/src/faults/simulated-entry.ts
+++ b/packages/testing/src/faults/simulated-entry.ts
@@ -26,7 +26,7 @@
 
     constructor(readonly host: SimulatedHost, readonly world: World) {
         this.#leaders = new LeaderTracker(CONTROL_HOSTS, host.id.length);
-        this.#client = new LeaderClient(request => host.send(this.#leaders.target(), request));
+        this.#client = new LeaderClient(host.self.incarnation, request => host.send(this.#leaders.target(), request));
         const saved = world.savedConfiguration(host.id);
         if (saved !== undefined) {
             this.#configure(saved);
