Promote only an endpoint that is known to have every acknowledged commit

Cause: a refusal as busy counted as an endpoint without any commits, and the monitor chose the best of those that had answered after 200 ms, without knowing how many replicas acknowledge a commit.

Change: a busy endpoint tells a lower bound of its position. Where replicas acknowledge commits, the chosen endpoint must reach as far as so many others that each acknowledged commit is on one of them; until then control probes again, counts late answers and logs promotionWaits. Replicas that leave count. Where the primary alone acknowledges, nothing waits longer than before.

--- a/packages/control/src/primary-monitor.ts
+++ b/packages/control/src/primary-monitor.ts
@@ -1,4 +1,5 @@
 import { type EndpointRecord, EndpointRole, EndpointState, type PromotionOrder } from "@medlarledge/protocol";
+import { comparePositions, type ProbedPosition, safeSuccessors } from "./safe-successor.js";
 
 /** Reports of entry hosts expire after this time; a host repeats a report of an unreachable endpoint more often. */
 export const MAX_REPORT_AGE_MS = 1_500;
@@ -25,10 +26,9 @@
 export const MISSING_PRIMARY_TIMEOUT_MS = 1_500;
 
 /** Result of probing an endpoint: the last log position that it received, ordered by term, then by number. */
-export interface MonitorProbeResult {
+export interface MonitorProbeResult extends ProbedPosition {
+    /** False when the endpoint was too busy to tell its role. */
     readonly leads: boolean;
-    readonly term: number;
-    readonly number: number;
 }
 
 export interface MonitorReport {
@@ -54,7 +54,7 @@
     | { readonly kind: "promote"; readonly order: PromotionOrder; }
     | {
         readonly kind: "event";
-        readonly name: "promotionChoosing" | "promotionOrdered" | "promotionDone";
+        readonly name: "promotionChoosing" | "promotionWaits" | "promotionOrdered" | "promotionDone";
         readonly fields: Readonly<Record<string, unknown>>;
     };
 
@@ -69,6 +69,8 @@
      * or where endpoints themselves stop being the primary when another one is promoted.
      */
     readonly orderedPrimary: string | undefined;
+    /** Number of replicas that receive a commit before it is acknowledged. */
+    readonly syncReplicas: number;
     /** Returns the next fencing token; each call returns a higher one. */
     readonly nextFencingToken: () => number;
 }
@@ -78,12 +80,20 @@
     readonly reason: string;
     /** The primary that entry hosts report as unreachable; undefined when it is replaced for another reason. */
     readonly suspect: string | undefined;
+    /** Whether it was logged that the replacement waits for positions of replicas. */
+    readonly isWaitLogged?: boolean;
 }
 
 type Phase =
     | { readonly kind: "calm"; }
     | { readonly kind: "checking"; readonly endpoint: string; readonly since: number; }
-    | { readonly kind: "choosing"; readonly cause: Replacement; readonly since: number; }
+    | {
+        readonly kind: "choosing";
+        readonly cause: Replacement;
+        readonly since: number;
+        /** Since when no endpoint could be chosen from the results; results that come later still count. */
+        readonly undecidedSince?: number;
+    }
     /** Waits before the endpoints are probed again. */
     | { readonly kind: "pausing"; readonly cause: Replacement; readonly since: number; }
     | {
@@ -99,6 +109,8 @@
 
 const CALM: Phase = { kind: "calm" };
 
+const NO_POSITION: ProbedPosition = { term: 0, number: 0, isExact: false };
+
 /**
  * Monitors the primary of one group on the leader of the control group and replaces it when it has failed or is about
  * to leave. Has no durable state: a new leader starts with an empty monitor, and its orders have higher fencing
@@ -260,19 +272,20 @@
         this.#probeResults.clear();
         const event = { group: this.#group, reason, primary: this.primary(view) };
         effects.push({ kind: "event", name: "promotionChoosing", fields: event });
-        for (const { id } of this.#successors(view, suspect)) {
+        for (const { id } of this.#candidates(view, suspect)) {
             effects.push({ kind: "read", endpoint: id });
         }
     }
 
     #advanceChoosing(
-        { cause, since }: Extract<Phase, { kind: "choosing"; }>,
+        phase: Extract<Phase, { kind: "choosing"; }>,
         view: MonitorView,
         now: number,
         effects: MonitorEffect[],
     ): void {
+        const { cause, since } = phase;
         const { suspect } = cause;
-        const successors = this.#successors(view, suspect);
+        const successors = this.#candidates(view, suspect);
         const isComplete = successors.every(({ id }) => this.#probeResults.has(id));
         if (!isComplete && now - since < PROBE_TIMEOUT_MS) {
             return;
@@ -282,7 +295,7 @@
             this.#finish("the primary is reachable again", suspect, effects);
             return;
         }
-        const currentPrimary = this.#currentPrimary();
+        const currentPrimary = this.#currentPrimary(successors);
         const openOrder = this.#openOrder(successors, view, now);
         if (currentPrimary !== undefined && isOtherThanOrdered(currentPrimary, view) && openOrder === undefined) {
             // Hosts use it only after an order; the platform changes nothing.
@@ -294,21 +307,47 @@
             this.#finish("is already the primary", currentPrimary, effects);
             return;
         }
-        const best = openOrder ?? this.#bestSuccessor(successors, now);
+        const best = openOrder ?? this.#bestSuccessor(successors, view, now);
         if (best === undefined) {
-            this.#phase = { kind: "pausing", cause, since: now };
+            this.#remainUndecided(phase, successors, view, now, effects);
         }
         else {
             this.#promote(best, cause, view, now, effects);
         }
     }
 
+    /** Waits for further results and then probes the endpoints again. Logs once which of them are waited for. */
+    #remainUndecided(
+        { cause, since, ...phase }: Extract<Phase, { kind: "choosing"; }>,
+        candidates: readonly EndpointRecord[],
+        view: MonitorView,
+        now: number,
+        effects: MonitorEffect[],
+    ): void {
+        const loggedCause = { ...cause, isWaitLogged: true };
+        const undecidedSince = phase.undecidedSince ?? now;
+        if (now - undecidedSince >= RETRY_INTERVAL_MS) {
+            this.#choose(loggedCause, view, now, effects);
+            return;
+        }
+        this.#phase = { kind: "choosing", cause: loggedCause, since, undecidedSince };
+        if (cause.isWaitLogged !== true) {
+            const waitedFor = candidates.map(({ id }) => id).filter(id => this.#probeResults.get(id)?.isExact !== true);
+            const { syncReplicas } = view;
+            const fields = { group: this.#group, waitedFor, syncReplicas, positions: this.#positions() };
+            effects.push({ kind: "event", name: "promotionWaits", fields });
+        }
+    }
+
+    #positions(): readonly Readonly<Record<string, unknown>>[] {
+        return [...this.#probeResults].map(([id, reading]) => ({ id, ...reading }));
+    }
+
     #promote(endpoint: string, cause: Replacement, view: MonitorView, now: number, effects: MonitorEffect[]): void {
         const order = { group: this.#group, endpoint, fence: view.nextFencingToken() };
         this.#phase = { kind: "promoting", cause, order, since: now };
-        const positions = [...this.#probeResults].map(([id, reading]) => ({ id, ...reading }));
         effects.push({ kind: "promote", order });
-        effects.push({ kind: "event", name: "promotionOrdered", fields: { ...order, positions } });
+        effects.push({ kind: "event", name: "promotionOrdered", fields: { ...order, positions: this.#positions() } });
     }
 
     #advancePromoting(
@@ -377,11 +416,11 @@
     }
 
     /** The probed endpoint that leads the newest known term. */
-    #currentPrimary(): string | undefined {
-        const leading = [...this.#probeResults].filter(([id, reading]) =>
-            reading?.leads === true && !this.#isFormerPrimary(id)
+    #currentPrimary(candidates: readonly EndpointRecord[]): string | undefined {
+        const leading = candidates.filter(({ id }) =>
+            this.#probeResults.get(id)?.leads === true && !this.#isFormerPrimary(id)
         );
-        return leading.map(([id]) => id).sort((left, right) => this.#compare(left, right))[0];
+        return leading.sort((left, right) => this.#compare(left, right))[0]?.id;
     }
 
     /** Returns true when an endpoint still takes itself for the primary of an older term than the newest known one. */
@@ -391,23 +430,43 @@
         return reading?.leads === true && reading.term < Math.max(...known);
     }
 
-    /** The endpoint with the newest log position; one that recently failed to be promoted only if there is no other. */
-    #bestSuccessor(successors: readonly EndpointRecord[], now: number): string | undefined {
-        const answered = successors.filter(({ id }) =>
-            this.#probeResults.get(id) !== undefined && !this.#isFormerPrimary(id)
+    /**
+     * The endpoint with the newest log position; one that recently failed to be promoted only if there is no other.
+     * Undefined while none is known to have every acknowledged commit, where replicas acknowledge them.
+     */
+    #bestSuccessor(candidates: readonly EndpointRecord[], view: MonitorView, now: number): string | undefined {
+        const ids = candidates.map(({ id }) => id);
+        const safe = view.syncReplicas > 0 ? safeSuccessors(ids, this.#probeResults, view.syncReplicas) : ids;
+        const answered = candidates.filter(({ id }) =>
+            safe.includes(id) && this.#probeResults.get(id) !== undefined && !this.#isFormerPrimary(id)
         );
         const notRecentlyRefused = answered.filter(({ id }) =>
             now - (this.#failedPromotions.get(id) ?? -Infinity) >= PROMOTION_TIMEOUT_MS
         );
         const choice = notRecentlyRefused.length > 0 ? notRecentlyRefused : answered;
-        return [...choice].sort((left, right) => this.#compare(left.id, right.id))[0]?.id;
+        return [...choice].sort((left, right) => this.#compare(left, right))[0]?.id;
+    }
+
+    /** Sorts the newest position first. Of equal ones an endpoint that stays, and one that told it exactly, is better. */
+    #compare(left: EndpointRecord, right: EndpointRecord): number {
+        const first = this.#probeResults.get(left.id) ?? NO_POSITION;
+        const second = this.#probeResults.get(right.id) ?? NO_POSITION;
+        return comparePositions(second, first)
+            || Number(right.state === EndpointState.Active) - Number(left.state === EndpointState.Active)
+            || Number(second.isExact) - Number(first.isExact)
+            || (left.id < right.id ? -1 : 1);
     }
 
-    #compare(left: string, right: string): number {
-        const first = this.#probeResults.get(left);
-        const second = this.#probeResults.get(right);
-        return (second?.term ?? 0) - (first?.term ?? 0) || (second?.number ?? 0) - (first?.number ?? 0)
-            || (left < right ? -1 : 1);
+    /**
+     * Endpoints that are probed before one of them is chosen. Where replicas acknowledge commits, one that leaves may
+     * be the only one that has all of them.
+     */
+    #candidates(view: MonitorView, replaced: string | undefined): readonly EndpointRecord[] {
+        const successors = this.#successors(view, replaced);
+        const leaving = view.endpoints.filter(({ id, state, role }) =>
+            state === EndpointState.Leaving && role !== EndpointRole.Primary && id !== replaced
+        );
+        return view.syncReplicas > 0 ? [...successors, ...leaving] : successors;
     }
 
     /** Active endpoints other than the one to be replaced. */
--- a/packages/control/tests/primary-monitor.test.ts
+++ b/packages/control/tests/primary-monitor.test.ts
@@ -27,6 +27,7 @@
     entries: readonly string[] = ENTRIES;
     now = 10_000;
     orderedPrimary: string | undefined;
+    syncReplicas = 0;
     #fence = 0;
 
     handle(event: MonitorEvent): readonly MonitorEffect[] {
@@ -34,6 +35,7 @@
             endpoints: this.endpoints,
             entries: this.entries,
             orderedPrimary: this.orderedPrimary,
+            syncReplicas: this.syncReplicas,
             nextFencingToken: () => (this.#fence += 1),
         };
         const effects = this.watch.handle(event, view, this.now);
@@ -51,10 +53,15 @@
     }
 
     reading(endpoint: string, number: number | undefined, leads = false, term = 1): readonly MonitorEffect[] {
-        const reading = number === undefined ? undefined : { leads, term, number };
+        const reading = number === undefined ? undefined : { leads, term, number, isExact: true };
         return this.handle({ kind: "reading", endpoint, reading });
     }
 
+    /** The endpoint is too busy to tell more than the position that it has applied. */
+    busyReading(endpoint: string, number: number, term = 1): readonly MonitorEffect[] {
+        return this.handle({ kind: "reading", endpoint, reading: { leads: false, term, number, isExact: false } });
+    }
+
     reportUnreachable(hosts: readonly string[] = ENTRIES): void {
         hosts.forEach(host => this.report(host, false));
     }
@@ -253,3 +260,100 @@
         });
     });
 });
+
+describe("where a replica receives each commit before it is acknowledged", () => {
+    function sceneWithFailedPrimary(): Scene {
+        const scene = new Scene();
+        scene.syncReplicas = 1;
+        scene.reportUnreachable();
+        return scene;
+    }
+
+    // Guards against losing acknowledged commits because a replica that does not answer counts as having none of them
+    // (review case 2, LOST).
+    it("waits for the replica that does not answer, and says so once", () => {
+        const scene = sceneWithFailedPrimary();
+        scene.reading("b", 100);
+        scene.reading("c", undefined);
+        for (let round = 0; round < 5; round++) {
+            scene.advanceTime(PROBE_TIMEOUT_MS);
+            scene.advanceTime(RETRY_INTERVAL_MS);
+            scene.reportUnreachable();
+            scene.reading("b", 100);
+        }
+        expect(scene.promotions()).toEqual([]);
+        const waits = scene.effects.filter(effect => effect.kind === "event" && effect.name === "promotionWaits");
+        expect(waits).toMatchObject([{ fields: { waitedFor: ["c"], syncReplicas: 1 } }]);
+        scene.reading("c", 160);
+        expect(scene.promotions()).toEqual([["c", 1]]);
+    });
+
+    // Guards against a group that stays without a primary because its only complete replica is busy all the time.
+    it("takes a position that a busy replica tells late", () => {
+        const scene = sceneWithFailedPrimary();
+        scene.reading("b", 100);
+        scene.advanceTime(PROBE_TIMEOUT_MS);
+        scene.advanceTime(RETRY_INTERVAL_MS / 2);
+        scene.reading("c", 160);
+        expect(scene.promotions()).toEqual([["c", 1]]);
+    });
+
+    it("promotes a busy replica that has applied more than the other has received", () => {
+        const scene = sceneWithFailedPrimary();
+        scene.reading("b", 100);
+        scene.busyReading("c", 160);
+        expect(scene.promotions()).toEqual([["c", 1]]);
+    });
+
+    it("waits for a busy replica that may have received more than the other", () => {
+        const scene = sceneWithFailedPrimary();
+        scene.reading("b", 100);
+        scene.busyReading("c", 90);
+        scene.advanceTime(PROBE_TIMEOUT_MS);
+        expect(scene.promotions()).toEqual([]);
+    });
+
+    // Guards against leaving out a replica that receives commits until it ends.
+    it("counts a replica that leaves, and promotes it when only that one has every commit", () => {
+        const scene = new Scene();
+        scene.syncReplicas = 1;
+        scene.endpoints[2] = record("c", { state: EndpointState.Leaving });
+        scene.reportUnreachable();
+        scene.reading("b", 100);
+        scene.advanceTime(PROBE_TIMEOUT_MS);
+        expect(scene.promotions()).toEqual([]);
+        scene.advanceTime(RETRY_INTERVAL_MS);
+        scene.reading("b", 100);
+        scene.reading("c", 101);
+        expect(scene.promotions()).toEqual([["c", 1]]);
+    });
+
+    it("prefers a replica that stays to one that leaves with the same position", () => {
+        const scene = new Scene();
+        scene.syncReplicas = 1;
+        scene.endpoints[1] = record("b", { state: EndpointState.Leaving });
+        scene.reportUnreachable();
+        scene.reading("b", 100);
+        scene.reading("c", 100);
+        expect(scene.promotions()).toEqual([["c", 1]]);
+    });
+});
+
+describe("where the primary alone acknowledges commits", () => {
+    // Guards against losing commits that a busy replica has: it answers, so it is alive.
+    it("promotes a busy replica that has more than the others", () => {
+        const scene = new Scene();
+        scene.reportUnreachable();
+        scene.reading("b", 100);
+        scene.busyReading("c", 160);
+        expect(scene.promotions()).toEqual([["c", 1]]);
+    });
+
+    it("does not wait for a replica that does not answer", () => {
+        const scene = new Scene();
+        scene.reportUnreachable();
+        scene.reading("b", 100);
+        scene.advanceTime(PROBE_TIMEOUT_MS);
+        expect(scene.promotions()).toEqual([["b", 1]]);
+    });
+});
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -1,5 +1,6 @@
 import type { LimitAccuracy } from "@medlarledge/customers";
 import { EndpointDirectory } from "@medlarledge/directory";
+import type { GroupSettings } from "@medlarledge/gateway";
 import {
     ChangeOutcome,
     type ChangeResult,
@@ -16,6 +17,7 @@
 import type { EndpointConnector } from "@medlarledge/statements";
 import type { Log, LogEvent, LogFields, Meter } from "@medlarledge/telemetry";
 import { announcedFields } from "./announced-fields.js";
+import { CurrentRouting } from "./current-routing.js";
 import { LoopDelay } from "./gauges.js";
 import { type ConfigurationReadResult, GroupMember } from "./group-member.js";
 import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
@@ -72,6 +74,8 @@
     disconnectedAt: number | undefined;
 }
 
+const NO_GROUPS: ReadonlyMap<string, GroupSettings> = new Map();
+
 type MessageOf<K extends Message["kind"]> = Extract<Message, { kind: K; }>;
 type Handlers = { readonly [K in Message["kind"]]?: (message: MessageOf<K>, from: Host) => void; };
 
@@ -91,6 +95,7 @@
     readonly #loopDelay: LoopDelay;
     readonly #client: LeaderClient;
     readonly #savedStateFile: SavedStateFile;
+    readonly #routing: CurrentRouting;
     /** The newest configuration known to be committed, from the group's log or from before a restart. */
     #configuration: ConfigurationChange | undefined;
     readonly #entries = new Map<string, KnownEntryHost>();
@@ -150,6 +155,7 @@
                 event: (event, fields) => log.event(event, fields),
             },
         });
+        this.#routing = new CurrentRouting(configurations, () => this.#configuration);
         this.#announcer = new PromotionAnnouncer({
             member: this.#member,
             clock,
@@ -164,14 +170,14 @@
             clock,
             log,
             meter: options.meter,
-            configurations,
-            configuration: () => this.#configuration,
+            routing: () => this.#routing.get(),
             hasContact: (host, withinMs, now) => this.#links.hasRecentContact(host, withinMs, now),
             hostCount: () => this.#entries.size,
             send: (to, grant) => this.#links.send(to, grant),
         });
         this.#promotionManager = new PromotionManager({
             directory: this.#directory,
+            groups: () => this.#routing.get()?.groups ?? NO_GROUPS,
             connector,
             authority,
             holder: name,
--- a/packages/fleet/src/limit-authority.ts
+++ b/packages/fleet/src/limit-authority.ts
@@ -1,9 +1,9 @@
 import { LEADER_CONTACT_MS, type LimitAccuracy, type OperationLimit, TokenLedger } from "@medlarledge/customers";
-import type { ConfigurationChange, Host, TokenGrant, TokenRequest } from "@medlarledge/protocol";
+import type { Routing } from "@medlarledge/gateway";
+import type { Host, TokenGrant, TokenRequest } from "@medlarledge/protocol";
 import type { Clock } from "@medlarledge/runtime";
 import type { Log, Meter } from "@medlarledge/telemetry";
 import type { GroupMember } from "./group-member.js";
-import type { ConfigurationReader } from "./ports.js";
 
 export interface LimitAuthorityOptions {
     readonly accuracy: LimitAccuracy;
@@ -11,8 +11,8 @@
     readonly clock: Clock;
     readonly log: Log;
     readonly meter: Meter;
-    readonly configurations: ConfigurationReader;
-    readonly configuration: () => ConfigurationChange | undefined;
+    /** The routing of the newest known configuration; undefined before the first. */
+    readonly routing: () => Routing | undefined;
     /** Returns true when the last message of the host is at most `withinMs` old. */
     readonly hasContact: (host: string, withinMs: number, now: number) => boolean;
     /** Number of entry hosts that this host knows. */
@@ -86,18 +86,18 @@
     }
 
     #currentLimits(): ReadonlyMap<string, OperationLimit> {
-        const change = this.#options.configuration();
-        if (change === undefined) {
+        const routing = this.#options.routing();
+        if (routing === undefined) {
             return new Map();
         }
-        if (this.#limits?.number !== change.number) {
+        if (this.#limits?.number !== routing.number) {
             const limits = new Map<string, OperationLimit>();
-            for (const { name, limit } of this.#options.configurations.routing(change).customers?.customers() ?? []) {
+            for (const { name, limit } of routing.customers?.customers() ?? []) {
                 if (limit !== undefined) {
                     limits.set(name, limit);
                 }
             }
-            this.#limits = { number: change.number, limits };
+            this.#limits = { number: routing.number, limits };
         }
         return this.#limits.limits;
     }
--- a/packages/fleet/src/promotion-manager.ts
+++ b/packages/fleet/src/promotion-manager.ts
@@ -1,5 +1,6 @@
 import { type MonitorEffect, type MonitorEvent, type MonitorView, PrimaryMonitor } from "@medlarledge/control";
 import type { EndpointDirectory } from "@medlarledge/directory";
+import type { GroupSettings } from "@medlarledge/gateway";
 import type { PrimaryReport, PromotionOrder } from "@medlarledge/protocol";
 import type { Clock } from "@medlarledge/runtime";
 import type { EndpointConnector } from "@medlarledge/statements";
@@ -15,6 +16,8 @@
 
 export interface PromotionManagerOptions {
     readonly directory: EndpointDirectory;
+    /** The groups of the newest known configuration. */
+    readonly groups: () => ReadonlyMap<string, GroupSettings>;
     readonly connector: EndpointConnector;
     readonly authority: PromotionAuthority;
     /** Name of this host in the calls to the promotion authority. */
@@ -85,6 +88,7 @@
 
     #view(group: string): MonitorView {
         return {
+            syncReplicas: this.#options.groups().get(group)?.syncReplicas ?? 0,
             endpoints: this.#options.directory.currentEndpoints(group),
             entries: this.#options.entries(),
             orderedPrimary: this.#options.orderedPrimary(group),
@@ -98,15 +102,12 @@
     async #probe(group: string, endpoint: string): Promise<void> {
         const term = this.#term;
         const record = this.#options.directory.record(endpoint);
-        const status = record === undefined
+        const reading = record === undefined
             ? undefined
             : await probeEndpoint(this.#options.connector, record, PROBE_TIMEOUT_MS);
         if (term !== this.#term) {
             return;
         }
-        const reading = status === undefined
-            ? undefined
-            : { leads: status.leads, term: status.received.term, number: status.received.number };
         this.#handle(group, { kind: "reading", endpoint, reading });
     }
 
--- a/packages/fleet/tests/connection-handover.test.ts
+++ b/packages/fleet/tests/connection-handover.test.ts
@@ -14,7 +14,7 @@
 const ROUTING = {
     number: 1,
     routes: new Map(),
-    groups: new Map([["orders", { connections: LIMIT }]]),
+    groups: new Map([["orders", { connections: LIMIT, syncReplicas: 0 }]]),
     customers: undefined,
     transactionIdleMs: 3_000,
 };
--- a/packages/fleet/tests/connection-share.test.ts
+++ b/packages/fleet/tests/connection-share.test.ts
@@ -96,7 +96,7 @@
     const routing = {
         number: 1,
         routes: new Map(),
-        groups: new Map([["orders", { connections: 26 }]]),
+        groups: new Map([["orders", { connections: 26, syncReplicas: 0 }]]),
         customers: undefined,
         transactionIdleMs: 3_000,
     };
@@ -121,7 +121,7 @@
 // Guards against opening connections for one customer at every holder of an endpoint.
 test("all hosts send a customer's orders to the same holder, and it runs them itself", () => {
     const entries = hosts(63);
-    const groups = new Map([["orders", { connections: 56 }]]);
+    const groups = new Map([["orders", { connections: 56, syncReplicas: 0 }]]);
     const customers = new CustomerDirectory([]);
     const routing = { number: 1, routes: new Map(), groups, customers, transactionIdleMs: 3_000 };
     const firsts = Array.from({ length: 74 }, (_, customer) => {
--- a/packages/fleet/tests/odd-records.test.ts
+++ b/packages/fleet/tests/odd-records.test.ts
@@ -37,7 +37,7 @@
 const ROUTING = {
     number: 1,
     routes: new Map(),
-    groups: new Map([["orders", { connections: 16 }]]),
+    groups: new Map([["orders", { connections: 16, syncReplicas: 0 }]]),
     customers: undefined,
     transactionIdleMs: 3_000,
 };
--- a/packages/gateway/src/route.ts
+++ b/packages/gateway/src/route.ts
@@ -31,6 +31,8 @@
 export interface GroupSettings {
     /** Maximum number of connections of all processes together to each endpoint of the group. */
     readonly connections: number;
+    /** Number of replicas that receive a commit before it is acknowledged. */
+    readonly syncReplicas: number;
 }
 
 /** The part of a configuration that determines how requests are served. */
--- a/packages/gateway/tests/test-gateway.ts
+++ b/packages/gateway/tests/test-gateway.ts
@@ -170,7 +170,7 @@
     gateway.configure({
         number: 1,
         routes: new Map(ROUTES.map(route => [route.database, route])),
-        groups: new Map([["orders", { connections: 16 }]]),
+        groups: new Map([["orders", { connections: 16, syncReplicas: 0 }]]),
         customers: options.customers,
         transactionIdleMs: 3_000,
     });
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -67,6 +67,11 @@
     hostsChanged: { level: "info", meaning: "The list of hosts changed, and with it the shares of connections." },
     primaryOrdered: { level: "info", meaning: "News of an order that makes an endpoint the primary." },
     promotionChoosing: { level: "warn", meaning: "A primary is to be replaced; the other endpoints are asked." },
+    promotionWaits: {
+        level: "warn",
+        meaning:
+            "A primary cannot be replaced yet: no endpoint is known to have every acknowledged commit, or none answers.",
+    },
     promotionOrdered: { level: "warn", meaning: "The platform was asked to promote an endpoint." },
     promotionAnnounced: {
         level: "info",
