Replace primaries only in groups that the configuration names

Operators saw (by reading, review report): a heartbeat for a service that no configuration names made the leader ask the platform to promote its sender.

Cause: the promotion manager ran a monitor for every group that was ever announced. An announcement says nothing about whether the group is served.

Change: monitors run for the groups of the newest known configuration only.

--- a/packages/fleet/src/promotion-manager.ts
+++ b/packages/fleet/src/promotion-manager.ts
@@ -16,7 +16,7 @@
 
 export interface PromotionManagerOptions {
     readonly directory: EndpointDirectory;
-    /** The groups of the newest known configuration. */
+    /** The groups of the newest known configuration. Others get no primary, whatever is announced for them. */
     readonly groups: () => ReadonlyMap<string, GroupSettings>;
     readonly connector: EndpointConnector;
     readonly authority: PromotionAuthority;
@@ -76,19 +76,23 @@
     }
 
     #handle(group: string, event: MonitorEvent): void {
+        const settings = this.#options.groups().get(group);
+        if (settings === undefined) {
+            return;
+        }
         let watch = this.#watches.get(group);
         if (watch === undefined) {
             watch = new PrimaryMonitor(group);
             this.#watches.set(group, watch);
         }
-        for (const effect of watch.handle(event, this.#view(group), this.#options.clock.now())) {
+        for (const effect of watch.handle(event, this.#view(group, settings), this.#options.clock.now())) {
             (this.#executors[effect.kind] as (group: string, effect: MonitorEffect) => void)(group, effect);
         }
     }
 
-    #view(group: string): MonitorView {
+    #view(group: string, { syncReplicas }: GroupSettings): MonitorView {
         return {
-            syncReplicas: this.#options.groups().get(group)?.syncReplicas ?? 0,
+            syncReplicas,
             endpoints: this.#options.directory.currentEndpoints(group),
             entries: this.#options.entries(),
             orderedPrimary: this.#options.orderedPrimary(group),
