Reuse a connection only with session state that its endpoint confirmed

Cause: a pooled connection recorded values and prepared names when it built the commands for them, and ignored the answers. In a transaction whose endpoint has lost the lead these commands are refused; the connection was reused with the wrong record.

Change: the answers are read, a statement is sent only after them, and a connection on which one was refused is closed. NOSTMT for a name of the proxy's own does the same. A begin counts only if it opened a transaction.

--- a/packages/gateway/src/pooled-connection.ts
+++ b/packages/gateway/src/pooled-connection.ts
@@ -16,6 +16,8 @@
     | { readonly kind: "answer"; readonly answer: CommandAnswer; }
     | { readonly kind: "lost"; readonly reason: string; };
 
+const ALREADY_CLOSED: Reply = { kind: "lost", reason: "the connection was already closed" };
+
 /**
  * An order prepared for one connection: commands to send first, and the statement with the names used on the
  * connection.
@@ -46,6 +48,8 @@
     readonly #preparedNames = new Map<string, string>();
     #lastNameNumber = 0;
     #transactionState: TransactionState = TransactionStates.Idle;
+    /** Whether the endpoint may have other session values and prepared statements than recorded here. */
+    #isUncertain = false;
     #isClosed = false;
 
     constructor(
@@ -71,9 +75,13 @@
         return this.#replyHandlers.length;
     }
 
-    /** True while the connection is open, no answers are outstanding and no transaction is open. */
+    /**
+     * True while the connection is open, no answers are outstanding, no transaction is open, and the endpoint has
+     * confirmed the session values and prepared statements that are recorded here.
+     */
     get isClean(): boolean {
-        return !this.#isClosed && this.#replyHandlers.length === 0 && this.#transactionState === TransactionStates.Idle;
+        return !this.#isClosed && this.#replyHandlers.length === 0 && !this.#isUncertain
+            && this.#transactionState === TransactionStates.Idle;
     }
 
     /** Returns true when the connection has exactly these session values. */
@@ -84,7 +92,8 @@
 
     /**
      * Returns the order's statement as it must be sent on this connection, and the commands that set up the connection
-     * for it. The commands are recorded as sent: the caller must send them before anything else.
+     * for it. The record of the connection is what it will be once the endpoint has carried them out: the caller must
+     * send them before anything else with `setUp`.
      */
     prepare(order: StatementOrder): PreparedOrder {
         const before: EndpointCommand[] = [];
@@ -102,18 +111,42 @@
         return { before, statement: this.#resolveStatement(order.statement, before) };
     }
 
+    /**
+     * Sends commands that set up the connection and `begin` behind them, in one packet. Resolves once all are answered:
+     * to the first reply that is no success, or to undefined. If the endpoint did not carry out a set-up command, the
+     * connection is not reused.
+     */
+    async setUp(commands: readonly EndpointCommand[], begin: readonly EndpointCommand[]): Promise<Reply | undefined> {
+        const replies = await Promise.all(this.#send([...commands, ...begin]));
+        if (replies.slice(0, commands.length).some(isFailure)) {
+            this.markUncertain();
+        }
+        const begun = begin.length > 0 ? replies.at(-1) : undefined;
+        if (begun?.kind === "answer" && !isFailure(begun) && begun.answer.state !== TransactionStates.Open) {
+            // Nothing but a begin opens a transaction, so this answers another command.
+            this.close("an answer was lost");
+            return { kind: "lost", reason: "the answer to a begin was lost" };
+        }
+        return replies.find(isFailure);
+    }
+
+    /** Records that the endpoint may have other session values or prepared statements than this connection's record. */
+    markUncertain(): void {
+        this.#isUncertain = true;
+    }
+
     /** Sends commands in one packet and returns the reply to the one at `replyIndex`. */
     sendCommands(commands: readonly EndpointCommand[], replyIndex: number): Promise<Reply> {
-        return new Promise(resolve => {
-            if (this.#isClosed) {
-                resolve({ kind: "lost", reason: "the connection was already closed" });
-                return;
-            }
-            for (const index of commands.keys()) {
-                this.#replyHandlers.push(index === replyIndex ? resolve : ignoreReply);
-            }
-            this.#connection.send(commands);
-        });
+        return this.#send(commands)[replyIndex] ?? Promise.resolve(ALREADY_CLOSED);
+    }
+
+    #send(commands: readonly EndpointCommand[]): readonly Promise<Reply>[] {
+        if (this.#isClosed) {
+            return commands.map(() => Promise.resolve(ALREADY_CLOSED));
+        }
+        const replies = commands.map(() => new Promise<Reply>(resolve => this.#replyHandlers.push(resolve)));
+        this.#connection.send(commands);
+        return replies;
     }
 
     /** Closes the connection. Outstanding replies resolve as lost. */
@@ -177,6 +210,6 @@
     }
 }
 
-function ignoreReply(): void {
-    // If a set-up or clean-up command of the proxy fails, the reply that is waited for shows it.
+function isFailure(reply: Reply): boolean {
+    return reply.kind === "lost" || reply.answer.completion.kind === "error";
 }
--- a/packages/gateway/src/run-order.ts
+++ b/packages/gateway/src/run-order.ts
@@ -25,17 +25,20 @@
     const { before, statement } = connection.prepare(order);
     const forwarded = { kind: "statement", requestId: order.requestId, statement } as const;
     const { opening } = order;
-    if (opening.kind === "bare" || opening.kind === "continued") {
-        const after = opening.kind === "bare" ? opening.after : undefined;
-        const reply = await connection.sendCommands([...before, { ...forwarded, after }], before.length);
-        return resultOf(connection, reply, isStandaloneWrite(order));
-    }
-    // The statement waits for the begin: behind a refused begin it would run outside of any transaction.
-    const begun = await connection.sendCommands([...before, beginOf(opening)], before.length);
-    const refusal = refusalOf(begun);
+    const isBegun = opening.kind === "transaction" || opening.kind === "proven";
+    // The statement waits for these answers: behind a refused begin it would run outside of any transaction, and behind
+    // a refused set-up command with other session values than its caller has.
+    const begin = isBegun ? [beginOf(opening)] : [];
+    const needsSetUp = before.length > 0 || begin.length > 0;
+    const refusal = needsSetUp ? refusalOf(await connection.setUp(before, begin)) : undefined;
     if (refusal !== undefined) {
         return refusal;
     }
+    if (!isBegun) {
+        const after = opening.kind === "bare" ? opening.after : undefined;
+        const reply = await connection.sendCommands([{ ...forwarded, after }], 0);
+        return resultOf(connection, reply, isStandaloneWrite(order));
+    }
     const command = { ...forwarded, after: undefined };
     if (opening.kind === "transaction") {
         return resultOf(connection, await connection.sendCommands([command], 0), !opening.readOnly);
@@ -62,14 +65,17 @@
 }
 
 /**
- * Returns the result of a refused begin; undefined when it succeeded. A lost connection counts as a refusal: nothing
- * ran.
+ * Returns the result of an order whose begin or set-up failed; undefined when it succeeded. A lost connection counts as
+ * a refusal: nothing ran.
  */
-function refusalOf(begun: Reply): StatementOrderResult | undefined {
-    if (begun.kind === "lost") {
+function refusalOf(failure: Reply | undefined): StatementOrderResult | undefined {
+    if (failure === undefined) {
+        return undefined;
+    }
+    if (failure.kind === "lost") {
         return { kind: "notRun", reason: NotRunReason.Unreachable, position: undefined };
     }
-    const { completion, position } = begun.answer;
+    const { completion, position } = failure.answer;
     if (completion.kind === "done") {
         return undefined;
     }
@@ -88,6 +94,11 @@
         connection.close("an answer was lost");
         return { kind: "unknown", reason: UnknownReason.AnswerLost };
     }
+    if (completion.kind === "error" && completion.code === ErrorCode.UnknownStatement) {
+        // The names on the connection are the proxy's own, so its record of them is wrong.
+        connection.markUncertain();
+        return { kind: "notRun", reason: NotRunReason.Busy, position: answer.position };
+    }
     if (completion.kind === "error" && guaranteesNoEffect(completion.code) && completion.code !== ErrorCode.Aborted) {
         const reason = NOT_RUN_REASONS[completion.code] ?? NotRunReason.Busy;
         return { kind: "notRun", reason, position: answer.position };
--- a/packages/gateway/tests/fake-endpoints.ts
+++ b/packages/gateway/tests/fake-endpoints.ts
@@ -35,6 +35,8 @@
     busy = 0;
     /** Number of statements to answer with a failure. */
     failing = 0;
+    /** Number of session values and prepared statements to refuse. */
+    refusedSetUps = 0;
     /** Number of statements to run without answering. */
     losesAnswers = 0;
     /** Number of rollbacks to leave unanswered. */
@@ -211,11 +213,8 @@
                 this.#prepared.clear();
                 return done;
             case "set":
-                this.#values.set(command.name, command.value);
-                return done;
             case "prepare":
-                this.#prepared.set(command.name, `${command.writes ? "WRITE" : "READ"} ${command.shape}`);
-                return done;
+                return this.#setUp(command);
             case "status":
                 return done;
             case "statement":
@@ -223,6 +222,23 @@
         }
     }
 
+    #setUp(command: Extract<EndpointCommand, { kind: "set" | "prepare"; }>): Completion {
+        if (this.#endpoint.refusedSetUps > 0) {
+            this.#endpoint.refusedSetUps -= 1;
+            return error(ErrorCode.Failed);
+        }
+        if (this.#state === "open" && this.#isPlain && !this.#endpoint.leads) {
+            return error(ErrorCode.ReadOnly);
+        }
+        if (command.kind === "set") {
+            this.#values.set(command.name, command.value);
+        }
+        else {
+            this.#prepared.set(command.name, `${command.writes ? "WRITE" : "READ"} ${command.shape}`);
+        }
+        return done;
+    }
+
     #begin({ readOnly, after }: Extract<EndpointCommand, { kind: "begin"; }>): Completion {
         if (!readOnly && !this.#endpoint.leads) {
             return error(ErrorCode.ReadOnly);
--- a/packages/gateway/tests/sessions.test.ts
+++ b/packages/gateway/tests/sessions.test.ts
@@ -1,6 +1,6 @@
 import { ErrorCode, type Statement } from "@medlarledge/statements";
 import { afterEach, beforeEach, expect, test, vi } from "vitest";
-import { advanceTime, begin, createTestGateway, read, rollback, type TestGateway, write } from "./test-gateway.js";
+import { advanceTime, begin, createTestGateway, IDS, read, rollback, type TestGateway, write } from "./test-gateway.js";
 
 let fixture: TestGateway;
 
@@ -114,3 +114,65 @@
     await advanceTime(1);
     expect(busy.isClosed).toBe(true);
 });
+
+/** A caller whose transaction is open on `a` while `b` is promoted; it then runs the statements, which `a` refuses. */
+async function refusedAtFormerPrimary(
+    statements: readonly Statement[],
+    before: readonly Statement[] = [],
+): Promise<void> {
+    const writer = fixture.connect("confirm");
+    for (const statement of [...before, begin, write("1")]) {
+        await writer.execute(statement);
+    }
+    fixture.endpoints.promote("b");
+    for (const statement of statements) {
+        await writer.execute(statement);
+    }
+    await writer.execute(rollback);
+    fixture.endpoints.replicate();
+    fixture.announce();
+    await advanceTime(100);
+}
+
+// Guards against session values that an endpoint refused and that the connection counts as set: reads of other callers
+// with the same value run without it (review case 3, PINNED).
+test("a read runs with its caller's values after an endpoint refused them on a connection", async () => {
+    await refusedAtFormerPrimary([set("language", "nl"), read("2")]);
+    const readers = [1, 2, 3, 4, 5, 6].map(() => fixture.connect("stock"));
+    for (const reader of readers) {
+        await reader.execute(set("language", "nl"));
+    }
+    fixture.endpoints.ran.length = 0;
+    await Promise.all(readers.map(reader => reader.execute(read("3"))));
+    expect(fixture.endpoints.ran.map(({ values }) => values)).toEqual(readers.map(() => ({ language: "nl" })));
+    expect(fixture.endpoints.ran.map(({ endpoint }) => endpoint)).toContain("a");
+});
+
+// Guards against a prepared statement that is unknown although its preparing was acknowledged (review case 3, PINNED).
+test("a prepared statement runs after an endpoint refused its preparing on a connection", async () => {
+    await refusedAtFormerPrimary([execute("s1")], [prepare("s1", "q2c")]);
+    const readers = [1, 2, 3, 4, 5, 6].map(() => fixture.connect("stock"));
+    for (const reader of readers) {
+        await reader.execute(prepare("s1", "q2c"));
+    }
+    const answers = await Promise.all(readers.map(reader => reader.execute(execute("s1"))));
+    expect(answers.map(({ completion }) => completion.kind)).toEqual(readers.map(() => "done"));
+});
+
+// Guards against a statement that is sent behind a refused set-up command and runs without it.
+test.each(["stock", "report", "confirm"])(
+    "a read on %s runs with its caller's values, or not at all, if an endpoint refuses to set them",
+    async database => {
+        await fixture.connect(database).execute(read("0"));
+        const caller = fixture.connect(database);
+        await caller.execute(set("language", "nl"));
+        fixture.endpoints.ran.length = 0;
+        for (const id of IDS) {
+            fixture.endpoints.get(id).refusedSetUps = 1;
+        }
+        await caller.execute(read("1"));
+        await caller.execute(read("2"));
+        expect(fixture.endpoints.ran.map(({ values }) => values)).not.toContainEqual({});
+        expect(fixture.endpoints.ran.map(({ text }) => text)).toContain("READ 2");
+    },
+);
