Open a control host's store again after any error of its disk

Report of another operator: changes were refused long after full disks had room again. Found on the way: a control host that starts on a full disk ended each time, the store left its segment open after an error, an error while a file is closed was an unhandled rejection, a host without an open store asked to join, a failed write of last-known.json was not repeated, and a damaged service-counts.json ended a start.

Cause: only the errors of writes and syncs in a running store were treated as results that something waits for.

Change: opening is repeated while the disk is at fault, at the start as well; the store closes its files after any error; each error of a file operation is a result; a request to join is taken only for the host that sends it.

--- a/packages/agreement/src/checked-file.ts
+++ b/packages/agreement/src/checked-file.ts
@@ -19,7 +19,7 @@
         await wrapErrors("sync", temporary, () => file.sync());
     }
     finally {
-        await file.close();
+        await wrapErrors("close", temporary, () => file.close());
     }
     await wrapErrors("rename", path, () => files.rename(temporary, path));
     await wrapErrors("sync", folder, () => files.syncFolder(folder));
--- a/packages/agreement/src/consensus-store.ts
+++ b/packages/agreement/src/consensus-store.ts
@@ -60,6 +60,9 @@
             store = new ConsensusStore(files, folder, opened);
             await store.#openSegment(opened);
         });
+        if (error !== undefined) {
+            await store?.close();
+        }
         if (error !== undefined || opened === undefined || store === undefined) {
             return { ok: false, error: error ?? { kind: "stopped", cause: undefined } };
         }
@@ -101,23 +104,34 @@
             const remaining = this.#entriesAfter(snapshot);
             const previous = this.#segment;
             const next = await this.#createSegment(state.segment + 1, remaining);
+            // From here on `close` closes the new segment, also if naming it in the state file fails.
+            this.#segment = next;
+            if (previous !== undefined) {
+                await wrapErrors("close", previous.path, () => previous.file.close());
+            }
             const inForce = { segment: state.segment + 1, snapshot: snapshot.lastIndex };
             await this.#replaceState({ ...state, ...inForce, initialMembers: undefined });
-            this.#segment = next;
             this.#baseIndex = snapshot.lastIndex;
             this.#entries = remaining;
-            await previous?.file.close();
             await this.#removePrevious(state, snapshot.lastIndex);
         });
     }
 
-    /** Waits for the pending calls and closes the files. */
-    async close(): Promise<void> {
-        await this.#run(async () => {
-            await this.#segment?.file.close();
-            this.#segment = undefined;
-        });
-        this.#error ??= { kind: "stopped", cause: undefined };
+    /** Waits for the pending calls and closes the files, also after an error. Returns the error of closing them. */
+    async close(): Promise<StoreError | undefined> {
+        const closed = this.#last.then(() => catchStoreFailure(() => this.#closeSegment()));
+        this.#last = closed;
+        const error = await closed;
+        this.#error ??= { kind: "stopped", cause: error };
+        return error;
+    }
+
+    async #closeSegment(): Promise<void> {
+        const segment = this.#segment;
+        this.#segment = undefined;
+        if (segment !== undefined) {
+            await wrapErrors("close", segment.path, () => segment.file.close());
+        }
     }
 
     /** Runs a change after the previous ones. */
@@ -145,7 +159,10 @@
     }
 
     async #openSegment(opened: OpenedFiles): Promise<void> {
-        if (opened.state !== undefined && opened.state.segment !== NO_SEGMENT) {
+        if (opened.state === undefined) {
+            return;
+        }
+        if (opened.state.segment !== NO_SEGMENT) {
             const path = `${this.#folder}/${segmentName(opened.state.segment)}`;
             const file = await wrapErrors("open", path, () => this.#files.append(path));
             this.#segment = { file, path, bytes: opened.segmentBytes, batches: opened.batches };
@@ -158,10 +175,16 @@
         await wrapErrors("remove", path, () => this.#files.remove(path));
         const file = await wrapErrors("create", path, () => this.#files.append(path));
         const segment = { file, path, bytes: 0, batches: 0 };
-        if (entries.length > 0) {
-            await writeBatch(segment, number, { entries });
+        try {
+            if (entries.length > 0) {
+                await writeBatch(segment, number, { entries });
+            }
+            await wrapErrors("sync", this.#folder, () => this.#files.syncFolder(this.#folder));
+        }
+        catch (error) {
+            await wrapErrors("close", path, () => file.close());
+            throw error;
         }
-        await wrapErrors("sync", this.#folder, () => this.#files.syncFolder(this.#folder));
         return segment;
     }
 
@@ -176,10 +199,9 @@
     }
 
     async #firstSegment(): Promise<Segment> {
-        const segment = await this.#createSegment(NO_SEGMENT + 1);
+        this.#segment = await this.#createSegment(NO_SEGMENT + 1);
         await this.#replaceState({ ...this.#initialized(), segment: NO_SEGMENT + 1 });
-        this.#segment = segment;
-        return segment;
+        return this.#segment;
     }
 
     /** Entries that follow the snapshot; none if the log has an entry of another term at its last index. */
--- a/packages/agreement/src/index.ts
+++ b/packages/agreement/src/index.ts
@@ -4,5 +4,5 @@
 export { nodeFileSystem } from "./file-system.js";
 export { initialState } from "./initial-state.js";
 export { mergeBatches } from "./merge-batches.js";
-export { describeStoreError, type StoreError } from "./store-error.js";
+export { describeStoreError, isDiskError, type StoreError } from "./store-error.js";
 export type * from "./types.js";
--- a/packages/agreement/src/store-error.ts
+++ b/packages/agreement/src/store-error.ts
@@ -17,6 +17,14 @@
     /** The call was refused because of an earlier error (`cause`), or because the store is closed. */
     | { readonly kind: "stopped"; readonly cause: StoreError | undefined; };
 
+/**
+ * Returns true for an error of the disk or its file system, after which the stored data can be opened again later. Other
+ * errors mean that the data itself is wrong.
+ */
+export function isDiskError({ kind }: StoreError): boolean {
+    return kind === "diskFull" || kind === "syncFailed" || kind === "failed";
+}
+
 /** Formats an error as one line of text for the log. */
 export function describeStoreError(error: StoreError): string {
     const { kind, ...fields } = error;
--- a/packages/agreement/src/store-opening.ts
+++ b/packages/agreement/src/store-opening.ts
@@ -100,7 +100,7 @@
         await wrapErrors("sync", path, () => file.sync());
     }
     finally {
-        await file.close();
+        await wrapErrors("close", path, () => file.close());
     }
 }
 
--- a/packages/daemon/src/control-host.ts
+++ b/packages/daemon/src/control-host.ts
@@ -1,4 +1,4 @@
-import { ConsensusStore, describeStoreError, type RecoveredState } from "@medlarledge/agreement";
+import { ConsensusStore, describeStoreError, type RecoveredState, type StoreError } from "@medlarledge/agreement";
 import { hostOfMember } from "@medlarledge/control";
 import type { ControlMessage, Host, Message } from "@medlarledge/protocol";
 import { type Clock, ConsensusTask } from "@medlarledge/runtime";
@@ -83,7 +83,10 @@
 
     /** Opens the data folder. Returns a reason when it cannot be used. */
     async open(): Promise<string | undefined> {
-        await this.services.restore();
+        const reason = await this.services.restore();
+        if (reason !== undefined) {
+            this.#options.log.event("lastKnownFailed", { reason });
+        }
         const opened = await ConsensusStore.open(join(this.#options.dataFolder, "agreement"));
         if (!opened.ok) {
             return describeStoreError(opened.error);
@@ -121,7 +124,7 @@
 
     async close(): Promise<void> {
         this.#control?.stop();
-        await this.#agreement?.close();
+        this.#logStoreError(await this.#agreement?.close());
         await this.services.save(this.#options.clock.wallClock());
     }
 
@@ -142,7 +145,7 @@
         if (error !== undefined) {
             return describeStoreError(error);
         }
-        await store.close();
+        this.#logStoreError(await store.close());
         const reopened = await ConsensusStore.open(join(dataFolder, "agreement"));
         if (!reopened.ok) {
             return describeStoreError(reopened.error);
@@ -154,6 +157,12 @@
         return undefined;
     }
 
+    #logStoreError(error: StoreError | undefined): void {
+        if (error !== undefined) {
+            this.#options.log.event("storeFailed", { reason: describeStoreError(error) });
+        }
+    }
+
     #run(): void {
         const { settings, clock, send } = this.#options;
         if (this.#store === undefined || this.#recovered === undefined) {
--- a/packages/daemon/src/service-store.ts
+++ b/packages/daemon/src/service-store.ts
@@ -50,14 +50,22 @@
         return this.#history;
     }
 
-    async restore(): Promise<void> {
+    /** Loads the counts from before a restart. Returns a reason when the file is damaged; the counts start anew then. */
+    async restore(): Promise<string | undefined> {
         const text = await readFile(join(this.#folder, FILE_NAME), "utf8").catch(() => undefined);
         if (text === undefined) {
-            return;
+            return undefined;
+        }
+        try {
+            const saved = JSON.parse(text) as SavedCounts;
+            this.#sequences = new Map(Object.entries(saved.sequences));
+            this.#history = ServiceHistory.restore(saved.history);
+            return undefined;
+        }
+        catch (error) {
+            this.#sequences = new Map();
+            return `${FILE_NAME}: ${error instanceof Error ? error.message : String(error)}`;
         }
-        const saved = JSON.parse(text) as SavedCounts;
-        this.#history = ServiceHistory.restore(saved.history);
-        this.#sequences = new Map(Object.entries(saved.sequences));
     }
 
     /** Counts a batch once. Returns false for a batch of a wrong form, which is not acknowledged. */
--- a/packages/daemon/tests/service-store.test.ts
+++ b/packages/daemon/tests/service-store.test.ts
@@ -1,5 +1,5 @@
 import type { Host, ServiceCounts } from "@medlarledge/protocol";
-import { mkdtemp } from "node:fs/promises";
+import { mkdtemp, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { describe, expect, it } from "vitest";
@@ -18,6 +18,18 @@
 };
 
 describe("service counts", () => {
+    // Guards against a control host that does not start because a power loss cut the file short.
+    it.each(["", '{"history":', "null", '{"history":7,"sequences":null}'])(
+        "start anew after a file with %j",
+        async text => {
+            const folder = await mkdtemp(join(tmpdir(), "medlarledge-counts-"));
+            await writeFile(join(folder, "service-counts.json"), text);
+            const store = new ServiceStore(folder);
+            expect(await store.restore()).toContain("service-counts.json");
+            expect(store.history.sum("orders", 300_000, NOW).requests).toBe(0);
+        },
+    );
+
     it("are counted once although batches are sent again, and survive a restart of either side", async () => {
         const folder = await mkdtemp(join(tmpdir(), "medlarledge-counts-"));
         const store = new ServiceStore(folder);
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -1,3 +1,4 @@
+import { hostOfMember } from "@medlarledge/control";
 import type { LimitAccuracy } from "@medlarledge/customers";
 import { EndpointDirectory } from "@medlarledge/directory";
 import type { GroupSettings } from "@medlarledge/gateway";
@@ -329,7 +330,10 @@
         if (this.#member.hasQuorum) {
             this.#promotionManager.tick(this.#member.term);
         }
-        if (this.#member.leader === undefined && now - this.#joinRequestedAt >= JOIN_INTERVAL_MS) {
+        if (
+            this.#member.memberId !== undefined && this.#member.leader === undefined
+            && now - this.#joinRequestedAt >= JOIN_INTERVAL_MS
+        ) {
             this.#joinRequestedAt = now;
             this.#requestMembership();
         }
@@ -353,7 +357,10 @@
 
     async #leaderRequestReceived({ id, name, body }: LeaderRequest, from: Host): Promise<void> {
         if (name === "join") {
-            this.#member.joinRequested(String(body));
+            // A member speaks only for the host that it runs on.
+            if (typeof body === "string" && hostOfMember(body) === from.id) {
+                this.#member.joinRequested(body);
+            }
             return;
         }
         const answers: Readonly<Record<string, () => Promise<unknown>>> = {
--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -1,4 +1,12 @@
-import { ConsensusStore, describeStoreError, type RecoveredState, type StoreError } from "@medlarledge/agreement";
+import {
+    ConsensusStore,
+    describeStoreError,
+    type FileSystem,
+    isDiskError,
+    nodeFileSystem,
+    type RecoveredState,
+    type StoreError,
+} from "@medlarledge/agreement";
 import {
     type ControlCommand,
     ControlState,
@@ -68,6 +76,8 @@
 export interface GroupMemberOptions {
     readonly self: Host;
     readonly dataFolder: string;
+    /** Defaults to the file system of the operating system. */
+    readonly files?: FileSystem;
     /** Host ids of the first members at the first start of the system; undefined on any later start. */
     readonly initialMembers: readonly string[] | undefined;
     readonly clock: Clock;
@@ -128,8 +138,9 @@
         this.#options = options;
     }
 
-    get memberId(): string {
-        return this.#memberId;
+    /** Id of this member; undefined while its store is not open, so that it can neither vote nor acknowledge. */
+    get memberId(): string | undefined {
+        return this.#agreement === undefined ? undefined : this.#memberId;
     }
 
     /** True when this member is the leader and has applied all entries that earlier leaders committed. */
@@ -173,12 +184,19 @@
         return this.isLeader && clock.now() - (this.#agreement?.quorumContactAt() ?? -Infinity) < ELECTION_TIMEOUT_MS;
     }
 
-    /** Opens the data folder and starts the consensus member. Returns a reason when the folder cannot be used. */
+    /**
+     * Opens the data folder and starts the consensus member. While the disk does not allow that, for example since it is
+     * full, opening is retried. Returns a reason when the stored data cannot be used.
+     */
     async start(): Promise<string | undefined> {
         const error = await this.#open();
-        if (error !== undefined) {
+        if (error !== undefined && !isDiskError(error)) {
             return describeStoreError(error);
         }
+        if (error !== undefined) {
+            this.#options.events.event("storeFailed", { error: describeStoreError(error) });
+            this.#reopenLater();
+        }
         this.#repairTimer = setInterval(() => this.#tick(), REPAIR_INTERVAL_MS);
         return undefined;
     }
@@ -242,11 +260,14 @@
     async stop(): Promise<void> {
         this.#isStopped = true;
         clearInterval(this.#repairTimer);
-        await this.#agreement?.close();
+        const error = await this.#agreement?.close();
+        if (error !== undefined) {
+            this.#options.events.event("storeFailed", { error: describeStoreError(error) });
+        }
     }
 
     async #open(): Promise<StoreError | undefined> {
-        const opened = await ConsensusStore.open(this.#options.dataFolder);
+        const opened = await ConsensusStore.open(this.#options.dataFolder, this.#options.files ?? nodeFileSystem);
         if (!opened.ok) {
             return opened.error;
         }
@@ -262,8 +283,7 @@
         if (error !== undefined) {
             return error;
         }
-        await opened.store.close();
-        return this.#open();
+        return await opened.store.close() ?? this.#open();
     }
 
     #run(store: ConsensusStore, recovered: RecoveredState): void {
@@ -301,7 +321,10 @@
         this.#options.events.event("storeFailed", { error: describeStoreError(error) });
         this.#agreement = undefined;
         this.#roleChanged({ kind: "role", role: "follower", term: this.#role.term, leader: undefined });
-        await this.#store?.close();
+        const closeError = await this.#store?.close();
+        if (closeError !== undefined) {
+            this.#options.events.event("storeFailed", { error: describeStoreError(closeError) });
+        }
         this.#reopenLater();
     }
 
--- a/packages/fleet/src/saved-state-file.ts
+++ b/packages/fleet/src/saved-state-file.ts
@@ -7,6 +7,9 @@
 /** Delay before a write, so that changes within this time are written together. */
 const WRITE_DELAY_MS = 200;
 
+/** Delay before a failed write is repeated. */
+const RETRY_DELAY_MS = 1_000;
+
 /** State that a control host saves, so that it can send it to entry hosts right after a restart. */
 export interface SavedState {
     /** The newest configuration that this host knows to be committed. */
@@ -53,7 +56,10 @@
         }
     }
 
-    /** Schedules a write of the state that `state` then returns. A slow or full disk delays nothing else. */
+    /**
+     * Schedules a write of the state that `state` then returns, and repeats it until it succeeds. A slow or full disk
+     * delays nothing else.
+     */
     save(state: () => SavedState): void {
         this.#pending = state;
         if (!this.#isScheduled) {
@@ -69,19 +75,24 @@
             this.#isScheduled = false;
             return;
         }
-        await this.#write(pending());
-        setTimeout(() => void this.#writePending(), WRITE_DELAY_MS);
+        const isWritten = await this.#write(pending());
+        if (!isWritten) {
+            this.#pending ??= pending;
+        }
+        setTimeout(() => void this.#writePending(), isWritten ? WRITE_DELAY_MS : RETRY_DELAY_MS);
     }
 
-    async #write(state: SavedState): Promise<void> {
+    async #write(state: SavedState): Promise<boolean> {
         const path = join(this.#folder, FILE_NAME);
         try {
             await mkdir(this.#folder, { recursive: true });
             await writeSynced(`${path}.tmp`, JSON.stringify(state));
             await rename(`${path}.tmp`, path);
+            return true;
         }
         catch (error) {
             this.#onFailure(reasonOf(error));
+            return false;
         }
     }
 }
--- a/packages/fleet/tests/saved-state-file.test.ts
+++ b/packages/fleet/tests/saved-state-file.test.ts
@@ -1,4 +1,4 @@
-import { mkdtemp, readdir, writeFile } from "node:fs/promises";
+import { mkdtemp, readdir, rm, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { expect, test, vi } from "vitest";
@@ -29,3 +29,18 @@
     expect(read.records).toEqual([]);
     expect(reasons).toHaveLength(1);
 });
+
+// Guards against an outdated file for as long as nothing changes, after the disk was full for a moment.
+test("a write that failed is repeated", async () => {
+    const parent = await mkdtemp(join(tmpdir(), "medlarledge-"));
+    const folder = join(parent, "data");
+    await writeFile(folder, "a file where the folder should be");
+    const reasons: string[] = [];
+    const file = new SavedStateFile(folder, reason => reasons.push(reason));
+    file.save(() => STATE);
+    await vi.waitUntil(() => reasons.length > 0, { timeout: 5_000 });
+    await rm(folder);
+    await vi.waitUntil(async () => (await readdir(parent)).includes("data"), { timeout: 5_000 });
+    await vi.waitUntil(async () => (await readdir(folder)).includes("last-known.json"), { timeout: 5_000 });
+    expect(await new SavedStateFile(folder, reason => expect.fail(reason)).load()).toEqual(STATE);
+}, 20_000);
--- a/packages/runtime/src/consensus-task.ts
+++ b/packages/runtime/src/consensus-task.ts
@@ -131,9 +131,10 @@
         return this.#member.caughtUpLearners(this.#options.clock.now());
     }
 
-    async close(): Promise<void> {
+    /** Stops the member and closes the store. Returns the error of closing it. */
+    close(): Promise<StoreError | undefined> {
         this.#stopped = true;
-        await this.#options.store.close();
+        return this.#options.store.close();
     }
 
     #handle(event: ConsensusEvent): void {
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -7,7 +7,11 @@
     hostStarted: { level: "info", meaning: "The process listens on its addresses." },
     hostStopping: { level: "info", meaning: "A graceful shutdown began." },
     hostStopped: { level: "info", meaning: "The process ends; `cut` counts the requests it had to cut." },
-    storeFailed: { level: "error", meaning: "The data folder cannot be read or written; the host stops." },
+    storeFailed: {
+        level: "error",
+        meaning:
+            "The data folder cannot be read or written. The host stops; on the platform it opens the folder again while the disk is at fault.",
+    },
     peerConnected: { level: "info", meaning: "A connection to another process is open." },
     peerDisconnected: { level: "warn", meaning: "A connection to another process closed." },
     peerRefused: { level: "warn", meaning: "Another process was refused: certificate, protocol or identity." },
