Sync what a store finds on opening before it counts as durable

Cause (a doubt of the review): a member that ended between a write and its sync read the entry back after the restart and counted it as durable, so that a power loss could take what it had acknowledged. The same held for names of files whose folder was not synced.

Change: opening a store syncs its segment and its folder.

--- a/packages/agreement/src/consensus-store.ts
+++ b/packages/agreement/src/consensus-store.ts
@@ -158,6 +158,10 @@
         return this.#state;
     }
 
+    /**
+     * Opens the current segment and makes what was found in the folder durable. A process that ended between a write and
+     * its sync left entries and file names that a power loss would still take, although they count as durable from now on.
+     */
     async #openSegment(opened: OpenedFiles): Promise<void> {
         if (opened.state === undefined) {
             return;
@@ -166,7 +170,9 @@
             const path = `${this.#folder}/${segmentName(opened.state.segment)}`;
             const file = await wrapErrors("open", path, () => this.#files.append(path));
             this.#segment = { file, path, bytes: opened.segmentBytes, batches: opened.batches };
+            await wrapErrors("sync", path, () => file.sync());
         }
+        await wrapErrors("sync", this.#folder, () => this.#files.syncFolder(this.#folder));
     }
 
     /** Creates a segment, which takes effect once the state file names it. */
--- a/packages/agreement/tests/consensus-store.test.ts
+++ b/packages/agreement/tests/consensus-store.test.ts
@@ -292,3 +292,36 @@
         };
     });
 }
+
+// Guards against losing entries that a restarted member has acknowledged: it found them in the file, where the former
+// process had written them without a sync.
+test("what a store finds on opening survives a later power loss", async () => {
+    const { files, store } = await filledStore();
+    files.fault = operation => {
+        if (operation === "sync") {
+            throw fileError("EIO");
+        }
+    };
+    expect(await store.persist({ entries: [entry(4)] })).toMatchObject({ kind: "syncFailed" });
+    files.fault = () => undefined;
+    const found = indexes((await reopen(files)).recovered);
+    files.crash();
+    expect(indexes((await reopen(files)).recovered)).toEqual(found);
+});
+
+// Guards against file names that only the former process has seen, such as a snapshot's.
+test("names that a store finds on opening survive a later power loss", async () => {
+    const { files, store } = await filledStore();
+    files.fault = operation => {
+        if (operation === "syncFolder") {
+            throw fileError("EIO");
+        }
+    };
+    expect(await store.persist({ hardState: { term: 7, votedFor: "c" }, entries: [] })).toMatchObject({
+        kind: "syncFailed",
+    });
+    files.fault = () => undefined;
+    const { hardState } = (await reopen(files)).recovered;
+    files.crash();
+    expect((await reopen(files)).recovered.hardState).toEqual(hardState);
+});
