Take the answer to a probe only for what it says

An endpoint that failed the begin was no longer used as the primary; if the answer to the begin was lost, the one to the rollback behind it made a replica the primary until it denied that.

Change: only the refusal as read-only shows that an endpoint follows, and only an open transaction that it leads. Other answers tell its position alone. A success that opened no transaction closes the connection.

--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -1,9 +1,12 @@
 import { StallTolerantTimer } from "@medlarledge/runtime";
 import {
+    type Answer,
+    ErrorCode,
     type LogPosition,
     NotRunReason,
     type StatementOrder,
     type StatementOrderResult,
+    TransactionStates,
     UnknownReason,
 } from "@medlarledge/statements";
 import type { ConnectionPoolEvents, ConnectionPoolOptions } from "./connection-pool-options.js";
@@ -50,6 +53,8 @@
 export type ProbeResult =
     | { readonly kind: "leads"; readonly position: LogPosition | undefined; }
     | { readonly kind: "follows"; readonly position: LogPosition | undefined; }
+    /** The endpoint answered, but not whether it is the primary. */
+    | { readonly kind: "answered"; readonly position: LogPosition | undefined; }
     /** The probe was not sent: no connection was free or could be opened. */
     | { readonly kind: "notAsked"; }
     | { readonly kind: "unanswered"; };
@@ -139,8 +144,12 @@
         if (probeReply.kind === "lost") {
             return { kind: "unanswered" };
         }
-        const { completion, position } = probeReply.answer;
-        return { kind: completion.kind === "done" ? "leads" : "follows", position };
+        const result = probeResultOf(probeReply.answer);
+        if (result.kind === "answered" && probeReply.answer.completion.kind === "done") {
+            // Only a begin opens a transaction: this answers the rollback, and the answer to the begin is lost.
+            connection.close("an answer was lost");
+        }
+        return result;
     }
 
     /** Rolls a caller's transaction back and frees its connection. */
@@ -276,3 +285,11 @@
         this.#connectionPool.rollBack(connection);
     }
 }
+
+/** Only the refusal as read-only shows that an endpoint follows; other errors say nothing of its role. */
+function probeResultOf({ completion, state, position }: Answer): ProbeResult {
+    if (completion.kind === "done") {
+        return { kind: state === TransactionStates.Open ? "leads" : "answered", position };
+    }
+    return { kind: completion.code === ErrorCode.ReadOnly ? "follows" : "answered", position };
+}
--- a/packages/gateway/src/group-state.ts
+++ b/packages/gateway/src/group-state.ts
@@ -117,7 +117,10 @@
 
     /** Updates the primary and the endpoint's position from the result of a probe that was sent at `sentAt`. */
     recordProbe(endpoint: string, result: ProbeResult, sentAt: number): void {
-        if (result.kind === "leads" || result.kind === "follows") {
+        if (result.kind === "answered") {
+            this.#recordPosition(endpoint, result.position, false, sentAt);
+        }
+        else if (result.kind === "leads" || result.kind === "follows") {
             const { group, permits } = this.#options;
             const isPrimary = result.kind === "leads" && permits.mayUse(group, endpoint);
             this.#recordPosition(endpoint, result.position, isPrimary, sentAt);
--- a/packages/gateway/tests/fake-endpoints.ts
+++ b/packages/gateway/tests/fake-endpoints.ts
@@ -37,6 +37,10 @@
     failing = 0;
     /** Number of session values and prepared statements to refuse. */
     refusedSetUps = 0;
+    /** Number of begins to answer with a failure. */
+    failingBegins = 0;
+    /** Number of begins to carry out without answering; what follows is answered. */
+    losesBegins = 0;
     /** Number of statements to run without answering. */
     losesAnswers = 0;
     /** Number of rollbacks to leave unanswered. */
@@ -185,6 +189,10 @@
             this.#endpoint.losesAnswers -= 1;
             return;
         }
+        if (command.kind === "begin" && this.#endpoint.losesBegins > 0) {
+            this.#endpoint.losesBegins -= 1;
+            return;
+        }
         if (command.kind === "rollback" && this.#endpoint.losesRollbacks > 0) {
             this.#endpoint.losesRollbacks -= 1;
             return;
@@ -240,6 +248,10 @@
     }
 
     #begin({ readOnly, after }: Extract<EndpointCommand, { kind: "begin"; }>): Completion {
+        if (this.#endpoint.failingBegins > 0) {
+            this.#endpoint.failingBegins -= 1;
+            return error(ErrorCode.Failed);
+        }
         if (!readOnly && !this.#endpoint.leads) {
             return error(ErrorCode.ReadOnly);
         }
