Refuse a greeting or a configuration of another host that cannot be read

Looking for paths with the same cause: a well-formed message on the port for hosts, whose fields are missing or of another type, ended the process that read it by an exception.

Change: a link checks that a hello describes a host; entry and control hosts check the form of a configuration before they use it, as SavedStateFile does.

--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -10,6 +10,7 @@
     EndpointState,
     type Host,
     type HostPlacement,
+    isConfigurationChange,
     type LeaderRequest,
     type Message,
     type PromotionOrder,
@@ -364,7 +365,7 @@
             return;
         }
         const answers: Readonly<Record<string, () => Promise<unknown>>> = {
-            propose: () => this.#member.propose(body as ConfigurationChange),
+            propose: () => isConfigurationChange(body) ? this.#member.propose(body) : Promise.resolve(undefined),
             read: () => this.#member.read(),
             newestNumber: () => this.#member.readNewestNumber(),
         };
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -1,7 +1,13 @@
 import type { LimitAccuracy } from "@medlarledge/customers";
 import { EndpointDirectory } from "@medlarledge/directory";
 import { Gateway, UNRESTRICTED_PERMITS } from "@medlarledge/gateway";
-import type { EndpointRecord, Host, Message, PromotionOrder } from "@medlarledge/protocol";
+import {
+    type EndpointRecord,
+    type Host,
+    isConfigurationChange,
+    type Message,
+    type PromotionOrder,
+} from "@medlarledge/protocol";
 import { type Clock, type MeshEvent, PeerMesh } from "@medlarledge/runtime";
 import type { Acceptance, Caller, EndpointConnector } from "@medlarledge/statements";
 import type { Log, Meter } from "@medlarledge/telemetry";
@@ -118,7 +124,7 @@
         tokenGrant: message => this.#limits?.granted(message),
         hostList: message => this.#hostsReceived(message),
         configurationOffer: (message, from) => this.#offeredBy(from, message.number),
-        configurationUpdate: message => this.#configure(message),
+        configurationUpdate: (message, from) => this.#configure(message, from),
         primaryCheck: message => void this.#reportPrimary(message),
         relayOrder: (message, from) => this.#gateway.relayMessageReceived(from.id, message),
         relayResult: (message, from) => this.#gateway.relayMessageReceived(from.id, message),
@@ -497,7 +503,11 @@
         }
     }
 
-    #configure({ change }: MessageOf<"configurationUpdate">): void {
+    #configure({ change }: MessageOf<"configurationUpdate">, from: Host): void {
+        if (!isConfigurationChange(change)) {
+            this.#options.log.event("messageRejected", { peer: from.id, reason: "the configuration cannot be read" });
+            return;
+        }
         this.#configurationRequestedAt = Number.NEGATIVE_INFINITY;
         if (this.#gateway.configure(this.#options.configurations.routing(change))) {
             this.#plans.configurationChanged();
--- a/packages/fleet/src/saved-state-file.ts
+++ b/packages/fleet/src/saved-state-file.ts
@@ -1,4 +1,9 @@
-import type { ConfigurationChange, EndpointRecord, PromotionOrder } from "@medlarledge/protocol";
+import {
+    type ConfigurationChange,
+    type EndpointRecord,
+    isConfigurationChange,
+    type PromotionOrder,
+} from "@medlarledge/protocol";
 import { mkdir, open, readFile, rename } from "node:fs/promises";
 import { join } from "node:path";
 
@@ -115,11 +120,6 @@
         && (!("configuration" in value) || isConfigurationChange(value.configuration));
 }
 
-function isConfigurationChange(value: unknown): boolean {
-    return typeof value === "object" && value !== null && "number" in value && typeof value.number === "number"
-        && "files" in value && Array.isArray(value.files);
-}
-
 function isMissing(error: unknown): boolean {
     return error instanceof Error && "code" in error && error.code === "ENOENT";
 }
--- a/packages/fleet/tests/odd-records.test.ts
+++ b/packages/fleet/tests/odd-records.test.ts
@@ -1,4 +1,10 @@
-import { type EndpointRecord, EndpointRole, EndpointState, type Host } from "@medlarledge/protocol";
+import {
+    type ConfigurationChange,
+    type EndpointRecord,
+    EndpointRole,
+    EndpointState,
+    type Host,
+} from "@medlarledge/protocol";
 import { type MeshEvent, PeerMesh, SYSTEM_CLOCK } from "@medlarledge/runtime";
 import type { ConnectResult, EndpointAddress, EndpointConnector } from "@medlarledge/statements";
 import { type Log, type LogFields, MetricsPage } from "@medlarledge/telemetry";
@@ -42,7 +48,11 @@
     transactionIdleMs: 3_000,
 };
 
-const CONFIGURATIONS: ConfigurationReader = { validate: () => [], routing: () => ROUTING };
+/** Reads the files, as a real reader does. */
+const CONFIGURATIONS: ConfigurationReader = {
+    validate: () => [],
+    routing: ({ files }) => ({ ...ROUTING, number: files.filter(({ text }) => text.length > 0).length }),
+};
 const CHANGE = { number: 1, digest: "d", operator: "o", files: [{ name: "f", text: "{}" }] };
 
 /** Fails like Node's sockets when an address cannot be used: by an exception. */
@@ -122,6 +132,9 @@
     cleanUps.push(() => host.stop());
     await connected;
     const [{ id } = peer.self] = peer.mesh.connected();
+    for (const change of [undefined, 7, { ...CHANGE, files: undefined }, { ...CHANGE, files: [null] }]) {
+        peer.mesh.send(id, { kind: "configurationUpdate", change: change as unknown as ConfigurationChange });
+    }
     peer.mesh.send(id, { kind: "configurationUpdate", change: CHANGE });
     const records = [...ODD_RECORDS, RECORD] as unknown as readonly EndpointRecord[];
     peer.mesh.send(id, { kind: "endpointRecords", records });
--- a/packages/protocol/src/configuration.ts
+++ b/packages/protocol/src/configuration.ts
@@ -13,6 +13,21 @@
     readonly files: readonly ConfigurationFile[];
 }
 
+/** Returns true when a value has the form of a change; it may come from a file or from another version of a host. */
+export function isConfigurationChange(value: unknown): value is ConfigurationChange {
+    if (typeof value !== "object" || value === null) {
+        return false;
+    }
+    const { number, digest, operator, files } = value as Readonly<Partial<Record<keyof ConfigurationChange, unknown>>>;
+    return Number.isSafeInteger(number) && typeof digest === "string" && typeof operator === "string"
+        && Array.isArray(files) && files.every(isConfigurationFile);
+}
+
+function isConfigurationFile(value: unknown): value is ConfigurationFile {
+    return typeof value === "object" && value !== null && "name" in value && typeof value.name === "string"
+        && "text" in value && typeof value.text === "string";
+}
+
 export const ChangeOutcome = {
     Accepted: "accepted",
     /** The number was accepted earlier with the same content, as after a repeated request. */
--- a/packages/protocol/src/host.ts
+++ b/packages/protocol/src/host.ts
@@ -14,5 +14,17 @@
     readonly control: boolean;
 }
 
+/** Returns true when a value has the fields of a host, as another process must send them in its greeting. */
+export function isHost(value: unknown): value is Host {
+    if (typeof value !== "object" || value === null) {
+        return false;
+    }
+    const { id, incarnation, dataCentre, peerAddress, httpAddress, callerAddress, control } = value as Readonly<
+        Partial<Record<keyof Host, unknown>>
+    >;
+    const texts = [id, incarnation, dataCentre, peerAddress, httpAddress, callerAddress];
+    return texts.every(text => typeof text === "string") && typeof control === "boolean";
+}
+
 /** What other hosts need to know of a host to choose among hosts. It stays the same when the process restarts. */
 export type HostPlacement = Pick<Host, "id" | "dataCentre">;
--- a/packages/runtime/src/peer-link.ts
+++ b/packages/runtime/src/peer-link.ts
@@ -1,4 +1,4 @@
-import { decodeMessage, type Hello, type Host, type Message, PROTOCOL_VERSION } from "@medlarledge/protocol";
+import { decodeMessage, type Hello, type Host, isHost, type Message, PROTOCOL_VERSION } from "@medlarledge/protocol";
 import type { RawData, WebSocket } from "ws";
 import { encodeShared, encodeSharedCompressed } from "./shared-encoding.js";
 
@@ -187,6 +187,9 @@
         if (this.#peer !== undefined) {
             return "received a second hello";
         }
+        if (!isHost(hello.host)) {
+            return "the hello does not describe a host";
+        }
         if (hello.protocol !== PROTOCOL_VERSION) {
             return `protocol version ${hello.protocol}, this host has ${PROTOCOL_VERSION}`;
         }
--- a/packages/runtime/tests/peer-mesh.test.ts
+++ b/packages/runtime/tests/peer-mesh.test.ts
@@ -67,6 +67,25 @@
         expect(left.mesh.connected().map(host => host.id)).toEqual(["b1"]);
     });
 
+    // Guards against an exception that ends the process when another program sends a message of the right form.
+    it.each([
+        ["no host", undefined],
+        ["a host without an id", { ...hostAt("c1", "127.0.0.1:1"), id: undefined }],
+        ["a host whose id is a number", { ...hostAt("c1", "127.0.0.1:1"), id: 7 }],
+    ])("refuses a hello with %s", async (_, host) => {
+        const refusals: LogFields[] = [];
+        const log: Log = { event: (name, fields = {}) => name === "peerRefused" && refusals.push(fields) };
+        const left = await start("a1", undefined, log);
+        const raw = new WebSocket(`ws://${left.host.peerAddress}`);
+        await new Promise(resolve => raw.once("open", resolve));
+        raw.send(encodeMessage({ kind: "hello", protocol: PROTOCOL_VERSION, host: host as unknown as Host }));
+        await expect.poll(() => refusals).toEqual([
+            expect.objectContaining({ reason: "the hello does not describe a host" }),
+        ]);
+        expect(left.mesh.connected()).toEqual([]);
+        raw.terminate();
+    });
+
     it("returns a reason when its address is in use, instead of ending the process", async () => {
         const first = await start("a1", undefined);
         const second = new PeerMesh({
