Answer a read of the configuration only from a state that includes its commit index

Cause: the two other members commit, apply and acknowledge an entry without the leader, which applies only what is durable on its own disk. A read confirmed the leadership, not that the state had what was committed.

--- a/packages/agreement/src/consensus-member.ts
+++ b/packages/agreement/src/consensus-member.ts
@@ -101,6 +101,16 @@
         return voterSilence(this.#state, now);
     }
 
+    /** Index of the last entry that this member knows to be committed. */
+    get commitIndex(): number {
+        return this.#state.commitIndex;
+    }
+
+    /** Index of the last entry passed on to the state machine; an entry that is not durable here is not applied. */
+    get appliedIndex(): number {
+        return this.#state.appliedIndex;
+    }
+
     /** The latest members in the log, whether committed or not. */
     get members(): Members {
         return this.#state.log.members;
--- a/packages/control/tests/primary-monitor.test.ts
+++ b/packages/control/tests/primary-monitor.test.ts
@@ -243,6 +243,18 @@
         });
     });
 
+    // Guards against an order for another endpoint because the first one was too busy to tell its position: a call that the
+    // platform carries out late would then depose the endpoint that hosts use (review/late-call, ONE).
+    it("a busy endpoint whose order may still take effect is ordered again", () => {
+        const scene = new Scene();
+        scene.orderedPrimary = "b";
+        scene.advanceTime(10);
+        scene.reading("a", 10, true, 1);
+        scene.busyReading("b", 9);
+        scene.reading("c", 10, false, 1);
+        expect(scene.promotions()).toEqual([["b", 1]]);
+    });
+
     // Guards against promoting an endpoint that still commits in an older term.
     it("an endpoint that leads an older term is not chosen", () => {
         const scene = new Scene();
--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -94,6 +94,8 @@
 
 interface PendingRead {
     readonly requestedAt: number;
+    /** Last entry that was committed when the read came; the answer must include it. */
+    readonly commitIndex: number;
     readonly resolve: (read: ConfigurationReadResult) => void;
 }
 
@@ -245,10 +247,14 @@
 
     /** Reads the newest configuration (linearizable): the leader answers after it has confirmed its leadership. */
     read(): Promise<ConfigurationReadResult> {
-        if (!this.isLeader) {
+        const agreement = this.#agreement;
+        if (!this.isLeader || agreement === undefined) {
             return Promise.resolve({ kind: "unavailable" });
         }
-        return new Promise(resolve => this.#reads.add({ requestedAt: this.#options.clock.now(), resolve }));
+        const { commitIndex } = agreement;
+        return new Promise(resolve => {
+            this.#reads.add({ requestedAt: this.#options.clock.now(), commitIndex, resolve });
+        });
     }
 
     /** Reads the number of the newest configuration, 0 before the first; undefined when it cannot be confirmed. */
@@ -459,13 +465,15 @@
     }
 
     /**
-     * Answers reads once a quorum has answered a message sent after the read: no other leader had been elected by then.
+     * Answers reads once a quorum has answered a message sent after the read, so that no other leader had been elected by
+     * then, and this member has applied what was committed when the read came: while its own disk is behind, the others
+     * commit and acknowledge without it.
      */
     #answerReads(agreement: ConsensusTask): void {
         const now = this.#options.clock.now();
         const confirmedAt = agreement.quorumContactAt();
         for (const read of [...this.#reads]) {
-            if (confirmedAt > read.requestedAt) {
+            if (confirmedAt > read.requestedAt && agreement.appliedIndex >= read.commitIndex) {
                 this.#reads.delete(read);
                 read.resolve({ kind: "newest", change: this.#state.configuration() });
             }
--- a/packages/runtime/src/consensus-task.ts
+++ b/packages/runtime/src/consensus-task.ts
@@ -80,6 +80,16 @@
         return this.#member.members;
     }
 
+    /** Index of the last entry that this member knows to be committed. */
+    get commitIndex(): number {
+        return this.#member.commitIndex;
+    }
+
+    /** Index of the last entry that was reported as committed; it is below `commitIndex` while the own disk is behind. */
+    get appliedIndex(): number {
+        return this.#member.appliedIndex;
+    }
+
     /** True once this member has started to write a vote, an entry or a snapshot, so that the group exists. */
     get hasWritten(): boolean {
         return this.#hasWritten;
