Request a configuration from a control host that has it

An entry host that got an older configuration than it had been offered asked the first linked control host again, at once, and each request renewed the time that the periodic request and later offers had to wait for.

ConfigurationRequests decides whom to ask: the linked control host with the highest known number, one request at a time; a host that answered with an older one, or not at all, only after the others. Old answers are logged with the host that sent them.

--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -12,6 +12,7 @@
 import type { Acceptance, Caller, EndpointConnector } from "@medlarledge/statements";
 import type { Log, Meter } from "@medlarledge/telemetry";
 import { announcedFields } from "./announced-fields.js";
+import { ConfigurationRequests } from "./configuration-requests.js";
 import { ConnectionPlans } from "./connection-plans.js";
 import { ContactMonitor } from "./contact-monitor.js";
 import { GatewayReporter } from "./gateway-reporter.js";
@@ -30,9 +31,6 @@
 /** Number of links to control hosts, including the leader, that an entry host keeps. */
 const CONTROL_LINKS = 3;
 
-/** Delay before a configuration that was requested but did not arrive is requested from another host. */
-const CONFIGURATION_RETRY_MS = 400;
-
 /** Time in which the platform redirects new callers after a stop: two failed probes, a second apart, plus a margin. */
 const LEAVE_ROTATION_MS = 2_300;
 
@@ -93,12 +91,11 @@
     /** The permission to accept keys; undefined where a host may accept them without contact to control. */
     readonly #keyLease: KeyLeaseHolder | undefined;
     readonly #limits: HostLimits | undefined;
+    readonly #configurationRequests = new ConfigurationRequests();
     #seeds: readonly string[];
     #control: readonly string[] = [];
     #leader: string | undefined;
     #listTerm = 0;
-    #configurationRequestedAt = Number.NEGATIVE_INFINITY;
-    #offeredNumber = 0;
     #timer: NodeJS.Timeout | undefined;
     #isStopping = false;
     /** Whether the lease had lapsed at the last check. */
@@ -308,14 +305,7 @@
             }
         }
         this.#closeSessionsWhenNotReady(now);
-        if (
-            this.#offeredNumber > this.#gateway.routing.number
-            && now - this.#configurationRequestedAt >= CONFIGURATION_RETRY_MS
-        ) {
-            this.#requestConfiguration(
-                this.#connectedControl()[Math.floor(this.#options.random() * this.#connectedControl().length)],
-            );
-        }
+        this.#requestConfiguration();
     }
 
     #closeSessionsWhenNotReady(now: number): void {
@@ -347,6 +337,7 @@
         }
         else {
             this.#gateway.disconnected(event.host.id);
+            this.#configurationRequests.disconnected(event.host.id);
         }
     }
 
@@ -448,8 +439,8 @@
 
     #freshnessAnswered(answer: MessageOf<"freshnessAnswer">): void {
         if (this.#keyLease?.answered(answer) === true) {
-            // A configuration that is newer than the one in force is requested at the next tick.
-            this.#offeredNumber = Math.max(this.#offeredNumber, answer.number);
+            this.#configurationRequests.confirmed(answer.number);
+            this.#requestConfiguration();
             this.#keyLeaseChecked();
         }
     }
@@ -489,17 +480,20 @@
     }
 
     #offeredBy(host: Host, number: number): void {
-        this.#offeredNumber = Math.max(this.#offeredNumber, number);
-        const isOverdue = this.#options.clock.now() - this.#configurationRequestedAt >= CONFIGURATION_RETRY_MS;
-        if (number > this.#gateway.routing.number && isOverdue) {
-            this.#requestConfiguration(host);
-        }
+        this.#configurationRequests.offered(host.id, number);
+        this.#requestConfiguration();
     }
 
-    #requestConfiguration(host: Host | undefined): void {
+    /** Requests the configuration if this host has heard of a newer one than that in force. */
+    #requestConfiguration(): void {
+        const linked = this.#connectedControl().map(host => host.id);
+        const host = this.#configurationRequests.next(
+            this.#gateway.routing.number,
+            linked,
+            this.#options.clock.now(),
+        );
         if (host !== undefined) {
-            this.#configurationRequestedAt = this.#options.clock.now();
-            this.#links.send(host.id, { kind: "configurationWanted" });
+            this.#links.send(host, { kind: "configurationWanted" });
         }
     }
 
@@ -508,16 +502,18 @@
             this.#options.log.event("messageRejected", { peer: from.id, reason: "the configuration cannot be read" });
             return;
         }
-        this.#configurationRequestedAt = Number.NEGATIVE_INFINITY;
+        this.#configurationRequests.answered(from.id, change.number);
         if (this.#gateway.configure(this.#options.configurations.routing(change))) {
             this.#plans.configurationChanged();
             this.#keyLease?.configured(change.number, this.#gateway.routing.customers !== undefined);
             this.#keyLeaseChecked();
-            this.#options.log.event("configurationInForce", { number: change.number });
+            this.#options.log.event("configurationInForce", { number: change.number, from: from.id });
         }
-        if (this.#offeredNumber > change.number) {
-            this.#requestConfiguration(this.#connectedControl()[0]);
+        const { newest } = this.#configurationRequests;
+        if (change.number < newest) {
+            this.#options.log.event("configurationOutdated", { peer: from.id, number: change.number, newest });
         }
+        this.#requestConfiguration();
     }
 
     async #reportPrimary({ group, endpoint }: MessageOf<"primaryCheck">): Promise<void> {
--- a/packages/fleet/tests/odd-records.test.ts
+++ b/packages/fleet/tests/odd-records.test.ts
@@ -1,19 +1,13 @@
-import {
-    type ConfigurationChange,
-    type EndpointRecord,
-    EndpointRole,
-    EndpointState,
-    type Host,
-} from "@medlarledge/protocol";
-import { type MeshEvent, PeerMesh, SYSTEM_CLOCK } from "@medlarledge/runtime";
+import { type ConfigurationChange, type EndpointRecord, EndpointRole, EndpointState } from "@medlarledge/protocol";
+import { SYSTEM_CLOCK } from "@medlarledge/runtime";
 import type { ConnectResult, EndpointAddress, EndpointConnector } from "@medlarledge/statements";
 import { type Log, type LogFields, MetricsPage } from "@medlarledge/telemetry";
 import { mkdtemp, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
-import { afterEach, expect, test } from "vitest";
-import { freePort } from "../../runtime/tests/free-port.js";
-import { type ConfigurationReader, ControlHost, EntryHost, PromotionOutcome } from "../src/index.js";
+import { expect, test } from "vitest";
+import { type ConfigurationReader, ControlHost, PromotionOutcome } from "../src/index.js";
+import { cleanUp, connection, createEntryHost, newHost, startPeer } from "./linked-hosts.js";
 
 const RECORD: EndpointRecord = {
     id: "good",
@@ -68,68 +62,19 @@
     }
 }
 
-const cleanUps: (() => Promise<void>)[] = [];
-
-afterEach(async () => {
-    await Promise.all(cleanUps.splice(0).map(cleanUp => cleanUp()));
-});
-
-async function newHost(control: boolean): Promise<Host> {
-    const peerAddress = `127.0.0.1:${await freePort()}`;
-    return {
-        id: peerAddress,
-        incarnation: "1",
-        dataCentre: "ams",
-        peerAddress,
-        httpAddress: "",
-        callerAddress: "",
-        control,
-    };
-}
-
 function logOf(refusals: LogFields[]): Log {
     return { event: (name, fields = {}) => name === "announcementRefused" && refusals.push(fields) };
 }
 
-/** Another host, whose messages the test writes. */
-async function startPeer(control: boolean, log: Log): Promise<{ mesh: PeerMesh; self: Host; }> {
-    const self = await newHost(control);
-    const mesh = new PeerMesh({ self, identity: undefined, clock: SYSTEM_CLOCK, log });
-    expect(await mesh.listen()).toBeUndefined();
-    cleanUps.push(() => mesh.close());
-    return { mesh, self };
-}
-
-function connection(mesh: PeerMesh): Promise<void> {
-    return new Promise(resolve => {
-        void mesh.events.observe((event: MeshEvent) => event.kind === "connected" && resolve());
-    });
-}
-
 // Guards against entry hosts that end again and again because another host sends a record that cannot be used.
 test("an entry host leaves out odd records of another host, logs them and uses the others", async () => {
     const refusals: LogFields[] = [];
     const log = logOf(refusals);
     const peer = await startPeer(true, log);
     const connector = new StrictConnector();
-    const host = new EntryHost({
-        self: await newHost(false),
-        seeds: [peer.self.id],
-        clock: SYSTEM_CLOCK,
-        log,
-        connector,
-        configurations: CONFIGURATIONS,
-        random: () => 0.5,
-        meter: new MetricsPage(),
-        graceMs: 10,
-        primariesStepDown: true,
-        revocationMs: undefined,
-        usesLoadReports: false,
-        limitAccuracy: undefined,
-    });
+    const host = await createEntryHost([peer.self.id], CONFIGURATIONS, { log, connector });
     const connected = connection(peer.mesh);
     expect(await host.start()).toBeUndefined();
-    cleanUps.push(() => host.stop());
     await connected;
     const [{ id } = peer.self] = peer.mesh.connected();
     for (const change of [undefined, 7, { ...CHANGE, files: undefined }, { ...CHANGE, files: [null] }]) {
@@ -169,7 +114,7 @@
         limitAccuracy: undefined,
     });
     expect(await host.start()).toBeUndefined();
-    cleanUps.push(() => host.stop());
+    cleanUp(() => host.stop());
     expect(refusals).toEqual([expect.objectContaining({ source: "file", refused: ODD_RECORDS.length })]);
     expect((await host.propose(CHANGE)).outcome).toMatch(/unavailable|accepted/);
     await expect.poll(() => [...connector.tried], { timeout: 8_000 }).toEqual(["good"]);
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -20,6 +20,10 @@
     leaseLost: { level: "warn", meaning: "This host may not acknowledge writes at present." },
     leaseRegained: { level: "info", meaning: "This host may acknowledge writes again." },
     configurationInForce: { level: "info", meaning: "A configuration took effect on this host." },
+    configurationOutdated: {
+        level: "info",
+        meaning: "A control host sent an older configuration than another one has; its disk or links may be at fault.",
+    },
     configurationAnswered: { level: "info", meaning: "The leader answered a proposed configuration change." },
     folderInvalid: { level: "warn", meaning: "The watched folder holds findings and was not proposed." },
     endpointAnnounced: { level: "info", meaning: "A new endpoint, or a new state of one, was accepted." },
