Send a leaving endpoint no new work after the time in which it serves

A leaving primary was used until another endpoint was the primary, without a limit: with its replicas down, with a promotion that takes effect late, or while the leader of the control group gets no answers from the successors. An order that waited for a connection, here or at the host to which it was relayed, was sent whatever the endpoint had announced meanwhile.

Records carry for how long an endpoint has been leaving, so that hosts which hear of it later, or start later, count from the same moment. A second before the time ends the endpoint is not chosen any more, and the host with the connection refuses what begins something as `leaving`, also for other hosts. Open transactions go on. The condition of a group in the log tells the state, the announcement and the time of each endpoint.

Lines of older tests changed only by the new argument `now`.

--- a/packages/directory/src/endpoint-directory.ts
+++ b/packages/directory/src/endpoint-directory.ts
@@ -13,21 +13,26 @@
 export class EndpointDirectory {
     readonly #records = new Map<string, EndpointRecord>();
     readonly #orders = new Map<string, PromotionOrder>();
-
-    /** Merges an announcement. Ignores it if a newer one of it, or a later endpoint at the same address, is known. */
-    merge(record: EndpointRecord): MergeResult {
+    /** Times since when endpoints have been leaving, by endpoint id. */
+    readonly #leavingSince = new Map<string, number>();
+
+    /**
+     * Merges an announcement. Ignores it if a newer one of it, or a later endpoint at the same address, is known.
+     * @param now in ms of a monotonic clock
+     */
+    merge(record: EndpointRecord, now: number): MergeResult {
         const known = this.#records.get(record.id);
         if (known !== undefined && !isNewer(record, known)) {
-            return "ignored";
+            return this.#mergeLeavingTime(record, known, now);
         }
         const successor = this.#atAddress(record).find(other => other.born > record.born);
         if (successor !== undefined && record.state !== EndpointState.Left) {
             return "ignored";
         }
         for (const former of this.#atAddress(record)) {
-            this.#set({ ...former, state: EndpointState.Left });
+            this.#set({ ...former, state: EndpointState.Left }, now);
         }
-        this.#set(record);
+        this.#set(record, now);
         return known === undefined || differs(record, known) ? "changed" : "refreshed";
     }
 
@@ -40,14 +45,17 @@
         return true;
     }
 
-    /** Returns the latest announcement of an endpoint. */
+    /** Returns the latest announcement of an endpoint, without the time for which it has been leaving. */
     record(id: string): EndpointRecord | undefined {
         return this.#records.get(id);
     }
 
-    /** Returns all records, including those of endpoints that left. */
-    records(): readonly EndpointRecord[] {
-        return [...this.#records.values()];
+    /** Returns all records at the time `now`, including those of endpoints that left. */
+    records(now: number): readonly EndpointRecord[] {
+        return this.#stored().map(record => {
+            const since = this.#leavingSince.get(record.id);
+            return since === undefined ? record : { ...record, leavingMs: now - since };
+        });
     }
 
     /** Returns the newest promotion order of a group; undefined before the first. */
@@ -60,25 +68,38 @@
         return [...this.#orders.values()];
     }
 
-    /** Returns the endpoints of a group that have not left. */
-    currentEndpoints(group: string): readonly EndpointRecord[] {
-        return this.records().filter(record => record.group === group && record.state !== EndpointState.Left);
+    /** Returns the endpoints of a group that have not left, at the time `now`. */
+    currentEndpoints(group: string, now: number): readonly EndpointRecord[] {
+        return this.records(now).filter(record => record.group === group && record.state !== EndpointState.Left);
     }
 
     /** Returns the groups with at least one endpoint that has not left. */
     groups(): readonly string[] {
-        const present = this.records().filter(record => record.state !== EndpointState.Left);
+        const present = this.#stored().filter(record => record.state !== EndpointState.Left);
         return [...new Set(present.map(record => record.group))];
     }
 
     /** Returns the other endpoints that announced the same address and have not left. */
     #atAddress({ id, host, port }: EndpointRecord): readonly EndpointRecord[] {
-        return this.records().filter(other =>
+        return this.#stored().filter(other =>
             other.id !== id && other.host === host && other.port === port && other.state !== EndpointState.Left
         );
     }
 
-    #set(record: EndpointRecord): void {
+    #stored(): readonly EndpointRecord[] {
+        return [...this.#records.values()];
+    }
+
+    #set({ leavingMs = 0, ...record }: EndpointRecord, now: number): void {
+        const formerSince = this.#records.get(record.id)?.born === record.born
+            ? this.#leavingSince.get(record.id)
+            : undefined;
+        if (record.state === EndpointState.Leaving) {
+            this.#leavingSince.set(record.id, Math.min(formerSince ?? Infinity, now - leavingMs));
+        }
+        else {
+            this.#leavingSince.delete(record.id);
+        }
         // Moved to the end of the insertion order, so that the oldest records of endpoints that left are removed first.
         this.#records.delete(record.id);
         this.#records.set(record.id, record);
@@ -87,8 +108,20 @@
         }
     }
 
+    /** Takes over the earlier one of two times since when an endpoint has been leaving. */
+    #mergeLeavingTime(record: EndpointRecord, known: EndpointRecord, now: number): MergeResult {
+        const since = this.#leavingSince.get(record.id);
+        const isSameDeparture = record.born === known.born && record.state === EndpointState.Leaving
+            && since !== undefined;
+        if (!isSameDeparture || now - (record.leavingMs ?? 0) >= since) {
+            return "ignored";
+        }
+        this.#leavingSince.set(record.id, now - (record.leavingMs ?? 0));
+        return "refreshed";
+    }
+
     #removeOldestLeft(): void {
-        const left = this.records().filter(record => record.state === EndpointState.Left);
+        const left = this.#stored().filter(record => record.state === EndpointState.Left);
         for (const { id } of left.slice(0, Math.max(0, left.length - MAX_LEFT_RECORDS))) {
             this.#records.delete(id);
         }
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -213,7 +213,7 @@
         this.#configuration = configuration;
         const { clock, log } = this.#options;
         for (const record of usableRecords(records, "file", clock.wallClock(), log)) {
-            this.#directory.merge(record);
+            this.#directory.merge(record, clock.now());
         }
         for (const order of orders) {
             this.#directory.order(order);
@@ -223,7 +223,7 @@
     #saveState(): void {
         this.#savedStateFile.save(() => ({
             configuration: this.#configuration,
-            records: this.#directory.records(),
+            records: this.#directory.records(this.#options.clock.now()),
             orders: this.#directory.orders(),
         }));
     }
@@ -242,7 +242,7 @@
 
     /** Handles an endpoint's announcement of itself; a changed one is sent on to all linked hosts. */
     announce(record: EndpointRecord): void {
-        if (this.#directory.merge(record) === "changed") {
+        if (this.#directory.merge(record, this.#options.clock.now()) === "changed") {
             this.#options.log.event("endpointAnnounced", announcedFields(record));
             this.#sendRecords([record], this.#links.connected());
             this.#saveState();
@@ -399,7 +399,7 @@
             this.#entries.set(host.id, { host, disconnectedAt: undefined });
             this.#announcer.connected(host);
         }
-        this.#sendRecords(this.#directory.records(), [host]);
+        this.#sendRecords(this.#directory.records(this.#options.clock.now()), [host]);
         this.#links.send(host.id, { kind: "primaryOrders", orders: this.#directory.orders() });
         this.#links.send(host.id, this.#hostList());
         if (this.#configuration !== undefined && !host.control) {
@@ -417,7 +417,7 @@
     #recordsReceived(records: readonly EndpointRecord[], from: Host): void {
         const { clock, log } = this.#options;
         const news = usableRecords(records, from.id, clock.wallClock(), log)
-            .filter(record => this.#directory.merge(record) === "changed");
+            .filter(record => this.#directory.merge(record, clock.now()) === "changed");
         if (news.length > 0) {
             this.#saveState();
         }
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -68,6 +68,8 @@
     readonly revocationMs: number | undefined;
     /** See `GatewayOptions.usesLoadReports`. */
     readonly usesLoadReports: boolean;
+    /** See `GatewayOptions.drainMs`. */
+    readonly drainMs: number | undefined;
     /** How exactly the limits of customers are kept; undefined where they are not enforced. */
     readonly limitAccuracy: LimitAccuracy | undefined;
 }
@@ -201,6 +203,7 @@
             acceptsKeys: () => this.#acceptsKeys,
             random,
             usesLoadReports: options.usesLoadReports,
+            drainMs: options.drainMs,
             listener: new GatewayReporter(log, meter, clock.now).listener,
         });
     }
@@ -343,17 +346,22 @@
 
     #recordsReceived(records: readonly EndpointRecord[], from: Host): void {
         const { clock, log } = this.#options;
+        const now = clock.now();
         const groups = new Set<string>();
         for (const record of usableRecords(records, from.id, clock.wallClock(), log)) {
             const former = this.#directory.record(record.id)?.group;
-            if (this.#directory.merge(record) === "changed") {
-                groups.add(record.group);
+            const merged = this.#directory.merge(record, now);
+            if (merged === "changed") {
                 groups.add(former ?? record.group);
                 this.#options.log.event("endpointAnnounced", announcedFields(record));
             }
+            // The time for which a leaving endpoint has been leaving may be news too.
+            if (merged !== "ignored") {
+                groups.add(record.group);
+            }
         }
         for (const group of groups) {
-            this.#gateway.updateGroup(group, this.#directory.currentEndpoints(group));
+            this.#gateway.updateGroup(group, this.#directory.currentEndpoints(group, now));
         }
     }
 
--- a/packages/fleet/src/promotion-manager.ts
+++ b/packages/fleet/src/promotion-manager.ts
@@ -93,7 +93,7 @@
     #view(group: string, { syncReplicas }: GroupSettings): MonitorView {
         return {
             syncReplicas,
-            endpoints: this.#options.directory.currentEndpoints(group),
+            endpoints: this.#options.directory.currentEndpoints(group, this.#options.clock.now()),
             entries: this.#options.entries(),
             orderedPrimary: this.#options.orderedPrimary(group),
             nextFencingToken: () => {
--- a/packages/fleet/tests/linked-hosts.ts
+++ b/packages/fleet/tests/linked-hosts.ts
@@ -64,6 +64,7 @@
         primariesStepDown: true,
         revocationMs: undefined,
         usesLoadReports: false,
+        drainMs: undefined,
         limitAccuracy: undefined,
     });
     cleanUp(() => host.stop());
--- a/packages/fleet/tests/promotion-manager.test.ts
+++ b/packages/fleet/tests/promotion-manager.test.ts
@@ -13,7 +13,7 @@
     const directory = new EndpointDirectory();
     const place = { id: "a", group: announced, dataCentre: "ams", host: "10.0.0.1", port: 1, slots: 2 };
     const state = { state: EndpointState.Active, role: EndpointRole.Replica };
-    directory.merge({ ...place, ...state, born: 1, sequence: 1 });
+    directory.merge({ ...place, ...state, born: 1, sequence: 1 }, 0);
     const probed = new Set<string>();
     const groups = new Map(configured.map(group => [group, { connections: 16, syncReplicas: 0 }]));
     const manager = new PromotionManager({
--- a/packages/gateway/src/endpoint-pool.ts
+++ b/packages/gateway/src/endpoint-pool.ts
@@ -25,6 +25,8 @@
 /** Probes take precedence over all requests; they occupy no slot of the endpoint. */
 const PROBE_PRIORITY = -1;
 
+const LEAVING: StatementOrderResult = { kind: "notRun", reason: NotRunReason.Leaving, position: undefined };
+
 const NO_LEASE: StatementOrderResult = { kind: "notRun", reason: NotRunReason.NoLease, position: undefined };
 
 /** Callbacks about connections and answers, from which the reachability of the endpoint is determined. */
@@ -47,6 +49,8 @@
 export interface EndpointPoolOptions extends Omit<ConnectionPoolOptions, "isReserved" | "events"> {
     /** Whether statements that only the primary may run can be sent to the endpoint now. */
     readonly mayUsePrimary: () => boolean;
+    /** Whether orders that do not continue a transaction can be sent to the endpoint now. */
+    readonly takesNewWork: () => boolean;
     readonly events: EndpointPoolEvents;
 }
 
@@ -190,21 +194,32 @@
     }
 
     async #runOnFreeConnection(order: StatementOrder): Promise<StatementOrderResult> {
-        if (requiresPrimary(order) && !this.#options.mayUsePrimary()) {
-            return NO_LEASE;
+        const refusal = this.#refusalOf(order);
+        if (refusal !== undefined) {
+            return refusal;
         }
         const connection = await this.#connectionPool.acquire(order);
         if (connection === undefined) {
             const reason = this.#connectionPool.isEmpty ? NotRunReason.Unreachable : NotRunReason.NoConnection;
             return { kind: "notRun", reason, position: undefined };
         }
-        if (requiresPrimary(order) && !this.#options.mayUsePrimary()) {
+        // The endpoint may have begun to leave, or the lease may have ended, while the order waited.
+        const laterRefusal = this.#refusalOf(order);
+        if (laterRefusal !== undefined) {
             this.#connectionPool.release(connection);
-            return NO_LEASE;
+            return laterRefusal;
         }
         return this.#runOn(connection, order);
     }
 
+    /** Why an order that does not continue a transaction cannot be sent now; undefined if it can. */
+    #refusalOf(order: StatementOrder): StatementOrderResult | undefined {
+        if (!this.#options.takesNewWork()) {
+            return LEAVING;
+        }
+        return requiresPrimary(order) && !this.#options.mayUsePrimary() ? NO_LEASE : undefined;
+    }
+
     #runInTransaction(order: StatementOrder): Promise<StatementOrderResult> {
         const transaction = order.transaction ?? "";
         const connection = this.#transactions.connectionOf(transaction);
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -41,6 +41,11 @@
      * each read goes to the endpoint that is cheapest by this host's own measurements.
      */
     readonly usesLoadReports: boolean;
+    /**
+     * Time in ms for which a leaving endpoint still serves. A primary that leaves is used until it is replaced, and at
+     * most for this time. Undefined if endpoints promise no time.
+     */
+    readonly drainMs: number | undefined;
     readonly listener: GatewayListener;
 }
 
@@ -289,7 +294,7 @@
     #group(name: string): Group {
         let group = this.#groups.get(name);
         if (group === undefined) {
-            const { dataCentre, connector, clock, permits, random, usesLoadReports, listener } = this.#options;
+            const { dataCentre, connector, clock, permits, random, usesLoadReports, drainMs, listener } = this.#options;
             group = new Group({
                 name,
                 dataCentre,
@@ -302,6 +307,7 @@
                 promotionTimes: this.#promotionTimes,
                 random,
                 usesLoadReports,
+                drainMs,
                 listener,
             });
             this.#groups.set(name, group);
--- a/packages/gateway/src/group-condition.ts
+++ b/packages/gateway/src/group-condition.ts
@@ -1,8 +1,14 @@
+import type { EndpointState } from "@medlarledge/protocol";
 import type { Reachability } from "@medlarledge/routing";
 
 /** Reachability and use of an endpoint, as one process observes them. */
 export interface EndpointCondition {
     readonly endpoint: string;
+    readonly state: EndpointState;
+    /** Sequence number of the announcement in use. */
+    readonly announcement: number;
+    /** Time since the endpoint announced that it leaves; undefined unless it leaves. */
+    readonly leavingMs: number | undefined;
     readonly reach: Reachability;
     /** Time since its last answer to this process; undefined before the first. */
     readonly quietMs: number | undefined;
--- a/packages/gateway/src/group-endpoint.ts
+++ b/packages/gateway/src/group-endpoint.ts
@@ -1,4 +1,4 @@
-import type { EndpointRecord } from "@medlarledge/protocol";
+import { type EndpointRecord, EndpointState } from "@medlarledge/protocol";
 import {
     EndpointLoad,
     EndpointReachability,
@@ -30,6 +30,12 @@
 /** An endpoint that has answered nothing for longer while orders are outstanding is probed. */
 const MAX_QUIET_MS = 100;
 
+/**
+ * Part of the time for which a leaving endpoint serves that is kept for the way of its announcement to this host, and of
+ * a statement to the endpoint while processes are overloaded.
+ */
+const DRAIN_MARGIN_MS = 1_000;
+
 /**
  * Reachability of an endpoint after a failed attempt to connect. Other failures say nothing: a busy endpoint only
  * answers late.
@@ -61,6 +67,8 @@
     readonly share: (record: EndpointRecord) => number;
     /** Whether statements that only the primary may run can be sent to the endpoint now. */
     readonly mayUsePrimary: () => boolean;
+    /** See `GatewayOptions.drainMs`. */
+    readonly drainMs: number | undefined;
     readonly reachabilityChanged: (change: ReachabilityChange) => void;
     readonly failingChanged: (change: FailingChange) => void;
     /** A connection is being opened. */
@@ -79,6 +87,7 @@
     /** Callbacks that give up outstanding reads of this endpoint, so that they run on another one. */
     readonly #abandonHandlers = new Set<(reason: UnknownReason) => void>();
     #record: EndpointRecord;
+    #leavingSince: number | undefined;
     #isProbing = false;
 
     constructor(record: EndpointRecord, options: GroupEndpointOptions) {
@@ -91,6 +100,7 @@
             clock: options.clock,
             limit: () => this.share,
             mayUsePrimary: options.mayUsePrimary,
+            takesNewWork: () => this.takesNewWork(options.clock.now()),
             averageMs: () => this.#load.averageMs(options.clock.now()),
             overdueMs: () => this.#load.overdueMs(options.clock.now()),
             events: {
@@ -108,8 +118,20 @@
         return this.#record;
     }
 
-    set record(record: EndpointRecord) {
+    /** Replaces the record by a newer one of the same run. */
+    update(record: EndpointRecord, now: number): void {
         this.#record = record;
+        this.#leavingSince = record.state === EndpointState.Leaving ? now - (record.leavingMs ?? 0) : undefined;
+    }
+
+    /**
+     * Returns false once the endpoint has been leaving for so long that work which begins now could reach it after the
+     * time in which it promised to serve.
+     */
+    takesNewWork(now: number): boolean {
+        const { drainMs } = this.#options;
+        return this.#leavingSince === undefined || drainMs === undefined
+            || now - this.#leavingSince < drainMs - DRAIN_MARGIN_MS;
     }
 
     get pool(): EndpointPool {
@@ -169,6 +191,9 @@
         const { size, idle, transactions, waiting } = this.#pool;
         return {
             endpoint: this.#record.id,
+            state: this.#record.state,
+            announcement: this.#record.sequence,
+            leavingMs: this.#leavingSince === undefined ? undefined : now - this.#leavingSince,
             reach,
             quietMs: Number.isFinite(answeredAt) ? now - answeredAt : undefined,
             connections: size,
--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -39,6 +39,8 @@
     readonly random: () => number;
     /** Whether reads are divided by the reported load of endpoints; see `GatewayOptions`. */
     readonly usesLoadReports: boolean;
+    /** See `GatewayOptions.drainMs`. */
+    readonly drainMs: number | undefined;
     readonly listener: GatewayListener;
 }
 
@@ -107,13 +109,18 @@
     /** The endpoint to use as the primary; undefined while none that can be reached is known. */
     primary(): string | undefined {
         const { confirmedPrimary } = this.state;
-        if (confirmedPrimary !== undefined && this.#canUseAsPrimary(confirmedPrimary)) {
+        if (
+            confirmedPrimary !== undefined && this.#takesNewWork(confirmedPrimary)
+            && this.#canUseAsPrimary(confirmedPrimary)
+        ) {
             return confirmedPrimary;
         }
         // Without connections of its own, this host learns whether a candidate is the primary from its answers to
         // orders.
         return this.state.candidates()
-            .find(id => id !== confirmedPrimary && this.#needsRelay(id) && this.#canReach(id));
+            .find(id =>
+                id !== confirmedPrimary && this.#takesNewWork(id) && this.#needsRelay(id) && this.#canReach(id)
+            );
     }
 
     /**
@@ -245,10 +252,14 @@
         this.#notifyWaiters();
     }
 
-    /** Endpoints in other data centres to which this host may have connections. */
+    /**
+     * Endpoints in other data centres to which this host may have connections. Without those whose time to serve has
+     * ended: their end says nothing of the network.
+     */
     #remoteEndpoints(): readonly GroupEndpoint[] {
-        return [...this.#endpoints.values()].filter(({ record, share }) =>
-            record.dataCentre !== this.#options.dataCentre && share > 0
+        const now = this.#options.clock.now();
+        return [...this.#endpoints.values()].filter(endpoint =>
+            endpoint.record.dataCentre !== this.#options.dataCentre && endpoint.share > 0 && endpoint.takesNewWork(now)
         );
     }
 
@@ -262,14 +273,14 @@
             this.state.roleAnnounced(record);
         }
         const endpoint = existing ?? this.#add(record);
-        endpoint.record = record;
+        endpoint.update(record, this.#options.clock.now());
         if (record.state === EndpointState.Active) {
             endpoint.warmUp();
         }
     }
 
     #add(record: EndpointRecord): GroupEndpoint {
-        const { name, connector, clock, share, permits, listener } = this.#options;
+        const { name, connector, clock, share, permits, drainMs, listener } = this.#options;
         const reachabilityChanged = (change: ReachabilityChange): void => this.#reachabilityChanged(change);
         const evicted = (id: string, eviction: Eviction): void => this.#transactionEvicted(id, eviction);
         const endpoint = new GroupEndpoint(record, {
@@ -277,6 +288,7 @@
             clock,
             share,
             mayUsePrimary: () => permits.mayUse(name, record.id),
+            drainMs,
             reachabilityChanged,
             failingChanged: change => this.#failingChanged(change),
             opening: (id, opening) => listener({ kind: "opening", group: name, endpoint: id, ...opening }),
@@ -312,6 +324,10 @@
         );
     }
 
+    #takesNewWork(id: string): boolean {
+        return this.#endpoints.get(id)?.takesNewWork(this.#options.clock.now()) === true;
+    }
+
     #needsRelay(id: string): boolean {
         const endpoint = this.#endpoints.get(id);
         return endpoint !== undefined && !endpoint.isDirectlyReachable;
@@ -388,7 +404,7 @@
     /** The best candidate for the primary that this host can probe; a confirmed primary needs no probe. */
     #nextCandidate(): GroupEndpoint | undefined {
         return this.state.candidates()
-            .filter(id => id !== this.state.confirmedPrimary)
+            .filter(id => id !== this.state.confirmedPrimary && this.#takesNewWork(id))
             .map(id => this.#endpoints.get(id))
             .find(endpoint => endpoint?.isDirectlyReachable === true);
     }
--- a/packages/gateway/src/not-run-codes.ts
+++ b/packages/gateway/src/not-run-codes.ts
@@ -8,6 +8,7 @@
     [NotRunReason.Misrouted]: ErrorCode.Misrouted,
     [NotRunReason.NoConnection]: ErrorCode.Busy,
     [NotRunReason.Unreachable]: ErrorCode.Busy,
+    [NotRunReason.Leaving]: ErrorCode.Busy,
     [NotRunReason.NoLease]: ErrorCode.Busy,
     [NotRunReason.TransactionLost]: ErrorCode.Aborted,
 };
--- a/packages/gateway/src/relay-client.ts
+++ b/packages/gateway/src/relay-client.ts
@@ -17,6 +17,7 @@
 /** Time after which a host that refused an order gets orders for the same endpoint again, by reason. */
 const REFUSAL_PAUSES_MS: Partial<Record<NotRunReason, number>> = {
     [NotRunReason.Unreachable]: 500,
+    [NotRunReason.Leaving]: 500,
     // A lost lease comes back as soon as the control group has a leader.
     [NotRunReason.NoLease]: 100,
 };
--- a/packages/gateway/tests/test-gateway.ts
+++ b/packages/gateway/tests/test-gateway.ts
@@ -124,6 +124,7 @@
     readonly permits?: PrimaryPermits;
     readonly acceptsKeys?: () => boolean;
     readonly usesLoadReports?: boolean;
+    readonly drainMs?: number;
     /** Called for every message that the gateway sends. */
     readonly sent?: (message: RelayMessage) => void;
     readonly limits?: OperationLimits;
@@ -151,6 +152,7 @@
         acceptsKeys: options.acceptsKeys ?? (() => true),
         random: () => 0,
         usesLoadReports: options.usesLoadReports ?? false,
+        drainMs: options.drainMs,
         listener: event => events.push(event),
     });
     peers.set(host, gateway);
--- a/packages/protocol/src/endpoint-record.ts
+++ b/packages/protocol/src/endpoint-record.ts
@@ -28,6 +28,11 @@
     readonly state: EndpointState;
     /** Role that the endpoint reports. */
     readonly role: EndpointRole;
+    /**
+     * Time in ms for which the endpoint had been leaving when the record was sent or saved. A duration, since the clocks
+     * of two hosts may differ. Undefined unless the endpoint leaves, and in its own announcement.
+     */
+    readonly leavingMs?: number | undefined;
 }
 
 /** Order of the control hosts to promote an endpoint to the primary of its group. */
@@ -48,12 +53,13 @@
     if (typeof value !== "object" || value === null) {
         return false;
     }
-    const { id, group, dataCentre, host, port, slots, born, sequence, state, role } = value as Readonly<
+    const { id, group, dataCentre, host, port, slots, born, sequence, state, role, leavingMs } = value as Readonly<
         Partial<Record<keyof EndpointRecord, unknown>>
     >;
     return isName(id) && isName(group) && isName(dataCentre) && typeof host === "string" && isIP(host) !== 0
         && isCount(port, MAX_PORT) && port > 0 && isCount(slots, MAX_SLOTS)
         && isCount(born, wallClock + MAX_CLOCK_LEAD_MS) && isCount(sequence, Number.MAX_SAFE_INTEGER - 1)
+        && (leavingMs === undefined || isDuration(leavingMs))
         && Object.values<unknown>(EndpointState).includes(state) && Object.values<unknown>(EndpointRole).includes(role);
 }
 
@@ -61,6 +67,10 @@
     return typeof value === "string" && value !== "" && value.length <= MAX_NAME_LENGTH && !/\s/.test(value);
 }
 
+function isDuration(value: unknown): boolean {
+    return typeof value === "number" && value >= 0 && value < Infinity;
+}
+
 function isCount(value: unknown, max: number): value is number {
     return Number.isSafeInteger(value) && (value as number) >= 0 && (value as number) <= max;
 }
--- a/packages/statements/src/statement-order.ts
+++ b/packages/statements/src/statement-order.ts
@@ -56,6 +56,8 @@
     /** No connection became free in time. */
     NoConnection: "noConnection",
     Unreachable: "unreachable",
+    /** The endpoint has been leaving for too long to get new work. */
+    Leaving: "leaving",
     /** The process with the connection may not use the endpoint as the primary now. */
     NoLease: "noLease",
     /** The connection of the caller's transaction was lost, which ended the transaction. */
