Store that an endpoint leaves before it is acknowledged

A control host acknowledged that an endpoint leaves and wrote it to its file up to 200 ms later, by a rename whose folder was not synced; if all hosts lost power in between, they started with the endpoint as active until its next heartbeat. The file did not tell its age, so a restart of the control hosts gave a leaving primary its whole time to serve once more. Found by reading.

The file tells when it was written, and the time for which an endpoint has been leaving goes on while the host is down.

--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -28,7 +28,7 @@
 import type { ConfigurationReader, ControlService, PromotionAuthority } from "./ports.js";
 import { PromotionAnnouncer } from "./promotion-announcer.js";
 import { PromotionManager } from "./promotion-manager.js";
-import { SavedStateFile } from "./saved-state-file.js";
+import { type SavedState, SavedStateFile } from "./saved-state-file.js";
 import { usableRecords } from "./usable-records.js";
 
 /** Interval of the leader's periodic work and of the retries of requests to the leader. */
@@ -101,6 +101,8 @@
     /** The newest configuration known to be committed, from the group's log or from before a restart. */
     #configuration: ConfigurationChange | undefined;
     readonly #entries = new Map<string, KnownEntryHost>();
+    /** Endpoints that leave or have left, by id, as long as the file may not tell it. */
+    readonly #unsavedDepartures = new Map<string, EndpointState>();
     #seeds: readonly string[];
     #timer: NodeJS.Timeout | undefined;
     #joinRequestedAt = Number.NEGATIVE_INFINITY;
@@ -209,23 +211,40 @@
 
     /** Loads the state from before a restart; newer state replaces it later. */
     async #loadState(): Promise<void> {
-        const { configuration, records, orders } = await this.#savedStateFile.load();
+        const { configuration, records, orders, savedAt } = await this.#savedStateFile.load();
         this.#configuration = configuration;
         const { clock, log } = this.#options;
+        const storedMs = Math.max(0, clock.wallClock() - (savedAt ?? clock.wallClock()));
         for (const record of usableRecords(records, "file", clock.wallClock(), log)) {
-            this.#directory.merge(record, clock.now());
+            this.#directory.merge({ ...record, leavingMs: (record.leavingMs ?? 0) + storedMs }, clock.now());
         }
         for (const order of orders) {
             this.#directory.order(order);
         }
     }
 
-    #saveState(): void {
-        this.#savedStateFile.save(() => ({
+    #savedState(): SavedState {
+        const { clock } = this.#options;
+        return {
             configuration: this.#configuration,
-            records: this.#directory.records(this.#options.clock.now()),
+            records: this.#directory.records(clock.now()),
             orders: this.#directory.orders(),
-        }));
+            savedAt: clock.wallClock(),
+        };
+    }
+
+    /** @param isUrgent whether a caller waits for the write; resolves to false when it fails */
+    #saveState(isUrgent = false): Promise<boolean> {
+        return this.#savedStateFile.save(() => this.#savedState(), isUrgent);
+    }
+
+    /** Stores that an endpoint leaves or has left. Resolves to false when that fails. */
+    async #saveDeparture({ id, state }: EndpointRecord, isUrgent: boolean): Promise<boolean> {
+        const isStored = await this.#saveState(isUrgent);
+        if (isStored && this.#unsavedDepartures.get(id) === state) {
+            this.#unsavedDepartures.delete(id);
+        }
+        return isStored;
     }
 
     async stop(): Promise<void> {
@@ -240,20 +259,35 @@
         this.#updateLinks();
     }
 
-    /** Handles an endpoint's announcement of itself; a changed one is sent on to all linked hosts. */
-    announce(record: EndpointRecord): void {
+    /**
+     * Handles an endpoint's announcement of itself; a changed one is sent on to all linked hosts. A departure is stored
+     * before it is acknowledged, since the endpoint relies on getting no new work later, also if all hosts lose power.
+     */
+    async announce(record: EndpointRecord): Promise<boolean> {
         if (this.#directory.merge(record, this.#options.clock.now()) === "changed") {
             this.#options.log.event("endpointAnnounced", announcedFields(record));
             this.#sendRecords([record], this.#links.connected());
-            this.#saveState();
+            this.#recordChanged(record);
         }
+        return !this.#unsavedDepartures.has(record.id) || this.#saveDeparture(record, true);
     }
 
     /** Handles the message of an endpoint that it leaves now. */
-    left(id: string): void {
+    async left(id: string): Promise<boolean> {
         const record = this.#directory.record(id);
-        if (record !== undefined) {
-            this.announce({ ...record, sequence: record.sequence + 1, state: EndpointState.Left });
+        return record === undefined
+            || this.announce({ ...record, sequence: record.sequence + 1, state: EndpointState.Left });
+    }
+
+    #recordChanged(record: EndpointRecord): void {
+        const { id, state } = record;
+        if (state === EndpointState.Active) {
+            this.#unsavedDepartures.delete(id);
+            void this.#saveState();
+        }
+        else {
+            this.#unsavedDepartures.set(id, state);
+            void this.#saveDeparture(record, false);
         }
     }
 
@@ -418,9 +452,7 @@
         const { clock, log } = this.#options;
         const news = usableRecords(records, from.id, clock.wallClock(), log)
             .filter(record => this.#directory.merge(record, clock.now()) === "changed");
-        if (news.length > 0) {
-            this.#saveState();
-        }
+        news.forEach(record => this.#recordChanged(record));
         this.#sendRecords(news, this.#connectedEntries().filter(host => host.id !== from.id));
     }
 
@@ -459,7 +491,7 @@
             return;
         }
         this.#configuration = change;
-        this.#saveState();
+        void this.#saveState();
         this.#options.log.event("configurationInForce", { number });
         this.#links.sendAll(this.#connectedEntries(), { kind: "configurationOffer", number });
     }
--- a/packages/fleet/src/ports.ts
+++ b/packages/fleet/src/ports.ts
@@ -31,10 +31,10 @@
 
 /** Calls of endpoints and operators to a control host. */
 export interface ControlService {
-    /** Handles an endpoint's announcement of itself. */
-    announce(record: EndpointRecord): void;
-    /** Handles the message of an endpoint that it leaves now. */
-    left(id: string): void;
+    /** Handles an endpoint's announcement of itself. Resolves to true once the announcement may be acknowledged. */
+    announce(record: EndpointRecord): Promise<boolean>;
+    /** Handles the message of an endpoint that it leaves now. Resolves as `announce` does. */
+    left(id: string): Promise<boolean>;
     /** Proposes a configuration to the control group. */
     propose(change: ConfigurationChange): Promise<ChangeResult>;
     /** Reads the newest committed configuration. */
--- a/packages/fleet/src/saved-state-file.ts
+++ b/packages/fleet/src/saved-state-file.ts
@@ -1,3 +1,4 @@
+import { nodeFileSystem } from "@medlarledge/agreement";
 import {
     type ConfigurationChange,
     type EndpointRecord,
@@ -15,12 +16,21 @@
 /** Delay before a failed write is repeated. */
 const RETRY_DELAY_MS = 1_000;
 
+/** A state to write, and the callers that wait until it is written. */
+interface PendingWrite {
+    readonly state: () => SavedState;
+    readonly waiters: readonly ((isWritten: boolean) => void)[];
+    readonly isUrgent: boolean;
+}
+
 /** State that a control host saves, so that it can send it to entry hosts right after a restart. */
 export interface SavedState {
     /** The newest configuration that this host knows to be committed. */
     readonly configuration: ConfigurationChange | undefined;
     readonly records: readonly EndpointRecord[];
     readonly orders: readonly PromotionOrder[];
+    /** Time of the write in ms since 1970, by the clock of this host; undefined in a file of an earlier version. */
+    readonly savedAt?: number | undefined;
 }
 
 const EMPTY_STATE: SavedState = { configuration: undefined, records: [], orders: [] };
@@ -32,8 +42,9 @@
 export class SavedStateFile {
     readonly #folder: string;
     readonly #onFailure: (reason: string) => void;
-    #pending: (() => SavedState) | undefined;
-    #isScheduled = false;
+    #pending: PendingWrite | undefined;
+    #timer: NodeJS.Timeout | undefined;
+    #isWriting = false;
 
     constructor(folder: string, failed: (reason: string) => void) {
         this.#folder = folder;
@@ -63,28 +74,44 @@
 
     /**
      * Schedules a write of the state that `state` then returns, and repeats it until it succeeds. A slow or full disk
-     * delays nothing else.
+     * delays nothing else. Resolves to false when the first such write fails.
+     * @param isUrgent whether a caller waits, so that the write is not delayed
      */
-    save(state: () => SavedState): void {
-        this.#pending = state;
-        if (!this.#isScheduled) {
-            this.#isScheduled = true;
-            setTimeout(() => void this.#writePending(), WRITE_DELAY_MS);
+    save(state: () => SavedState, isUrgent: boolean): Promise<boolean> {
+        return new Promise(resolve => {
+            const { waiters = [], isUrgent: wasUrgent = false } = this.#pending ?? {};
+            this.#pending = { state, waiters: [...waiters, resolve], isUrgent: isUrgent || wasUrgent };
+            this.#schedule(this.#pending.isUrgent ? 0 : WRITE_DELAY_MS);
+        });
+    }
+
+    /** Starts a write after the delay, or earlier if one is scheduled earlier; none starts while another one runs. */
+    #schedule(delayMs: number): void {
+        if (this.#isWriting || (this.#timer !== undefined && delayMs > 0)) {
+            return;
         }
+        clearTimeout(this.#timer);
+        this.#timer = setTimeout(() => void this.#writePending(), delayMs);
     }
 
     async #writePending(): Promise<void> {
+        this.#timer = undefined;
         const pending = this.#pending;
-        this.#pending = undefined;
         if (pending === undefined) {
-            this.#isScheduled = false;
             return;
         }
-        const isWritten = await this.#write(pending());
+        this.#pending = undefined;
+        this.#isWriting = true;
+        const isWritten = await this.#write(pending.state());
+        this.#isWriting = false;
+        pending.waiters.forEach(done => done(isWritten));
         if (!isWritten) {
-            this.#pending ??= pending;
+            this.#pending ??= { state: pending.state, waiters: [], isUrgent: false };
+        }
+        const { isUrgent } = this.#pending ?? {};
+        if (isUrgent !== undefined) {
+            this.#schedule(isUrgent ? 0 : isWritten ? WRITE_DELAY_MS : RETRY_DELAY_MS);
         }
-        setTimeout(() => void this.#writePending(), isWritten ? WRITE_DELAY_MS : RETRY_DELAY_MS);
     }
 
     async #write(state: SavedState): Promise<boolean> {
@@ -93,6 +120,7 @@
             await mkdir(this.#folder, { recursive: true });
             await writeSynced(`${path}.tmp`, JSON.stringify(state));
             await rename(`${path}.tmp`, path);
+            await nodeFileSystem.syncFolder(this.#folder);
             return true;
         }
         catch (error) {
@@ -117,6 +145,7 @@
 function isSavedState(value: unknown): value is SavedState {
     return typeof value === "object" && value !== null && "records" in value && Array.isArray(value.records)
         && "orders" in value && Array.isArray(value.orders)
+        && (!("savedAt" in value) || Number.isFinite(value.savedAt))
         && (!("configuration" in value) || isConfigurationChange(value.configuration));
 }
 
--- a/packages/fleet/tests/saved-state-file.test.ts
+++ b/packages/fleet/tests/saved-state-file.test.ts
@@ -14,7 +14,7 @@
 test("the state that was saved before a restart is loaded after it", async () => {
     const folder = await mkdtemp(join(tmpdir(), "medlarledge-"));
     const file = new SavedStateFile(folder, reason => expect.fail(reason));
-    file.save(() => STATE);
+    void file.save(() => STATE, false);
     await vi.waitUntil(async () => (await readdir(folder)).includes("last-known.json"), { timeout: 5_000 });
     const read = await new SavedStateFile(folder, reason => expect.fail(reason)).load();
     expect(read).toEqual(STATE);
@@ -51,7 +51,7 @@
     await writeFile(folder, "a file where the folder should be");
     const reasons: string[] = [];
     const file = new SavedStateFile(folder, reason => reasons.push(reason));
-    file.save(() => STATE);
+    void file.save(() => STATE, false);
     await vi.waitUntil(() => reasons.length > 0, { timeout: 5_000 });
     await rm(folder);
     await vi.waitUntil(async () => (await readdir(parent)).includes("data"), { timeout: 5_000 });
