--- a/scripts/check.mjs
+++ b/scripts/check.mjs
@@ -23,6 +23,11 @@
     ["tests", "npx", vitestArguments(reportFile, [], `^(?!(?:${knownRedPattern()})$)`)],
     // The real programs under a short series of faults; longer series with fresh seeds are run by hand.
     ["soak", process.execPath, ["scripts/soak.mjs", "--seeds", "7", "--seconds", "8", "--network", "100"]],
+    [
+        "soak of departures",
+        process.execPath,
+        ["scripts/soak.mjs", "--series", "departures", "--seeds", "3", "--seconds", "20", "--network", "100"],
+    ],
 ];
 
 let failed = false;
@@ -32,7 +37,7 @@
         continue;
     }
     const startedAt = Date.now();
-    const isSoak = name === "soak";
+    const isSoak = name.startsWith("soak");
     const result = spawnSync(command, args, { stdio: isSoak ? ["inherit", "pipe", "inherit"] : "inherit" });
     const output = String(result.stdout ?? "");
     process.stdout.write(output);
