Log by which lists and offers an entry host acts

Cause: the logs of the configuration incident cannot tell whether an entry host that was behind had a list of control hosts that are gone, was never offered the newer configuration, or did not get it.

Change: hostsChanged names the sender of the list and the control hosts in it; configurationOffered tells when a control host names a higher number than any before, and what is in force then. No change of logic.

--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -121,7 +121,7 @@
         freshnessAnswer: message => this.#freshnessAnswered(message),
         leaseGranted: message => this.#lease?.granted(message),
         tokenGrant: message => this.#limits?.granted(message),
-        hostList: message => this.#hostsReceived(message),
+        hostList: (message, from) => this.#hostsReceived(message, from),
         configurationOffer: (message, from) => this.#offeredBy(from, message.number),
         configurationUpdate: (message, from) => this.#configure(message, from),
         primaryCheck: message => void this.#reportPrimary(message),
@@ -375,7 +375,7 @@
         }
     }
 
-    #hostsReceived({ term, leader, control, entries }: MessageOf<"hostList">): void {
+    #hostsReceived({ term, leader, control, entries }: MessageOf<"hostList">, from: Host): void {
         if (term < this.#listTerm || control.length === 0) {
             return;
         }
@@ -387,8 +387,13 @@
         this.#contacts.retainControlHosts(control);
         this.#plans.hostsChanged(entries ?? this.#plans.entries);
         this.#limits?.hostsChanged();
-        const counts = { control: control.length, entries: this.#plans.entries.length };
-        this.#options.log.event("hostsChanged", { term, leader: this.#leader, ...counts });
+        this.#options.log.event("hostsChanged", {
+            from: from.id,
+            term,
+            leader: this.#leader,
+            control,
+            entries: this.#plans.entries.length,
+        });
         this.#updateLinks();
         if (this.#leader !== formerLeader || term !== formerTerm) {
             this.#leaderChanged();
@@ -488,6 +493,10 @@
     }
 
     #offeredBy(host: Host, number: number): void {
+        if (number > this.#configurationRequests.newest) {
+            const inForce = this.#gateway.routing.number;
+            this.#options.log.event("configurationOffered", { peer: host.id, number, inForce });
+        }
         this.#configurationRequests.offered(host.id, number);
         this.#requestConfiguration();
     }
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -20,6 +20,10 @@
     leaseLost: { level: "warn", meaning: "This host may not acknowledge writes at present." },
     leaseRegained: { level: "info", meaning: "This host may acknowledge writes again." },
     configurationInForce: { level: "info", meaning: "A configuration took effect on this host." },
+    configurationOffered: {
+        level: "info",
+        meaning: "A control host told this host of a newer configuration than any that it had heard of.",
+    },
     configurationOutdated: {
         level: "info",
         meaning: "A control host sent an older configuration than another one has; its disk or links may be at fault.",
@@ -72,7 +76,11 @@
         meaning: "Operations of a customer were refused: the first one, or the `refused` ones of the last second.",
     },
     limitLedgerStarted: { level: "info", meaning: "This host leads and grants the operations of customers' limits." },
-    hostsChanged: { level: "info", meaning: "The list of hosts changed, and with it the shares of connections." },
+    hostsChanged: {
+        level: "info",
+        meaning:
+            "The list of hosts changed, and with it the shares of connections; `from` sent it, `control` names the control hosts.",
+    },
     primaryOrdered: { level: "info", meaning: "News of an order that makes an endpoint the primary." },
     promotionChoosing: { level: "warn", meaning: "A primary is to be replaced; the other endpoints are asked." },
     promotionWaits: {
