Keep a list of hosts until a list with newer members replaces it

Callers would see: an entry host that has given up the present control hosts and serves an older configuration (CONFIG), after a member of the control group that was behind had sent its list in the same term.

Cause: an entry host took any list whose term is not lower.

Change: a list carries the index of the log entry from which its sender has the members. A list with a lower index is ignored, unless the leader of a term that is not older sent it. The choice of control hosts moves from EntryHost into ControlContacts, which needs no network.

--- a/packages/agreement/src/consensus-member.ts
+++ b/packages/agreement/src/consensus-member.ts
@@ -115,6 +115,11 @@
     get members(): Members {
         return this.#state.log.members;
     }
+
+    /** Index of the entry that set the latest members, or of the snapshot that holds them. */
+    get membersIndex(): number {
+        return this.#state.log.membersIndex;
+    }
 }
 
 function start(state: ConsensusState, recovered: RecoveredState, now: number): void {
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -523,9 +523,9 @@
     }
 
     #hostList(): MessageOf<"hostList"> {
-        const { leader, term, hosts, isLeader } = this.#member;
+        const { leader, term, hosts, hostsIndex: index, isLeader } = this.#member;
         const entries = isLeader ? this.#placements() : undefined;
-        return { kind: "hostList", term, leader, control: hosts, entries };
+        return { kind: "hostList", term, index, leader, control: hosts, entries };
     }
 
     /** The known entry hosts, sorted so that the same hosts make the same list. */
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -15,6 +15,7 @@
 import { ConfigurationRequests } from "./configuration-requests.js";
 import { ConnectionPlans } from "./connection-plans.js";
 import { ContactMonitor } from "./contact-monitor.js";
+import { ControlContacts } from "./control-contacts.js";
 import { GatewayReporter } from "./gateway-reporter.js";
 import { LoopDelay, setGroupGauges } from "./gauges.js";
 import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
@@ -28,9 +29,6 @@
 /** Interval of the periodic work, such as reports to control and probes. */
 const TICK_MS = 50;
 
-/** Number of links to control hosts, including the leader, that an entry host keeps. */
-const CONTROL_LINKS = 3;
-
 /** Time in which the platform redirects new callers after a stop: two failed probes, a second apart, plus a margin. */
 const LEAVE_ROTATION_MS = 2_300;
 
@@ -94,10 +92,8 @@
     readonly #keyLease: KeyLeaseHolder | undefined;
     readonly #limits: HostLimits | undefined;
     readonly #configurationRequests = new ConfigurationRequests();
+    readonly #control: ControlContacts;
     #seeds: readonly string[];
-    #control: readonly string[] = [];
-    #leader: string | undefined;
-    #listTerm = 0;
     #timer: NodeJS.Timeout | undefined;
     #isStopping = false;
     /** Whether the lease had lapsed at the last check. */
@@ -133,6 +129,7 @@
 
     constructor(options: EntryHostOptions) {
         this.#options = options;
+        this.#control = new ControlContacts(options.random);
         this.#plans = new ConnectionPlans(options.self, options.clock.now());
         this.#contacts = new ContactMonitor({
             self: options.self,
@@ -158,7 +155,7 @@
             self,
             clock,
             revocationMs,
-            leader: () => this.#leader,
+            leader: () => this.#control.leader,
             control: () => this.#connectedControl(),
             send: (host, message) => this.#links.send(host, message),
             sendToOthers: message => this.#sendToOthers(message),
@@ -330,7 +327,7 @@
         }
         else if (event.kind === "connected") {
             this.#links.opened(event.host.id);
-            if (event.host.id === this.#leader) {
+            if (event.host.id === this.#control.leader) {
                 this.#leaderChanged();
             }
             if (event.host.control) {
@@ -375,27 +372,26 @@
         }
     }
 
-    #hostsReceived({ term, leader, control, entries }: MessageOf<"hostList">, from: Host): void {
-        if (term < this.#listTerm || control.length === 0) {
+    #hostsReceived(list: MessageOf<"hostList">, from: Host): void {
+        const { leader: formerLeader, term: formerTerm } = this.#control;
+        if (!this.#control.listed(list)) {
             return;
         }
-        const formerLeader = this.#leader;
-        const formerTerm = this.#listTerm;
-        this.#listTerm = term;
-        this.#control = control;
-        this.#leader = leader ?? this.#leader;
+        const { term, index, control, entries } = list;
+        const { leader } = this.#control;
         this.#contacts.retainControlHosts(control);
         this.#plans.hostsChanged(entries ?? this.#plans.entries);
         this.#limits?.hostsChanged();
         this.#options.log.event("hostsChanged", {
             from: from.id,
             term,
-            leader: this.#leader,
+            index,
+            leader,
             control,
             entries: this.#plans.entries.length,
         });
         this.#updateLinks();
-        if (this.#leader !== formerLeader || term !== formerTerm) {
+        if (leader !== formerLeader || term !== formerTerm) {
             this.#leaderChanged();
         }
     }
@@ -406,26 +402,16 @@
         this.#limits?.leaderChanged();
     }
 
-    /** Keeps links to the leader and some other control hosts; to the seed hosts while no list of hosts is known. */
     #updateLinks(): void {
-        const known = [...this.#control].sort();
-        const rotation = known.length === 0 ? 0 : Math.floor(this.#options.random() * known.length);
-        const rotated = [...known.slice(rotation), ...known.slice(0, rotation)];
-        const connected = new Set(this.#connectedControl().map(host => host.id));
-        const leader = this.#leader !== undefined && known.includes(this.#leader) ? [this.#leader] : [];
-        const ordered = new Set([
-            ...leader,
-            ...rotated.filter(id => connected.has(id)),
-            ...rotated,
-        ]);
-        this.#links.keep(known.length === 0 ? this.#seeds : [...ordered].slice(0, CONTROL_LINKS));
+        const linked = new Set(this.#connectedControl().map(host => host.id));
+        this.#links.keep(this.#control.wanted(linked, this.#seeds));
     }
 
     #logLease(): void {
         const isLapsed = this.#lease?.isLapsed === true;
         if (isLapsed !== this.#wasLapsed) {
             this.#wasLapsed = isLapsed;
-            this.#options.log.event("leaseChanged", { isLapsed, leader: this.#leader });
+            this.#options.log.event("leaseChanged", { isLapsed, leader: this.#control.leader });
         }
     }
 
@@ -439,7 +425,11 @@
         if (acceptsKeys !== this.#acceptedKeys) {
             this.#acceptedKeys = acceptsKeys;
             const { number } = this.#gateway.routing;
-            this.#options.log.event("keyLeaseChanged", { acceptsKeys, configuration: number, leader: this.#leader });
+            this.#options.log.event("keyLeaseChanged", {
+                acceptsKeys,
+                configuration: number,
+                leader: this.#control.leader,
+            });
         }
         if (!acceptsKeys) {
             this.#gateway.closeIdleKeyedSessions(KEYS_LAPSED);
@@ -459,7 +449,8 @@
     }
 
     #sendToLeader(message: Message): boolean {
-        return this.#leader !== undefined && this.#links.send(this.#leader, message);
+        const { leader } = this.#control;
+        return leader !== undefined && this.#links.send(leader, message);
     }
 
     /** Sends a message to some random entry hosts; opens a link to one if there is none. */
--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -165,6 +165,11 @@
         return members === undefined ? [] : [...new Set([...members.voters, ...members.learners].map(hostOfMember))];
     }
 
+    /** Index of the log entry that set the voters and learners, or of a later snapshot with them. */
+    get hostsIndex(): number {
+        return this.#agreement?.membersIndex ?? 0;
+    }
+
     /** The newest configuration that this member knows to be committed. */
     get configuration(): ConfigurationChange | undefined {
         return this.#state.configuration();
--- a/packages/fleet/tests/host-list-schedule.test.ts
+++ b/packages/fleet/tests/host-list-schedule.test.ts
@@ -4,7 +4,7 @@
 
 function list(entries: number, leader = "c1"): HostList {
     const placements = Array.from({ length: entries }, (_, index) => ({ id: `h${index}`, dataCentre: "d1" }));
-    return { kind: "hostList", term: 1, leader, control: ["c1", "c2"], entries: placements };
+    return { kind: "hostList", term: 1, index: 1, leader, control: ["c1", "c2"], entries: placements };
 }
 
 // Pattern: 38 hosts join one after the other. Guards against a list to all hosts for each of them.
--- a/packages/fleet/tests/odd-records.test.ts
+++ b/packages/fleet/tests/odd-records.test.ts
@@ -84,7 +84,7 @@
     const records = [...ODD_RECORDS, RECORD] as unknown as readonly EndpointRecord[];
     peer.mesh.send(id, { kind: "endpointRecords", records });
     const entries = [{ id, dataCentre: "ams" }];
-    peer.mesh.send(id, { kind: "hostList", term: 1, leader: peer.self.id, control: [peer.self.id], entries });
+    peer.mesh.send(id, { kind: "hostList", term: 1, index: 1, leader: peer.self.id, control: [peer.self.id], entries });
     await expect.poll(() => [...connector.tried], { timeout: 5_000 }).toEqual(["good"]);
     expect(refusals).toEqual([expect.objectContaining({ source: peer.self.id, refused: ODD_RECORDS.length })]);
 });
--- a/packages/protocol/src/fleet-message.ts
+++ b/packages/protocol/src/fleet-message.ts
@@ -17,8 +17,10 @@
 /** Control host to entry hosts and other control hosts: the hosts of the system. */
 export interface HostList {
     readonly kind: "hostList";
-    /** Consensus term of the sender; a list with a higher term is newer. */
+    /** Consensus term of the sender. */
     readonly term: number;
+    /** Index of the log entry from which the sender has the control hosts; in a list with a higher one they are newer. */
+    readonly index: number;
     readonly leader: string | undefined;
     /** Ids of the control hosts. */
     readonly control: readonly string[];
--- a/packages/runtime/src/consensus-task.ts
+++ b/packages/runtime/src/consensus-task.ts
@@ -80,6 +80,11 @@
         return this.#member.members;
     }
 
+    /** Index of the entry that set the latest members, or of the snapshot that holds them. */
+    get membersIndex(): number {
+        return this.#member.membersIndex;
+    }
+
     /** Index of the last entry that this member knows to be committed. */
     get commitIndex(): number {
         return this.#member.commitIndex;
