Look for other control hosts while none confirms the configuration

Cause: an entry host that was cut off or stood still while all control hosts were replaced kept links to three hosts of its last list and dialed only these, for ever. Seeds were asked only while no list was known, also those of changed settings. Nothing told the host that it was behind: a control host named the number of its configuration once.

Change: a control host that has heard from the leader within an election timeout and has applied what was committed by then confirms its number to the linked entry hosts every second. An entry host without a confirmation for 1.5 s dials all control hosts that it knows and the seeds, and asks other entry hosts for their list of hosts. It logs this, with its links.

--- a/packages/agreement/src/consensus-member.ts
+++ b/packages/agreement/src/consensus-member.ts
@@ -120,6 +120,19 @@
     get membersIndex(): number {
         return this.#state.log.membersIndex;
     }
+
+    /**
+     * True if this member has applied all that was committed when it last heard from the leader, or from a quorum if it
+     * leads, at most an election timeout before `now`.
+     */
+    isCurrent(now: number): boolean {
+        const { role, leader, leaderContactAt, leaderCommitIndex, commitIndex, appliedIndex, options } = this.#state;
+        if (role === "leader") {
+            return now - this.quorumContactAt(now) <= options.electionMs && appliedIndex >= commitIndex;
+        }
+        return leader !== undefined && now - leaderContactAt <= options.electionMs
+            && appliedIndex >= leaderCommitIndex;
+    }
 }
 
 function start(state: ConsensusState, recovered: RecoveredState, now: number): void {
--- a/packages/agreement/src/consensus-state.ts
+++ b/packages/agreement/src/consensus-state.ts
@@ -68,6 +68,8 @@
     electedAt = 0;
     electionDeadline = 0;
     commitIndex = 0;
+    /** Commit index of the leader as of its last append; infinite until the present leader has sent one. */
+    leaderCommitIndex = Number.POSITIVE_INFINITY;
     appliedIndex = 0;
     /** The log up to here is durable on this member. */
     persistedIndex = 0;
--- a/packages/agreement/src/replication.ts
+++ b/packages/agreement/src/replication.ts
@@ -119,6 +119,7 @@
         replyTo(state, from, message, false, 0);
         return;
     }
+    state.leaderCommitIndex = message.commitIndex;
     if (!matchesPrevious(state, message)) {
         replyTo(state, from, message, false, nextIndexHint(state, message.previousIndex));
         return;
@@ -137,7 +138,10 @@
     if (term > state.term || state.role !== "follower") {
         becomeFollower(state, term, now);
     }
-    state.leader = from;
+    if (state.leader !== from) {
+        state.leader = from;
+        state.leaderCommitIndex = Number.POSITIVE_INFINITY;
+    }
     state.leaderContactAt = now;
     state.resetElectionDeadline(now);
     return true;
--- a/packages/agreement/tests/consensus-member.test.ts
+++ b/packages/agreement/tests/consensus-member.test.ts
@@ -36,6 +36,10 @@
         return this.#member.caughtUpLearners(this.now);
     }
 
+    get isCurrent(): boolean {
+        return this.#member.isCurrent(this.now);
+    }
+
     handle(event: Parameters<ConsensusMember["handle"]>[0]): void {
         for (const effect of this.#member.handle(event, this.now)) {
             this.effects.push(effect);
@@ -394,3 +398,43 @@
     member.advance(1_200);
     expect(member.takeSent("preVote")).toEqual([]);
 });
+
+// Guards against a follower that lags, or has no contact to the leader, and passes its state for the newest.
+test("a follower is current while it hears from the leader and has applied what that one had committed", () => {
+    const member = new Member();
+    expect(member.isCurrent).toBe(false);
+    member.receive("b", append(1, { entries: [entry(1, 1)], commitIndex: 2 }));
+    expect(member.isCurrent).toBe(false);
+    member.receive("b", append(1, { previousIndex: 1, previousTerm: 1, entries: [entry(2, 1)], commitIndex: 2 }));
+    expect(member.isCurrent).toBe(true);
+    member.isSlow = true;
+    member.receive("b", append(1, { previousIndex: 2, previousTerm: 1, entries: [entry(3, 1)], commitIndex: 3 }));
+    expect(member.isCurrent).toBe(false);
+    member.sync();
+    expect(member.isCurrent).toBe(true);
+    member.now += OPTIONS.electionMs + 1;
+    expect(member.isCurrent).toBe(false);
+    // A new leader has not yet told how far it has committed.
+    member.receive("c", {
+        kind: "snapshotChunk",
+        term: 2,
+        lastIndex: 9,
+        lastTerm: 1,
+        members: MEMBERS,
+        offset: 0,
+        data: new Uint8Array(1),
+        done: false,
+        sentAt: 0,
+    });
+    expect(member.isCurrent).toBe(false);
+});
+
+// Guards against a leader that others have replaced and that passes its state for the newest.
+test("a leader is current while a quorum answers it and it has applied what it committed", () => {
+    const member = new Member();
+    member.becomeLeader();
+    member.acknowledge("b", 1);
+    expect(member.isCurrent).toBe(true);
+    member.now += OPTIONS.electionMs + 1;
+    expect(member.isCurrent).toBe(false);
+});
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -34,6 +34,9 @@
 /** Interval of the leader's periodic work and of the retries of requests to the leader. */
 const TICK_MS = 50;
 
+/** Interval at which a host that is current confirms the number of its configuration to the linked entry hosts. */
+const CONFIRMATION_INTERVAL_MS = 1_000;
+
 /** Interval at which a host that knows no leader requests membership. */
 const JOIN_INTERVAL_MS = 300;
 
@@ -106,6 +109,7 @@
     #seeds: readonly string[];
     #timer: NodeJS.Timeout | undefined;
     #joinRequestedAt = Number.NEGATIVE_INFINITY;
+    #confirmationSentAt = Number.NEGATIVE_INFINITY;
 
     readonly #handlers: Handlers = {
         agreement: message => this.#member.receive(message),
@@ -376,6 +380,7 @@
         this.#limits?.tick();
         this.#forgetEntries(now);
         this.#sendHostList(now);
+        this.#confirmConfiguration(now);
     }
 
     #requestMembership(): void {
@@ -436,8 +441,8 @@
         this.#sendRecords(this.#directory.records(this.#options.clock.now()), [host]);
         this.#links.send(host.id, { kind: "primaryOrders", orders: this.#directory.orders() });
         this.#links.send(host.id, this.#hostList());
-        if (this.#configuration !== undefined && !host.control) {
-            this.#links.send(host.id, { kind: "configurationOffer", number: this.#configuration.number });
+        if (!host.control) {
+            this.#links.send(host.id, this.#configurationOffer());
         }
     }
 
@@ -493,7 +498,23 @@
         this.#configuration = change;
         void this.#saveState();
         this.#options.log.event("configurationInForce", { number });
-        this.#links.sendAll(this.#connectedEntries(), { kind: "configurationOffer", number });
+        this.#links.sendAll(this.#connectedEntries(), this.#configurationOffer());
+    }
+
+    #configurationOffer(): MessageOf<"configurationOffer"> {
+        const number = this.#configuration?.number ?? 0;
+        return { kind: "configurationOffer", number, isCurrent: this.#member.isCurrent };
+    }
+
+    /**
+     * Tells the linked entry hosts at intervals that their configuration is the newest, or that it is not. An entry host
+     * that hears this from no one looks for other control hosts.
+     */
+    #confirmConfiguration(now: number): void {
+        if (now - this.#confirmationSentAt >= CONFIRMATION_INTERVAL_MS && this.#member.isCurrent) {
+            this.#confirmationSentAt = now;
+            this.#links.sendAll(this.#connectedEntries(), this.#configurationOffer());
+        }
     }
 
     #sendConfiguration(to: string): void {
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -94,6 +94,8 @@
     readonly #configurationRequests = new ConfigurationRequests();
     readonly #control: ControlContacts;
     #seeds: readonly string[];
+    /** Whether the configuration counted as confirmed at the last check. */
+    #wasConfirmed = false;
     #timer: NodeJS.Timeout | undefined;
     #isStopping = false;
     /** Whether the lease had lapsed at the last check. */
@@ -118,7 +120,8 @@
         leaseGranted: message => this.#lease?.granted(message),
         tokenGrant: message => this.#limits?.granted(message),
         hostList: (message, from) => this.#hostsReceived(message, from),
-        configurationOffer: (message, from) => this.#offeredBy(from, message.number),
+        hostListWanted: (_, from) => this.#forwardHostList(from),
+        configurationOffer: (message, from) => this.#offeredBy(from, message),
         configurationUpdate: (message, from) => this.#configure(message, from),
         primaryCheck: message => void this.#reportPrimary(message),
         relayOrder: (message, from) => this.#gateway.relayMessageReceived(from.id, message),
@@ -306,6 +309,7 @@
         }
         this.#closeSessionsWhenNotReady(now);
         this.#requestConfiguration();
+        this.#checkConfirmation(now);
     }
 
     #closeSessionsWhenNotReady(now: number): void {
@@ -374,7 +378,7 @@
 
     #hostsReceived(list: MessageOf<"hostList">, from: Host): void {
         const { leader: formerLeader, term: formerTerm } = this.#control;
-        if (!this.#control.listed(list)) {
+        if (!this.#control.listed(list, this.#options.clock.now())) {
             return;
         }
         const { term, index, control, entries } = list;
@@ -396,6 +400,13 @@
         }
     }
 
+    #forwardHostList(to: Host): void {
+        const list = this.#control.listToForward(this.#options.clock.now());
+        if (list !== undefined) {
+            this.#links.send(to.id, list);
+        }
+    }
+
     #leaderChanged(): void {
         this.#lease?.leaderChanged();
         this.#keyLease?.requestNow();
@@ -404,7 +415,25 @@
 
     #updateLinks(): void {
         const linked = new Set(this.#connectedControl().map(host => host.id));
-        this.#links.keep(this.#control.wanted(linked, this.#seeds));
+        this.#links.keep(this.#control.wanted(linked, this.#seeds, this.#options.clock.now()));
+    }
+
+    /** Looks for other control hosts while none confirms that the configuration in force is the newest. */
+    #checkConfirmation(now: number): void {
+        const isConfirmed = this.#control.isConfirmed(now);
+        if (isConfirmed !== this.#wasConfirmed) {
+            this.#wasConfirmed = isConfirmed;
+            this.#options.log.event("confirmationChanged", {
+                isConfirmed,
+                configuration: this.#gateway.routing.number,
+                leader: this.#control.leader,
+                linked: this.#connectedControl().map(host => host.id),
+            });
+            this.#updateLinks();
+        }
+        if (this.#control.mustRequestList(now)) {
+            this.#sendToOthers({ kind: "hostListWanted" });
+        }
     }
 
     #logLease(): void {
@@ -483,7 +512,10 @@
         return this.#links.connected().filter(host => host.control);
     }
 
-    #offeredBy(host: Host, number: number): void {
+    #offeredBy(host: Host, { number, isCurrent }: MessageOf<"configurationOffer">): void {
+        if (isCurrent) {
+            this.#control.confirmed(this.#options.clock.now());
+        }
         if (number > this.#configurationRequests.newest) {
             const inForce = this.#gateway.routing.number;
             this.#options.log.event("configurationOffered", { peer: host.id, number, inForce });
--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -170,6 +170,14 @@
         return this.#agreement?.membersIndex ?? 0;
     }
 
+    /**
+     * True while this member has applied what was committed when it last heard from the leader, a moment ago. A leader
+     * has to have applied what earlier leaders committed.
+     */
+    get isCurrent(): boolean {
+        return this.#agreement?.isCurrent === true && (this.#role.role !== "leader" || this.isLeader);
+    }
+
     /** The newest configuration that this member knows to be committed. */
     get configuration(): ConfigurationChange | undefined {
         return this.#state.configuration();
--- a/packages/fleet/tests/departures.test.ts
+++ b/packages/fleet/tests/departures.test.ts
@@ -1,12 +1,11 @@
 import { type EndpointRecord, EndpointRole, EndpointState } from "@medlarledge/protocol";
-import { type MeshEvent, SYSTEM_CLOCK } from "@medlarledge/runtime";
-import { MetricsPage, SILENT_LOG } from "@medlarledge/telemetry";
+import type { MeshEvent } from "@medlarledge/runtime";
+import { SILENT_LOG } from "@medlarledge/telemetry";
 import { mkdir, mkdtemp, readFile, rmdir, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { expect, test } from "vitest";
-import { ControlHost, PromotionOutcome } from "../src/index.js";
-import { cleanUp, newHost, startPeer } from "./linked-hosts.js";
+import { startControlHost, startPeer } from "./linked-hosts.js";
 
 const RECORD: EndpointRecord = {
     id: "i-1",
@@ -21,28 +20,6 @@
     role: EndpointRole.Replica,
 };
 
-async function startControlHost(dataFolder: string) {
-    const self = await newHost(true);
-    const host = new ControlHost({
-        self,
-        name: "control",
-        dataFolder,
-        seeds: [self.id],
-        initialMembers: [self.id],
-        clock: SYSTEM_CLOCK,
-        log: SILENT_LOG,
-        meter: new MetricsPage(),
-        connector: { connect: () => Promise.resolve({ ok: false, failure: { kind: "refused", reason: "" } }) },
-        configurations: { validate: () => [], routing: () => expect.fail("there is no configuration") },
-        authority: { promote: () => Promise.resolve(PromotionOutcome.Unknown) },
-        primariesStepDown: true,
-        limitAccuracy: undefined,
-    });
-    expect(await host.start()).toBeUndefined();
-    cleanUp(() => host.stop());
-    return { host, self };
-}
-
 async function savedRecords(dataFolder: string): Promise<readonly EndpointRecord[]> {
     const text = await readFile(join(dataFolder, "last-known.json"), "utf8");
     return (JSON.parse(text) as { readonly records: readonly EndpointRecord[]; }).records;
--- a/packages/fleet/tests/lagging-control-host.test.ts
+++ b/packages/fleet/tests/lagging-control-host.test.ts
@@ -1,27 +1,11 @@
-import type { ConfigurationChange, Message } from "@medlarledge/protocol";
+import type { Message } from "@medlarledge/protocol";
 import { type MeshEvent, SYSTEM_CLOCK } from "@medlarledge/runtime";
 import { SILENT_LOG } from "@medlarledge/telemetry";
 import { expect, test } from "vitest";
-import type { ConfigurationReader } from "../src/index.js";
-import { createEntryHost, startPeer } from "./linked-hosts.js";
-
-const CONFIGURATIONS: ConfigurationReader = {
-    validate: () => [],
-    routing: ({ number }) => ({
-        number,
-        routes: new Map(),
-        groups: new Map(),
-        customers: undefined,
-        transactionIdleMs: 3_000,
-    }),
-};
-
-function change(number: number): ConfigurationChange {
-    return { number, digest: `d${number}`, operator: "o", files: [] };
-}
+import { change, configurationLog, CONFIGURATIONS, createEntryHost, startPeer } from "./linked-hosts.js";
 
 /** A control host with a configuration, which it offers and sends. */
-async function startControl(number: number, offerAfterMs: number, answerAfterMs: number) {
+async function startLateControl(number: number, offerAfterMs: number, answerAfterMs: number) {
     const { mesh, self } = await startPeer(true, SILENT_LOG);
     let requestCount = 0;
     const sendLater = (to: string, message: Message, delayMs: number) => {
@@ -29,7 +13,7 @@
     };
     void mesh.events.observe((event: MeshEvent) => {
         if (event.kind === "connected") {
-            sendLater(event.host.id, { kind: "configurationOffer", number }, offerAfterMs);
+            sendLater(event.host.id, { kind: "configurationOffer", number, isCurrent: true }, offerAfterMs);
         }
         else if (event.kind === "message" && event.message.kind === "configurationWanted") {
             requestCount += 1;
@@ -43,16 +27,9 @@
 // that lags again and again, since it was the first one linked (CONFIG; docs/incidents/configuration-behind-a-stall.md).
 test("an entry host takes the configuration from a control host that has it while another one lags", async () => {
     // The newer configuration is offered while the answer of the host that lags is on its way.
-    const lagging = await startControl(1, 0, 300);
-    const current = await startControl(2, 150, 1);
-    const inForce: unknown[] = [];
-    const log = {
-        event: (name: string, fields = {}) => {
-            if (name === "configurationInForce") {
-                inForce.push((fields as { number?: unknown; }).number);
-            }
-        },
-    };
+    const lagging = await startLateControl(1, 0, 300);
+    const current = await startLateControl(2, 150, 1);
+    const { log, inForce } = configurationLog();
     const connector = { connect: () => Promise.reject(new Error("there are no endpoints")) };
     const host = await createEntryHost([lagging.id, current.id], CONFIGURATIONS, { log, connector });
     expect(await host.start()).toBeUndefined();
--- a/packages/fleet/tests/linked-hosts.ts
+++ b/packages/fleet/tests/linked-hosts.ts
@@ -1,10 +1,10 @@
-import type { Host } from "@medlarledge/protocol";
+import type { ConfigurationChange, Host, Message } from "@medlarledge/protocol";
 import { type MeshEvent, PeerMesh, SYSTEM_CLOCK } from "@medlarledge/runtime";
 import type { EndpointConnector } from "@medlarledge/statements";
-import { type Log, MetricsPage } from "@medlarledge/telemetry";
+import { type Log, MetricsPage, SILENT_LOG } from "@medlarledge/telemetry";
 import { afterEach, expect } from "vitest";
 import { freePort } from "../../runtime/tests/free-port.js";
-import { type ConfigurationReader, EntryHost } from "../src/index.js";
+import { type ConfigurationReader, ControlHost, EntryHost, PromotionOutcome } from "../src/index.js";
 
 const cleanUps: (() => Promise<void>)[] = [];
 
@@ -30,9 +30,58 @@
     };
 }
 
+/** Reads configurations without routes. */
+export const CONFIGURATIONS: ConfigurationReader = {
+    validate: () => [],
+    routing: ({ number }) => ({
+        number,
+        routes: new Map(),
+        groups: new Map(),
+        customers: undefined,
+        transactionIdleMs: 3_000,
+    }),
+};
+
+/** A configuration of which only the number matters. */
+export function change(number: number): ConfigurationChange {
+    return { number, digest: `d${number}`, operator: "o", files: [] };
+}
+
+/** A control host that sends `greeting` on each new link, and the configuration with this number to those who ask. */
+export async function startControl(
+    number: number,
+    { self, greeting }: { readonly self?: Host; readonly greeting: (self: Host) => readonly Message[]; },
+): Promise<{ mesh: PeerMesh; self: Host; }> {
+    const peer = await startPeer(true, SILENT_LOG, self);
+    void peer.mesh.events.observe((event: MeshEvent) => {
+        if (event.kind === "connected") {
+            greeting(peer.self).forEach(message => peer.mesh.send(event.host.id, message));
+        }
+        else if (event.kind === "message" && event.message.kind === "configurationWanted") {
+            peer.mesh.send(event.from.id, { kind: "configurationUpdate", change: change(number) });
+        }
+    });
+    return peer;
+}
+
+/** A log that keeps the numbers of the configurations that came into force. */
+export function configurationLog(): { readonly log: Log; readonly inForce: readonly unknown[]; } {
+    const inForce: unknown[] = [];
+    const event: Log["event"] = (name, fields) => {
+        if (name === "configurationInForce") {
+            inForce.push(fields?.["number"]);
+        }
+    };
+    return { log: { event }, inForce };
+}
+
 /** Another host, whose messages the test writes. */
-export async function startPeer(control: boolean, log: Log): Promise<{ mesh: PeerMesh; self: Host; }> {
-    const self = await newHost(control);
+export async function startPeer(
+    control: boolean,
+    log: Log,
+    host?: Host,
+): Promise<{ mesh: PeerMesh; self: Host; }> {
+    const self = host ?? await newHost(control);
     const mesh = new PeerMesh({ self, identity: undefined, clock: SYSTEM_CLOCK, log });
     expect(await mesh.listen()).toBeUndefined();
     cleanUp(() => mesh.close());
@@ -45,14 +94,37 @@
     });
 }
 
+/** A control host that is started; it is stopped after the test. */
+export async function startControlHost(dataFolder: string, others: readonly string[] = []) {
+    const self = await newHost(true);
+    const host = new ControlHost({
+        self,
+        name: "control",
+        dataFolder,
+        seeds: [self.id],
+        initialMembers: [self.id, ...others],
+        clock: SYSTEM_CLOCK,
+        log: SILENT_LOG,
+        meter: new MetricsPage(),
+        connector: { connect: () => Promise.resolve({ ok: false, failure: { kind: "refused", reason: "" } }) },
+        configurations: CONFIGURATIONS,
+        authority: { promote: () => Promise.resolve(PromotionOutcome.Unknown) },
+        primariesStepDown: true,
+        limitAccuracy: undefined,
+    });
+    expect(await host.start()).toBeUndefined();
+    cleanUp(() => host.stop());
+    return { host, self };
+}
+
 /** An entry host that is not started; it is stopped after the test. */
 export async function createEntryHost(
     seeds: readonly string[],
     configurations: ConfigurationReader,
-    { log, connector }: { readonly log: Log; readonly connector: EndpointConnector; },
+    { log, connector, self }: { readonly log: Log; readonly connector: EndpointConnector; readonly self?: Host; },
 ): Promise<EntryHost> {
     const host = new EntryHost({
-        self: await newHost(false),
+        self: self ?? await newHost(false),
         seeds,
         clock: SYSTEM_CLOCK,
         log,
--- a/packages/protocol/src/fleet-message.ts
+++ b/packages/protocol/src/fleet-message.ts
@@ -28,10 +28,17 @@
     readonly entries: readonly HostPlacement[] | undefined;
 }
 
-/** Control host to entry host: the number of the newest committed configuration. */
+/** Entry host to entry host: asks for its list of hosts. It answers only while it is itself confirmed. */
+export interface HostListRequest {
+    readonly kind: "hostListWanted";
+}
+
+/** Control host to entry host: the number of the newest configuration that it knows to be committed; 0 before the first. */
 export interface ConfigurationOffer {
     readonly kind: "configurationOffer";
     readonly number: number;
+    /** Whether the sender has just heard from the leader, or leads, and has applied all that was committed by then. */
+    readonly isCurrent: boolean;
 }
 
 /** Entry host to one control host: requests the configuration. */
@@ -108,6 +115,7 @@
     | EndpointRecords
     | PromotionOrders
     | HostList
+    | HostListRequest
     | ConfigurationOffer
     | ConfigurationRequest
     | PrimaryReport
--- a/packages/protocol/src/message-table.ts
+++ b/packages/protocol/src/message-table.ts
@@ -52,6 +52,7 @@
     tokenRequest: 35,
     tokenGrant: 36,
     relayCancel: 37,
+    hostListWanted: 38,
 } as const satisfies Record<MessageKind, number>;
 
 const KINDS_BY_ID: ReadonlyMap<number, MessageKind> = new Map(
--- a/packages/runtime/src/consensus-task.ts
+++ b/packages/runtime/src/consensus-task.ts
@@ -85,6 +85,11 @@
         return this.#member.membersIndex;
     }
 
+    /** True if this member had applied all that was committed when it last heard from the group, just before. */
+    get isCurrent(): boolean {
+        return this.#member.isCurrent(this.#options.clock.now());
+    }
+
     /** Index of the last entry that this member knows to be committed. */
     get commitIndex(): number {
         return this.#member.commitIndex;
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -24,6 +24,11 @@
         level: "info",
         meaning: "A control host told this host of a newer configuration than any that it had heard of.",
     },
+    confirmationChanged: {
+        level: "warn",
+        meaning:
+            "For 1.5 s no control host has confirmed that the configuration of this host is the newest, and others are looked for; or one does.",
+    },
     configurationOutdated: {
         level: "info",
         meaning: "A control host sent an older configuration than another one has; its disk or links may be at fault.",
