Log the callers who are refused because their database is unknown

Cause: in the incident the only trace of a host that was behind were the callers that it refused, and no line told of them or of the configuration by which they were refused.

Change: the event databaseUnknown names the database and the number of the configuration in force, at most five lines a second, since any caller can make up names.

Measured: the test of the reporter passes; no change of logic.

--- a/packages/fleet/src/gateway-reporter.ts
+++ b/packages/fleet/src/gateway-reporter.ts
@@ -7,6 +7,9 @@
 /** Log lines per database and second about refused keys; callers with a wrong key may retry in a loop. */
 const REFUSAL_LINES_PER_SECOND = 1;
 
+/** Log lines per second about callers of unknown databases; any caller can make up names. */
+const UNKNOWN_DATABASE_LINES_PER_SECOND = 5;
+
 type EventOf<K extends GatewayEvent["kind"]> = Extract<GatewayEvent, { kind: K; }>;
 type Handlers = { readonly [K in GatewayEvent["kind"]]: (event: EventOf<K>) => void; };
 
@@ -23,6 +26,7 @@
     readonly #now: () => number;
     readonly #routine = new LineBudget(ROUTINE_LINES_PER_SECOND);
     readonly #refusals = new LineBudget(REFUSAL_LINES_PER_SECOND);
+    readonly #unknownDatabases = new LineBudget(UNKNOWN_DATABASE_LINES_PER_SECOND);
 
     readonly #handlers: Handlers = {
         served: event => this.#served(event),
@@ -32,6 +36,7 @@
         retried: event => this.#retried(event),
         aborted: event => this.#write("transactionAborted", event),
         keyRefused: event => this.#keyRefused(event),
+        unknownDatabase: event => this.#unknownDatabase(event),
         keysRevoked: event => this.#keysRevoked(event),
         cut: event => this.#write("sessionCut", event),
         reach: event => this.#write(event.reach === "reachable" ? "endpointReached" : "endpointUnreachable", event),
@@ -78,6 +83,12 @@
         }
     }
 
+    #unknownDatabase(event: EventOf<"unknownDatabase">): void {
+        if (this.#unknownDatabases.take(event.kind, this.#now())) {
+            this.#write("databaseUnknown", event);
+        }
+    }
+
     #keysRevoked(event: EventOf<"keysRevoked">): void {
         this.#meter.count("key.revoked", event.closed, { how: "closed" });
         this.#meter.count("key.revoked", event.rolledBack, { how: "rolledBack" });
--- a/packages/fleet/tests/gateway-reporter.test.ts
+++ b/packages/fleet/tests/gateway-reporter.test.ts
@@ -82,3 +82,13 @@
     expect(text).toContain('cause="aborted"');
     expect(text).not.toContain("r0");
 });
+
+// Guards against a host that serves an older configuration while its log does not show whom it refuses by which one.
+test("callers of unknown databases are logged with the number of the configuration, at most five a second", () => {
+    const { lines, report } = reporter();
+    for (let caller = 0; caller < 8; caller += 1) {
+        report({ kind: "unknownDatabase", database: `d${caller}`, configuration: 7 });
+    }
+    expect(lines).toHaveLength(5);
+    expect(lines[0]).toMatchObject({ event: "databaseUnknown", database: "d0", configuration: 7 });
+});
--- a/packages/gateway/src/gateway-event.ts
+++ b/packages/gateway/src/gateway-event.ts
@@ -72,6 +72,8 @@
         readonly isFailing: boolean;
         readonly failureShare: number;
     }
+    /** A caller named a database that the configuration in force does not have. */
+    | { readonly kind: "unknownDatabase"; readonly database: string; readonly configuration: number; }
     /** An attempt failed, and the request is retried. */
     | {
         readonly kind: "retried";
--- a/packages/gateway/src/gateway.ts
+++ b/packages/gateway/src/gateway.ts
@@ -190,6 +190,8 @@
         }
         const route = this.#routing.routes.get(caller.database);
         if (route === undefined) {
+            const { number: configuration } = this.#routing;
+            this.#options.listener({ kind: "unknownDatabase", database: caller.database, configuration });
             return { kind: "unknownDatabase" };
         }
         const identity = new CallerIdentity(caller.key, this.#options.acceptsKeys);
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -67,6 +67,11 @@
             "This host cannot confirm that its configuration is the newest and refuses keys, or accepts them again.",
     },
     keyRefused: { level: "warn", meaning: "A caller or its request was refused because of its key; sampled." },
+    databaseUnknown: {
+        level: "warn",
+        meaning:
+            "A caller was refused because the configuration in force, whose number is given, has no such database; sampled.",
+    },
     keysRevoked: {
         level: "info",
         meaning: "Sessions were ended because their key is no longer in the configuration.",
