Execute the effects of a step before the next event

Callers would see: an acknowledged change is gone after a loss of power at all control hosts, when the leader's disk is lost as well.

Cause: a report can lead to an event at once.

Events that arrive while effects are executed now wait for the remaining effects, so writes are queued in the order of their batch numbers, which is what `ConsensusMember` requires of its caller.

--- a/packages/runtime/src/consensus-task.ts
+++ b/packages/runtime/src/consensus-task.ts
@@ -50,6 +50,8 @@
     readonly #events = new Channel<ConsensusEvent>();
     readonly #reports = new Channel<ConsensusReport>();
     readonly #writes: WriteEffect[] = [];
+    readonly #waitingEvents: ConsensusEvent[] = [];
+    #handling = false;
     #writing = false;
     #hasWritten = false;
     #stopped = false;
@@ -157,10 +159,28 @@
         return this.#options.store.close();
     }
 
+    /**
+     * Handles an event after all effects of the events before it. A report can lead to an event at once: a snapshot that is
+     * taken in answer to one would be written before the entries of the same step, and count them as durable.
+     */
     #handle(event: ConsensusEvent): void {
-        for (const effect of this.#member.handle(event, this.#options.clock.now())) {
-            (this.#executors[effect.kind] as (effect: ConsensusEffect) => void)(effect);
+        this.#waitingEvents.push(event);
+        if (this.#handling) {
+            return;
         }
+        this.#handling = true;
+        try {
+            for (let next = this.#waitingEvents.shift(); next !== undefined; next = this.#waitingEvents.shift()) {
+                this.#member.handle(next, this.#options.clock.now()).forEach(effect => this.#execute(effect));
+            }
+        }
+        finally {
+            this.#handling = false;
+        }
+    }
+
+    #execute(effect: ConsensusEffect): void {
+        (this.#executors[effect.kind] as (effect: ConsensusEffect) => void)(effect);
     }
 
     #send(to: string, message: ConsensusMessage): void {
