Drop the leader of a member that cannot campaign

Callers would see: a control host stays out of the group for good, with an old configuration or none. It offers that to entry hosts, and the group tolerates one loss less than it has hosts.

Cause: the election timeout did nothing at all for a member that cannot campaign, which is a learner or a member whose log records its removal. It kept reporting the leader that had last made contact. A control host asks to join, and goes back to its seed hosts, only while it knows no leader. When that leader is lost before the entry that adds the learner is committed, the next leader does not know of the host and sends it nothing.

The timeout now drops the leader of every member, and only the pre-vote is left to those that can campaign.

--- a/packages/agreement/src/election.ts
+++ b/packages/agreement/src/election.ts
@@ -14,16 +14,22 @@
     state.resetElectionDeadline(now);
 }
 
-/** Starts a pre-vote when no leader has made contact within the random election timeout. */
+/**
+ * Drops the leader when it has not made contact within the random election timeout, and starts a pre-vote. A member that
+ * cannot campaign may have been left out by the next leader: without a leader its host requests membership again.
+ */
 export function electionTick(state: ConsensusState, now: number): void {
-    if (now < state.electionDeadline || !state.canCampaign) {
+    if (now < state.electionDeadline) {
+        return;
+    }
+    state.leader = undefined;
+    state.resetElectionDeadline(now);
+    if (!state.canCampaign) {
         return;
     }
     state.role = "candidate";
     state.phase = "preVote";
-    state.leader = undefined;
     state.votes = new Set([state.id]);
-    state.resetElectionDeadline(now);
     const preVote: PreVote = { kind: "preVote", term: state.term + 1, ...lastEntry(state) };
     otherVoters(state).forEach(to => state.send(to, preVote));
     startVoteAtQuorum(state, now);
