Promote no learner while a voter may be lost

Operators would see: no change is accepted any more, for good, after one control host was replaced and its successor lost its disk at once.

Cause: a lost voter is removed after 2.5 s of silence, but a new host was promoted as soon as it had caught up, which takes 0.2 s. Until the removal the group had four voters, one of them lost, and needed all others. When the new one lost its disk in that time, two of four were left. The rule that a replaced voter leaves before its replacement is promoted held only for a host that comes back at its own address.

Evidence: in the new test of the fleet one of three hosts is removed, a new one starts 1 s later and loses its disk 0.8 s after that.

The leader now reports the voters that have not answered within the election timeout, and promotes nobody while there is one.

--- a/packages/agreement/src/consensus-member.ts
+++ b/packages/agreement/src/consensus-member.ts
@@ -9,7 +9,7 @@
     handleVote,
     handleVoteReply,
 } from "./election.js";
-import { caughtUpLearners } from "./membership.js";
+import { caughtUpLearners, suspectedVoters } from "./membership.js";
 import { propose, proposeMembers, reportCommittedProposals } from "./proposal.js";
 import {
     advanceCommit,
@@ -96,6 +96,11 @@
         return this.#state.role === "leader" ? caughtUpLearners(this.#state, now) : [];
     }
 
+    /** Voters that have not answered within the election timeout; empty if this member is not the leader. */
+    suspectedVoters(now: number): readonly string[] {
+        return this.#state.role === "leader" ? suspectedVoters(this.#state, now) : [];
+    }
+
     /** Time since the last contact with each voter by member id, in ms; empty if this member is not the leader. */
     voterSilence(now: number): ReadonlyMap<string, number> {
         return voterSilence(this.#state, now);
--- a/packages/agreement/src/membership.ts
+++ b/packages/agreement/src/membership.ts
@@ -20,9 +20,16 @@
 
 /** Learners whose log has reached the commit index and that have answered within the election timeout. */
 export function caughtUpLearners(state: ConsensusState, now: number): readonly string[] {
-    const isRecent = (id: string) =>
-        now - (state.peers.get(id)?.lastContactAt ?? -Infinity) <= state.options.electionMs;
-    return state.log.members.learners.filter(id => isCaughtUp(state, id) && isRecent(id));
+    return state.log.members.learners.filter(id => isCaughtUp(state, id) && isAnswering(state, id, now));
+}
+
+/** Voters that have not answered this leader within the election timeout. */
+export function suspectedVoters(state: ConsensusState, now: number): readonly string[] {
+    return state.log.members.voters.filter(id => id !== state.id && !isAnswering(state, id, now));
+}
+
+function isAnswering(state: ConsensusState, id: string, now: number): boolean {
+    return now - (state.peers.get(id)?.lastContactAt ?? -Infinity) <= state.options.electionMs;
 }
 
 function isCaughtUp(state: ConsensusState, id: string): boolean {
--- a/packages/control/src/group-repair.ts
+++ b/packages/control/src/group-repair.ts
@@ -12,6 +12,8 @@
     readonly joining: readonly string[];
     /** Learners that have caught up. */
     readonly caughtUp: readonly string[];
+    /** Voters that have not answered the leader within the election timeout. */
+    readonly suspected: readonly string[];
     /** Time since each voter last answered the leader, in ms; its own is 0. */
     readonly silentMs: ReadonlyMap<string, number>;
 }
@@ -20,16 +22,19 @@
  * Returns the next membership change towards a group of exactly the running control hosts, or undefined if there is
  * none. The hosts are not configured: those that request to join are added, and those that stop answering are replaced.
  * A host that was only isolated requests to join again when it finds that it was removed.
+ *
+ * No learner is promoted while a voter may be lost. In a group of four with one lost voter all others are needed, and the
+ * new one may lose its disk as well: then the quorum would end for good.
  */
 export function repairedMembers(current: Members, condition: GroupCondition): Members | undefined {
-    const { joining, caughtUp, silentMs } = condition;
+    const { joining, caughtUp, suspected, silentMs } = condition;
     const removable = current.voters.find(id => (silentMs.get(id) ?? 0) >= VOTER_SILENCE_MS);
     const hasSuccessor = caughtUp.some(id => current.learners.includes(id));
     if (removable !== undefined && mayRemove(current, removable, silentMs, hasSuccessor)) {
         return { voters: current.voters.filter(id => id !== removable), learners: current.learners };
     }
     const listed = [...current.voters, ...current.learners, ...joining].map(hostOfMember);
-    return nextMembers(current, { joining, caughtUp, listed });
+    return nextMembers(current, { joining, caughtUp: suspected.length > 0 ? [] : caughtUp, listed });
 }
 
 /** A removal needs the votes of a majority of the remaining voters and must leave a group that tolerates a loss. */
--- a/packages/control/tests/group-repair.test.ts
+++ b/packages/control/tests/group-repair.test.ts
@@ -3,7 +3,7 @@
 import { type GroupCondition, repairedMembers, VOTER_SILENCE_MS } from "../src/group-repair.js";
 
 function condition(changes: Partial<GroupCondition> = {}): GroupCondition {
-    return { joining: [], caughtUp: [], silentMs: new Map(), ...changes };
+    return { joining: [], caughtUp: [], suspected: [], silentMs: new Map(), ...changes };
 }
 
 const three: Members = { voters: ["a", "b", "c"], learners: [] };
@@ -33,6 +33,12 @@
         });
     });
 
+    // Guards against a group of four that needs all three others because the fourth is lost but not yet removed.
+    it("promotes no learner while a voter may be lost", () => {
+        const members: Members = { voters: ["a", "b", "c"], learners: ["d"] };
+        expect(repairedMembers(members, condition({ caughtUp: ["d"], suspected: ["c"] }))).toBeUndefined();
+    });
+
     // Guards against a group of three that shrinks to two because one voter is temporarily isolated.
     it("removes no voter from a small group without a successor", () => {
         expect(repairedMembers(three, condition({ silentMs: new Map([["c", 60_000]]) }))).toBeUndefined();
--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -507,6 +507,7 @@
         const next = repairedMembers(agreement.members, {
             joining: [...this.#joinRequestedAt.keys()],
             caughtUp: agreement.caughtUpLearners(),
+            suspected: agreement.suspectedVoters(),
             silentMs: agreement.voterSilence(),
         });
         if (next !== undefined) {
--- a/packages/fleet/tests/membership.test.ts
+++ b/packages/fleet/tests/membership.test.ts
@@ -31,3 +31,21 @@
         expect([...network.member(id).hosts].sort()).toEqual([...others, "d"].sort());
     }
 });
+
+// Guards against a group that can never commit again: a new host became one of four voters while the lost host that it
+// replaces was still another one, and then lost its disk (CONFIG, LOST).
+test("a new host that loses its disk at once does not end the quorum of the group", async () => {
+    const { leader, others } = await found();
+    const lost = others[0] ?? "";
+    network.remove(lost);
+    await vi.advanceTimersByTimeAsync(1_000);
+    await network.start("d");
+    await vi.advanceTimersByTimeAsync(800);
+    network.loseDisk("d");
+    await network.start("d");
+    await vi.advanceTimersByTimeAsync(6_000);
+    expect([...network.member(leader).hosts].sort()).toEqual([leader, others[1], "d"].sort());
+    const changed = network.change(1, leader);
+    await vi.advanceTimersByTimeAsync(1_000);
+    expect(await changed).toBe(true);
+});
--- a/packages/runtime/src/consensus-task.ts
+++ b/packages/runtime/src/consensus-task.ts
@@ -153,6 +153,11 @@
         return this.#member.caughtUpLearners(this.#options.clock.now());
     }
 
+    /** Voters that have not answered within the election timeout; empty if this member is not the leader. */
+    suspectedVoters(): readonly string[] {
+        return this.#member.suspectedVoters(this.#options.clock.now());
+    }
+
     /** Stops the member and closes the store. Returns the error of closing it. */
     close(): Promise<StoreError | undefined> {
         this.#stopped = true;
