Remove learners that stopped answering

Callers would see: an entry host keeps fewer links to control hosts than it should, because one of the addresses in its list is answered by nobody.

Cause: only voters were removed for their silence. A new control host that was gone before it was promoted stayed a learner, in the log and in every list of hosts, until a host at the same address joined.

Evidence: in the new test a leader adds host d, which gets no message and is removed for good.

The leader now measures the silence of learners too, from when it added them, and removes those that are silent for as long as a voter may be.

--- a/packages/agreement/src/consensus-member.ts
+++ b/packages/agreement/src/consensus-member.ts
@@ -17,8 +17,8 @@
     handleAppend,
     handleAppendReply,
     leaderTick,
+    memberSilence,
     quorumContactAt,
-    voterSilence,
 } from "./replication.js";
 import { handleSnapshotChunk, handleSnapshotReply, handleSnapshotTaken, requestSnapshot } from "./snapshot.js";
 import type { ConsensusEffect, ConsensusEvent, ConsensusOptions, RecoveredState } from "./types.js";
@@ -101,9 +101,9 @@
         return this.#state.role === "leader" ? suspectedVoters(this.#state, now) : [];
     }
 
-    /** Time since the last contact with each voter by member id, in ms; empty if this member is not the leader. */
-    voterSilence(now: number): ReadonlyMap<string, number> {
-        return voterSilence(this.#state, now);
+    /** Time since the last contact with each other member by its id, in ms; empty if this member is not the leader. */
+    memberSilence(now: number): ReadonlyMap<string, number> {
+        return memberSilence(this.#state, now);
     }
 
     /** Index of the last entry that this member knows to be committed. */
--- a/packages/agreement/src/consensus-state.ts
+++ b/packages/agreement/src/consensus-state.ts
@@ -12,6 +12,8 @@
 
 /** Replication progress of another member, as tracked by the leader. */
 export interface Peer {
+    /** When this leader was elected or added the member, whichever was later. */
+    readonly addedAt: number;
     /** Index of the next entry to send. */
     next: number;
     /** Highest index known to be durable on the member. */
@@ -64,8 +66,6 @@
     ownVoteBatch = 0;
     campaignStartedAt = 0;
     leaderContactAt = 0;
-    /** When this member last became the leader. */
-    electedAt = 0;
     electionDeadline = 0;
     commitIndex = 0;
     /** Commit index of the leader as of its last append; infinite until the present leader has sent one. */
--- a/packages/agreement/src/proposal.ts
+++ b/packages/agreement/src/proposal.ts
@@ -30,7 +30,7 @@
         return;
     }
     appendProposal(state, requestId, { index: state.log.lastIndex + 1, term: state.term, payload: EMPTY, members });
-    updatePeers(state);
+    updatePeers(state, now);
     broadcast(state, now);
 }
 
--- a/packages/agreement/src/replication.ts
+++ b/packages/agreement/src/replication.ts
@@ -13,9 +13,8 @@
     const voted = new Set(state.votes);
     state.role = "leader";
     state.leader = state.id;
-    state.electedAt = now;
     state.peers.clear();
-    updatePeers(state);
+    updatePeers(state, now);
     for (const [id, peer] of state.peers) {
         // A granted vote answers a request that was sent at or after the start of the campaign.
         peer.lastContactAt = voted.has(id) ? state.campaignStartedAt : Number.NEGATIVE_INFINITY;
@@ -25,7 +24,7 @@
 }
 
 /** Adds and removes peers after the membership changed. */
-export function updatePeers(state: ConsensusState): void {
+export function updatePeers(state: ConsensusState, now: number): void {
     const { voters, learners } = state.log.members;
     const others = [...voters, ...learners].filter(id => id !== state.id);
     for (const id of state.peers.keys()) {
@@ -35,13 +34,14 @@
     }
     for (const id of others) {
         if (!state.peers.has(id)) {
-            state.peers.set(id, newPeer(state));
+            state.peers.set(id, newPeer(state, now));
         }
     }
 }
 
-function newPeer(state: ConsensusState): Peer {
+function newPeer(state: ConsensusState, now: number): Peer {
     return {
+        addedAt: now,
         next: state.log.lastIndex + 1,
         match: 0,
         lastContactAt: Number.NEGATIVE_INFINITY,
@@ -63,15 +63,11 @@
 }
 
 /**
- * Time since the last contact with each voter, in ms; empty if this member is not the leader. For a voter that has not
- * answered since the election it is the time since the election.
+ * Time since the last contact with each other member, in ms; empty if this member is not the leader. For a member that
+ * has not answered yet it is the time since the election, or since the member was added.
  */
-export function voterSilence(state: ConsensusState, now: number): ReadonlyMap<string, number> {
-    const silenceOf = (id: string): number => {
-        const contact = state.peers.get(id)?.lastContactAt ?? Number.NEGATIVE_INFINITY;
-        return id === state.id ? 0 : now - Math.max(contact, state.electedAt);
-    };
-    return new Map(state.role === "leader" ? state.log.members.voters.map(id => [id, silenceOf(id)]) : []);
+export function memberSilence(state: ConsensusState, now: number): ReadonlyMap<string, number> {
+    return new Map([...state.peers].map(([id, peer]) => [id, now - Math.max(peer.lastContactAt, peer.addedAt)]));
 }
 
 /**
--- a/packages/control/src/group-repair.ts
+++ b/packages/control/src/group-repair.ts
@@ -1,8 +1,8 @@
 import type { Members } from "@medlarledge/protocol";
 import { hostOfMember, nextMembers } from "./member-plan.js";
 
-/** A voter that has not answered for this long may be replaced by a member that has caught up. */
-export const VOTER_SILENCE_MS = 2_500;
+/** A voter that has not answered for this long may be replaced by a member that has caught up; a learner is removed. */
+export const MEMBER_SILENCE_MS = 2_500;
 
 /** The group does not shrink below this number of voters: a group of two does not tolerate the loss of one. */
 export const MIN_VOTERS = 3;
@@ -14,7 +14,7 @@
     readonly caughtUp: readonly string[];
     /** Voters that have not answered the leader within the election timeout. */
     readonly suspected: readonly string[];
-    /** Time since each voter last answered the leader, in ms; its own is 0. */
+    /** Time since each other member last answered the leader, in ms. */
     readonly silentMs: ReadonlyMap<string, number>;
 }
 
@@ -28,9 +28,13 @@
  */
 export function repairedMembers(current: Members, condition: GroupCondition): Members | undefined {
     const { joining, caughtUp, suspected, silentMs } = condition;
-    const removable = current.voters.find(id => (silentMs.get(id) ?? 0) >= VOTER_SILENCE_MS);
+    const isSilent = (id: string): boolean => (silentMs.get(id) ?? 0) >= MEMBER_SILENCE_MS;
+    if (current.learners.some(isSilent)) {
+        return { voters: current.voters, learners: current.learners.filter(id => !isSilent(id)) };
+    }
+    const removable = current.voters.find(isSilent);
     const hasSuccessor = caughtUp.some(id => current.learners.includes(id));
-    if (removable !== undefined && mayRemove(current, removable, silentMs, hasSuccessor)) {
+    if (removable !== undefined && mayRemove(current, removable, isSilent, hasSuccessor)) {
         return { voters: current.voters.filter(id => id !== removable), learners: current.learners };
     }
     const listed = [...current.voters, ...current.learners, ...joining].map(hostOfMember);
@@ -41,11 +45,11 @@
 function mayRemove(
     { voters }: Members,
     removable: string,
-    silentMs: GroupCondition["silentMs"],
+    isSilent: (id: string) => boolean,
     hasSuccessor: boolean,
 ): boolean {
     const staying = voters.filter(id => id !== removable);
-    const answering = staying.filter(id => (silentMs.get(id) ?? 0) < VOTER_SILENCE_MS);
+    const answering = staying.filter(id => !isSilent(id));
     const isLargeEnough = staying.length >= MIN_VOTERS || (hasSuccessor && staying.length >= MIN_VOTERS - 1);
     return isLargeEnough && answering.length > staying.length / 2;
 }
--- a/packages/control/tests/group-repair.test.ts
+++ b/packages/control/tests/group-repair.test.ts
@@ -1,6 +1,6 @@
 import type { Members } from "@medlarledge/protocol";
 import { describe, expect, it } from "vitest";
-import { type GroupCondition, repairedMembers, VOTER_SILENCE_MS } from "../src/group-repair.js";
+import { type GroupCondition, MEMBER_SILENCE_MS, repairedMembers } from "../src/group-repair.js";
 
 function condition(changes: Partial<GroupCondition> = {}): GroupCondition {
     return { joining: [], caughtUp: [], suspected: [], silentMs: new Map(), ...changes };
@@ -24,7 +24,7 @@
 
     // Guards against a group that does not tolerate a second loss right after a replacement (replace_core).
     it("replaces a lost voter by a caught-up learner, one step at a time", () => {
-        const silent = condition({ caughtUp: ["d"], silentMs: new Map([["c", VOTER_SILENCE_MS]]) });
+        const silent = condition({ caughtUp: ["d"], silentMs: new Map([["c", MEMBER_SILENCE_MS]]) });
         const first = repairedMembers({ voters: ["a", "b", "c"], learners: ["d"] }, silent);
         expect(first).toEqual({ voters: ["a", "b"], learners: ["d"] });
         expect(repairedMembers(first ?? three, condition({ caughtUp: ["d"] }))).toEqual({
--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -508,7 +508,7 @@
             joining: [...this.#joinRequestedAt.keys()],
             caughtUp: agreement.caughtUpLearners(),
             suspected: agreement.suspectedVoters(),
-            silentMs: agreement.voterSilence(),
+            silentMs: agreement.memberSilence(),
         });
         if (next !== undefined) {
             this.#lastRequestId += 1;
--- a/packages/fleet/tests/membership.test.ts
+++ b/packages/fleet/tests/membership.test.ts
@@ -49,3 +49,16 @@
     await vi.advanceTimersByTimeAsync(1_000);
     expect(await changed).toBe(true);
 });
+
+// Guards against a host list with an address that nobody answers at, which takes the place of one of the few control
+// hosts to which an entry host keeps links.
+test("a new host that is gone before it has caught up does not stay listed", async () => {
+    const { leader, others } = await found();
+    network.isCut = (from, to) => from === leader && to === "d";
+    await network.start("d");
+    await vi.advanceTimersByTimeAsync(600);
+    expect(network.member(leader).hosts).toContain("d");
+    network.remove("d");
+    await vi.advanceTimersByTimeAsync(4_000);
+    expect([...network.member(leader).hosts].sort()).toEqual([leader, ...others].sort());
+});
--- a/packages/runtime/src/consensus-task.ts
+++ b/packages/runtime/src/consensus-task.ts
@@ -143,9 +143,9 @@
         return this.#member.quorumContactAt(this.#options.clock.now());
     }
 
-    /** Time since the last contact with each voter, in ms; empty if this member is not the leader. */
-    voterSilence(): ReadonlyMap<string, number> {
-        return this.#member.voterSilence(this.#options.clock.now());
+    /** Time since the last contact with each other member, in ms; empty if this member is not the leader. */
+    memberSilence(): ReadonlyMap<string, number> {
+        return this.#member.memberSilence(this.#options.clock.now());
     }
 
     /** Learners that can be promoted to voters now; empty if this member is not the leader. */
