Log the place of each control host in its group

The log files of an incident did not tell whether a control host was a voter, a learner or neither, which entries it knew to be committed and had applied, and when it had last heard from a leader: `membersChanged` named no entry, and `leaderChanged` is written by members and others alike.

`membersChanged` now names the index and term of its entry.

--- a/packages/agreement/src/consensus-member.ts
+++ b/packages/agreement/src/consensus-member.ts
@@ -91,6 +91,15 @@
         return quorumContactAt(this.#state, now);
     }
 
+    /**
+     * Time since this member last heard from a leader, or since its start, in ms. For the leader it is the time since a
+     * quorum last answered it.
+     */
+    leaderSilence(now: number): number {
+        const { role, leaderContactAt } = this.#state;
+        return now - (role === "leader" ? quorumContactAt(this.#state, now) : leaderContactAt);
+    }
+
     /** Learners that can be promoted to voters now; empty if this member is not the leader. */
     caughtUpLearners(now: number): readonly string[] {
         return this.#state.role === "leader" ? caughtUpLearners(this.#state, now) : [];
--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -29,6 +29,7 @@
 import { type Clock, type ConsensusReport, ConsensusTask } from "@medlarledge/runtime";
 import type { LogEvent, LogFields } from "@medlarledge/telemetry";
 import { randomInt } from "node:crypto";
+import { membershipOf, type MemberStatus, StatusSchedule } from "./member-status.js";
 
 /**
  * Committed entries between two snapshots. Limits the log in memory to a few megabytes even with large configurations.
@@ -111,6 +112,7 @@
     readonly #reads = new Set<PendingRead>();
     /** Callbacks of commands that are not configurations, by request id. */
     readonly #commands = new Map<number, (isCommitted: boolean) => void>();
+    readonly #statusSchedule = new StatusSchedule();
     #state = new ControlState();
     #store: ConsensusStore | undefined;
     #agreement: ConsensusTask | undefined;
@@ -178,6 +180,21 @@
         return this.#agreement?.isCurrent === true && (this.#role.role !== "leader" || this.isLeader);
     }
 
+    /** Place of this host in the group, and how far it has followed the log. */
+    get status(): MemberStatus {
+        const { memberId, term, leader } = this;
+        const agreement = this.#agreement;
+        return {
+            membership: agreement === undefined ? "none" : membershipOf(this.#memberId, agreement.members),
+            memberId,
+            term,
+            leader,
+            committedIndex: agreement?.commitIndex ?? 0,
+            appliedIndex: agreement?.appliedIndex ?? 0,
+            leaderSilenceMs: agreement === undefined ? undefined : Math.round(agreement.leaderSilence()),
+        };
+    }
+
     /** The newest configuration that this member knows to be committed. */
     get configuration(): ConfigurationChange | undefined {
         return this.#state.configuration();
@@ -398,7 +415,8 @@
     #apply(entry: LogEntry): void {
         const command = decodeCommand(entry.payload);
         if (entry.members !== undefined) {
-            this.#options.events.event("membersChanged", { ...entry.members });
+            const { index, term, members } = entry;
+            this.#options.events.event("membersChanged", { index, term, ...members });
             this.#options.events.roleChanged();
         }
         if (command === undefined) {
@@ -469,6 +487,10 @@
     }
 
     #tick(): void {
+        const { status } = this;
+        if (this.#statusSchedule.isDue(status, this.#options.clock.now())) {
+            this.#options.events.event("memberStatus", { ...status });
+        }
         const agreement = this.#agreement;
         if (agreement === undefined || !this.isLeader) {
             return;
--- a/packages/fleet/tests/member-network.ts
+++ b/packages/fleet/tests/member-network.ts
@@ -1,5 +1,6 @@
 import type { FileSystem } from "@medlarledge/agreement";
 import { ChangeOutcome, type ChangeResult, type ConfigurationChange } from "@medlarledge/protocol";
+import type { LogEvent, LogFields } from "@medlarledge/telemetry";
 import { expect, vi } from "vitest";
 import { GroupMember } from "../src/group-member.js";
 import { Disk } from "./control-group.js";
@@ -50,10 +51,13 @@
 
 /** Control hosts that come, go, lose their disks and are cut off, as far as their group is concerned. */
 export class MemberNetwork {
+    readonly events: { readonly host: string; readonly name: LogEvent; readonly fields: LogFields; }[] = [];
     readonly #hosts = new Map<string, SimulatedHost>();
     readonly #syncMs: number;
     readonly #joinTimer: NodeJS.Timeout;
     #incarnation = 0;
+    /** Why a host could not start, if one could not; a host with a stalled disk starts later. */
+    #startFailure: string | undefined;
     /** Whether messages from one host to another are lost. */
     isCut: (from: string, to: string) => boolean = () => false;
 
@@ -71,9 +75,9 @@
             isRunning: true,
         };
         host.process = process;
-        const started = process.member.start();
+        void process.member.start().then(reason => this.#startFailure ??= reason);
         await vi.advanceTimersByTimeAsync(10);
-        expect(await started).toBeUndefined();
+        expect(this.#startFailure).toBeUndefined();
     }
 
     /** Starts the first members of the group and waits for a leader. */
@@ -186,7 +190,7 @@
                 roleChanged: () => undefined,
                 configured: () => undefined,
                 promotionOrdered: () => undefined,
-                event: () => undefined,
+                event: (name, fields) => this.events.push({ host: id, name, fields }),
             },
         });
     }
--- a/packages/fleet/tests/membership.test.ts
+++ b/packages/fleet/tests/membership.test.ts
@@ -62,3 +62,22 @@
     await vi.advanceTimersByTimeAsync(4_000);
     expect([...network.member(leader).hosts].sort()).toEqual([leader, ...others].sort());
 });
+
+// Guards against an incident whose logs do not tell whether a control host was a member, what it had applied and when it
+// last heard from a leader.
+test("the log of a control host tells its place in the group, and how far it follows", async () => {
+    await found();
+    await network.start("d");
+    await vi.advanceTimersByTimeAsync(1_500);
+    network.isCut = (from, to) => [from, to].includes("d");
+    await vi.advanceTimersByTimeAsync(12_000);
+    const statuses = network.events.filter(({ host, name }) => host === "d" && name === "memberStatus")
+        .map(({ fields }) => fields);
+    expect(statuses.length).toBeLessThan(10);
+    expect([...new Set(statuses.map(({ membership }) => membership))]).toEqual(["none", "learner", "voter"]);
+    const [joined, cutOff] = [statuses.findLast(({ leader }) => leader !== undefined), statuses.at(-1)];
+    expect(joined).toMatchObject({ membership: "voter", term: 1 });
+    expect(cutOff).toMatchObject({ membership: "voter", appliedIndex: cutOff?.["committedIndex"] });
+    expect(cutOff?.["leader"]).toBeUndefined();
+    expect(cutOff?.["leaderSilenceMs"]).toBeGreaterThan(9_000);
+});
--- a/packages/runtime/src/consensus-task.ts
+++ b/packages/runtime/src/consensus-task.ts
@@ -148,6 +148,11 @@
         return this.#member.memberSilence(this.#options.clock.now());
     }
 
+    /** See `ConsensusMember.leaderSilence`. */
+    leaderSilence(): number {
+        return this.#member.leaderSilence(this.#options.clock.now());
+    }
+
     /** Learners that can be promoted to voters now; empty if this member is not the leader. */
     caughtUpLearners(): readonly string[] {
         return this.#member.caughtUpLearners(this.#options.clock.now());
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -106,7 +106,15 @@
     },
     promotionAnswered: { level: "info", meaning: "The platform's answer to a promotion; unknown when none came." },
     promotionDone: { level: "info", meaning: "A replacement of a primary ended; `why` tells how." },
-    membersChanged: { level: "info", meaning: "The control group has other members." },
+    membersChanged: {
+        level: "info",
+        meaning: "The control group has other members; this host applied the entry of its log that says so.",
+    },
+    memberStatus: {
+        level: "info",
+        meaning:
+            "The place of this control host in the control group, the last entries that it knows to be committed and has applied, and the time since it last heard from a leader; written when its place changes, and every 10 s.",
+    },
     storeReopened: { level: "info", meaning: "The data folder was opened again after a failure, or still fails." },
     lastKnownFailed: { level: "warn", meaning: "What this host knows could not be saved for a restart, or read." },
     settingsChanged: { level: "info", meaning: "The settings file changed and was taken over." },
