Log up to which entry a control host knows the members of its group

Cause: in one term the members of the control group can change many times, so the term alone does not tell which of two hosts knows the later ones.

Change: memberStatus has the index that lists of hosts carry as well.

Measured: the test of the membership of a fleet checks the field.

--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -182,13 +182,14 @@
 
     /** Place of this host in the group, and how far it has followed the log. */
     get status(): MemberStatus {
-        const { memberId, term, leader } = this;
+        const { memberId, term, leader, hostsIndex } = this;
         const agreement = this.#agreement;
         return {
             membership: agreement === undefined ? "none" : membershipOf(this.#memberId, agreement.members),
             memberId,
             term,
             leader,
+            hostsIndex,
             committedIndex: agreement?.commitIndex ?? 0,
             appliedIndex: agreement?.appliedIndex ?? 0,
             leaderSilenceMs: agreement === undefined ? undefined : Math.round(agreement.leaderSilence()),
--- a/packages/fleet/src/member-status.ts
+++ b/packages/fleet/src/member-status.ts
@@ -3,7 +3,7 @@
 /** Interval at which an unchanged status is reported. */
 const REPORT_INTERVAL_MS = 10_000;
 
-export type Membership = "voter" | "learner" | "none";
+type Membership = "voter" | "learner" | "none";
 
 /** Place of a control host in its group, and how far it has followed the log. */
 export interface MemberStatus {
@@ -13,6 +13,8 @@
     readonly term: number;
     /** Host id of the leader, while this host has one. */
     readonly leader: string | undefined;
+    /** Index of the log up to which this host knows all changes of the members. */
+    readonly hostsIndex: number;
     /** Index of the last entry that this host knows to be committed. */
     readonly committedIndex: number;
     /** Index of the last entry in this host's state; it is lower while the own disk is behind. */
--- a/packages/fleet/tests/membership.test.ts
+++ b/packages/fleet/tests/membership.test.ts
@@ -66,7 +66,7 @@
 // Guards against an incident whose logs do not tell whether a control host was a member, what it had applied and when it
 // last heard from a leader.
 test("the log of a control host tells its place in the group, and how far it follows", async () => {
-    await found();
+    const { leader } = await found();
     await network.start("d");
     await vi.advanceTimersByTimeAsync(1_500);
     network.isCut = (from, to) => [from, to].includes("d");
@@ -80,4 +80,7 @@
     expect(cutOff).toMatchObject({ membership: "voter", appliedIndex: cutOff?.["committedIndex"] });
     expect(cutOff?.["leader"]).toBeUndefined();
     expect(cutOff?.["leaderSilenceMs"]).toBeGreaterThan(9_000);
+    const { term, hostsIndex } = network.member(leader).status;
+    expect(cutOff?.["term"]).toBe(term);
+    expect(cutOff?.["hostsIndex"]).toBeLessThan(hostsIndex);
 });
