Keep the number of voters odd

Operators would see: no change is accepted any more, for good, after one control host was replaced by one that had started before it was gone, or at the same moment, and that lost its disk.

Cause: a fourth host that was there before one of three was lost had become a voter already. Until the lost host was removed, after 2.5 s of silence, the group needed all three others of its four voters.

A group of four tolerates the loss of one, as a group of three does. A learner therefore stays one while the number of voters is odd, unless two can be promoted. It follows the log and takes the place of the next voter that is removed.

--- a/packages/control/src/group-repair.ts
+++ b/packages/control/src/group-repair.ts
@@ -23,8 +23,9 @@
  * none. The hosts are not configured: those that request to join are added, and those that stop answering are replaced.
  * A host that was only isolated requests to join again when it finds that it was removed.
  *
- * No learner is promoted while a voter may be lost. In a group of four with one lost voter all others are needed, and the
- * new one may lose its disk as well: then the quorum would end for good.
+ * No learner is promoted while a voter may be lost, nor to make an even number of voters. A group of four tolerates the
+ * loss of one as a group of three does. While that one is not yet removed all others are needed, and if the new one loses
+ * its disk as well, the quorum ends for good; as a learner it can be replaced.
  */
 export function repairedMembers(current: Members, condition: GroupCondition): Members | undefined {
     const { joining, caughtUp, suspected, silentMs } = condition;
@@ -38,7 +39,14 @@
         return { voters: current.voters.filter(id => id !== removable), learners: current.learners };
     }
     const listed = [...current.voters, ...current.learners, ...joining].map(hostOfMember);
-    return nextMembers(current, { joining, caughtUp: suspected.length > 0 ? [] : caughtUp, listed });
+    const promotable = suspected.length > 0 ? [] : promotableLearners(current, caughtUp);
+    return nextMembers(current, { joining, caughtUp: promotable, listed });
+}
+
+/** The learners with which the number of voters becomes odd: one or two, or none. */
+function promotableLearners({ voters, learners }: Members, caughtUp: readonly string[]): readonly string[] {
+    const ready = learners.filter(id => caughtUp.includes(id));
+    return voters.length % 2 === 0 || ready.length >= 2 ? ready : [];
 }
 
 /** A removal needs the votes of a majority of the remaining voters and must leave a group that tolerates a loss. */
