Replace a silent voter after one second when a learner has caught up

A control host had been replaced, and another one lost its disk while all lost power, as much as the platform allows.

Cause: the replaced host stayed a voter for 2.5 s after its last answer, or after the latest election. In that time the group needs all its other voters. DEPLOY.md allows the next loss 4 s after the start of a successor, which is 2 s after a planned end.

Change: a voter that has a caught-up successor is removed after 1 s. One without a successor is removed after 2.5 s as before.

--- a/packages/control/src/group-repair.ts
+++ b/packages/control/src/group-repair.ts
@@ -1,9 +1,15 @@
 import type { Members } from "@medlarledge/protocol";
 import { hostOfMember, nextMembers } from "./member-plan.js";
 
-/** A voter that has not answered for this long may be replaced by a member that has caught up; a learner is removed. */
+/** A member that has not answered for this long is removed if the group can do without it. */
 export const MEMBER_SILENCE_MS = 2_500;
 
+/**
+ * A voter that has not answered for this long is replaced by a learner that has caught up. Until then the group needs all
+ * its other voters, and another control host may lose its disk 2 s after one was replaced; an election comes before.
+ */
+export const SUCCESSION_SILENCE_MS = 1_000;
+
 /** The group does not shrink below this number of voters: a group of two does not tolerate the loss of one. */
 export const MIN_VOTERS = 3;
 
@@ -33,8 +39,9 @@
     if (current.learners.some(isSilent)) {
         return { voters: current.voters, learners: current.learners.filter(id => !isSilent(id)) };
     }
-    const removable = current.voters.find(isSilent);
     const hasSuccessor = caughtUp.some(id => current.learners.includes(id));
+    const limitMs = hasSuccessor ? SUCCESSION_SILENCE_MS : MEMBER_SILENCE_MS;
+    const removable = current.voters.find(id => (silentMs.get(id) ?? 0) >= limitMs);
     if (removable !== undefined && mayRemove(current, removable, isSilent, hasSuccessor)) {
         return { voters: current.voters.filter(id => id !== removable), learners: current.learners };
     }
--- a/packages/control/tests/group-repair.test.ts
+++ b/packages/control/tests/group-repair.test.ts
@@ -1,6 +1,6 @@
 import type { Members } from "@medlarledge/protocol";
 import { describe, expect, it } from "vitest";
-import { type GroupCondition, MEMBER_SILENCE_MS, repairedMembers } from "../src/group-repair.js";
+import { type GroupCondition, MEMBER_SILENCE_MS, repairedMembers, SUCCESSION_SILENCE_MS } from "../src/group-repair.js";
 
 function condition(changes: Partial<GroupCondition> = {}): GroupCondition {
     return { joining: [], caughtUp: [], suspected: [], silentMs: new Map(), ...changes };
@@ -30,7 +30,9 @@
 
     // Guards against a group that does not tolerate a second loss right after a replacement (replace_core).
     it("replaces a lost voter by a caught-up learner, one step at a time", () => {
-        const silent = condition({ caughtUp: ["d"], silentMs: new Map([["c", MEMBER_SILENCE_MS]]) });
+        const answering = condition({ caughtUp: ["d"], silentMs: new Map([["c", SUCCESSION_SILENCE_MS - 1]]) });
+        expect(repairedMembers({ voters: ["a", "b", "c"], learners: ["d"] }, answering)).toBeUndefined();
+        const silent = condition({ caughtUp: ["d"], silentMs: new Map([["c", SUCCESSION_SILENCE_MS]]) });
         const first = repairedMembers({ voters: ["a", "b", "c"], learners: ["d"] }, silent);
         expect(first).toEqual({ voters: ["a", "b"], learners: ["d"] });
         expect(repairedMembers(first ?? three, condition({ caughtUp: ["d"] }))).toEqual({
@@ -39,6 +41,14 @@
         });
     });
 
+    // Guards against a group that loses a host for good because it stood still for a moment and nobody can replace it.
+    it("waits longer for a voter that no learner can replace", () => {
+        const five: Members = { voters: ["a", "b", "c", "d", "e"], learners: [] };
+        expect(repairedMembers(five, condition({ silentMs: new Map([["e", MEMBER_SILENCE_MS - 1]]) }))).toBeUndefined();
+        expect(repairedMembers(five, condition({ silentMs: new Map([["e", MEMBER_SILENCE_MS]]) }))?.voters)
+            .toEqual(["a", "b", "c", "d"]);
+    });
+
     // Guards against a group of four that needs all three others because the fourth is lost but not yet removed.
     it("promotes no learner while a voter may be lost", () => {
         const members: Members = { voters: ["a", "b", "c"], learners: ["d"] };
