Count a member as current only after a commit in the term of its leader

Callers would see: after a loss of power or an election, control hosts that confirm an older configuration, so that an entry host does not look further.

Cause: a new leader may know of less than its predecessor had committed, until it has committed an entry of its own term. A follower that had applied that much passed for current.

Change: the entry at the commit index has to be of the present term, for the leader and its followers. The guard for leaders in GroupMember goes.

--- a/packages/agreement/src/consensus-member.ts
+++ b/packages/agreement/src/consensus-member.ts
@@ -137,15 +137,16 @@
 
     /**
      * True if this member has applied all that was committed when it last heard from the leader, or from a quorum if it
-     * leads, at most an election timeout before `now`.
+     * leads, at most an election timeout before `now`. What earlier leaders committed is known only once the leader has
+     * committed an entry of its own term.
      */
     isCurrent(now: number): boolean {
-        const { role, leader, leaderContactAt, leaderCommitIndex, commitIndex, appliedIndex, options } = this.#state;
-        if (role === "leader") {
-            return now - this.quorumContactAt(now) <= options.electionMs && appliedIndex >= commitIndex;
-        }
-        return leader !== undefined && now - leaderContactAt <= options.electionMs
-            && appliedIndex >= leaderCommitIndex;
+        const { role, leader, leaderContactAt, leaderCommitIndex, log, term, options } = this.#state;
+        const isLeader = role === "leader";
+        const contactAt = isLeader ? this.quorumContactAt(now) : leaderContactAt;
+        const committed = isLeader ? this.commitIndex : leaderCommitIndex;
+        return leader !== undefined && now - contactAt <= options.electionMs && this.appliedIndex >= committed
+            && log.termAt(committed) === term;
     }
 }
 
--- a/packages/agreement/tests/consensus-member.test.ts
+++ b/packages/agreement/tests/consensus-member.test.ts
@@ -414,10 +414,16 @@
     expect(member.isCurrent).toBe(true);
     member.now += OPTIONS.electionMs + 1;
     expect(member.isCurrent).toBe(false);
-    // A new leader has not yet told how far it has committed.
-    member.receive("c", {
+    member.isSlow = false;
+    // A new leader may know of less than its predecessor had committed until it has committed an entry of its own.
+    member.receive("c", append(2, { previousIndex: 3, previousTerm: 1, entries: [entry(4, 2)], commitIndex: 2 }));
+    expect(member.isCurrent).toBe(false);
+    member.receive("c", append(2, { previousIndex: 4, previousTerm: 2, commitIndex: 4 }));
+    expect(member.isCurrent).toBe(true);
+    // The next one has not yet told how far it has committed.
+    member.receive("b", {
         kind: "snapshotChunk",
-        term: 2,
+        term: 3,
         lastIndex: 9,
         lastTerm: 1,
         members: MEMBERS,
@@ -433,6 +439,7 @@
 test("a leader is current while a quorum answers it and it has applied what it committed", () => {
     const member = new Member();
     member.becomeLeader();
+    expect(member.isCurrent).toBe(false);
     member.acknowledge("b", 1);
     expect(member.isCurrent).toBe(true);
     member.now += OPTIONS.electionMs + 1;
--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -172,12 +172,9 @@
         return this.#agreement?.membersIndex ?? 0;
     }
 
-    /**
-     * True while this member has applied what was committed when it last heard from the leader, a moment ago. A leader
-     * has to have applied what earlier leaders committed.
-     */
+    /** See `ConsensusMember.isCurrent`. */
     get isCurrent(): boolean {
-        return this.#agreement?.isCurrent === true && (this.#role.role !== "leader" || this.isLeader);
+        return this.#agreement?.isCurrent === true;
     }
 
     /** Place of this host in the group, and how far it has followed the log. */
--- a/packages/runtime/src/consensus-task.ts
+++ b/packages/runtime/src/consensus-task.ts
@@ -87,7 +87,7 @@
         return this.#member.membersIndex;
     }
 
-    /** True if this member had applied all that was committed when it last heard from the group, just before. */
+    /** See `ConsensusMember.isCurrent`. */
     get isCurrent(): boolean {
         return this.#member.isCurrent(this.#options.clock.now());
     }
