Count a confirmation only for the newest configuration in force

Callers would see: an entry host that stays behind, or finds another control host late, although it looks for confirmations.

Cause, found by the review of the fix with trial tests: a confirmation of a number older than one that the host had heard of counted, as did one that had waited in a buffer while the host was frozen, and the first list of hosts. A list of a follower with an older index hid a new leader. A request for a list went out 0.5 s after its link was opened. Links opened during a search were never closed.

Change: a confirmation counts once the newest number heard of is in force, not just after a stall, by a clock that does not stop with the machine. Leader and control hosts are taken from lists apart from each other. List requests are sent as soon as a link is open, over up to three links. Links that are not needed are closed after 10 s. Control hosts confirm every 0.5 s, so that one message may be late. The log tells controlContactLost and controlContactRegained.

Evidence: unit tests of each rule; the tests of hosts pass. departures.test keeps its reader that fails; the test of host lists now fails again without the order of lists, since it ends before a search would begin.

--- a/packages/fleet/src/control-contacts.ts
+++ b/packages/fleet/src/control-contacts.ts
@@ -4,26 +4,42 @@
 const CONTROL_LINKS = 3;
 
 /**
- * Time without a confirmation after which an entry host counts as possibly behind. One confirmation may be lost or late,
- * and of the 3 s within which a change must be in force everywhere, half is left to find another control host.
+ * Time without a confirmation after which an entry host looks for other control hosts. A current one confirms every 0.5 s,
+ * and a change must be in force within 3 s.
  */
 const CONFIRMATION_LIMIT_MS = 1_500;
 
 /** Interval of requests for a newer list of hosts to other entry hosts. */
 const LIST_REQUEST_INTERVAL_MS = 500;
 
+/** Links beyond the wanted ones are closed when the configuration has been confirmed for this long without a break. */
+const SURPLUS_LINK_MS = 10_000;
+
+/** A process that was late by this much stood still. What it reads next may have waited for it all the while. */
+const STALL_MS = 500;
+
 /**
- * The control hosts that an entry host knows, and whether one of them still confirms what it has. Decides which of them
- * to keep links to.
+ * The control hosts that an entry host knows, and whether one of them still confirms that the configuration in force is
+ * the newest. Decides which of them to keep links to.
  */
 export class ControlContacts {
     readonly #random: () => number;
-    #list: HostList | undefined;
+    #term = 0;
     #leader: string | undefined;
-    /** The control hosts of the list in an order of this host's own, so that not all hosts link to the same ones. */
-    #rotated: readonly string[] = [];
+    /** The control hosts in an order of this host's own, so that not all entry hosts link to the same ones. */
+    #control: readonly string[] = [];
+    /** Index of the log entry from which they are known, and the term of the list that named them. */
+    #index = Number.NEGATIVE_INFINITY;
+    #controlTerm = 0;
+    /** When a current control host last named the newest number, whether or not that was in force. */
+    #heardAt = Number.NEGATIVE_INFINITY;
     #confirmedAt = Number.NEGATIVE_INFINITY;
+    #confirmedSince: number | undefined;
+    /** Until then the first control hosts may still be starting. */
+    #searchFrom = Number.NEGATIVE_INFINITY;
     #listRequestedAt = Number.NEGATIVE_INFINITY;
+    #tickedAt: number | undefined;
+    #trustedFrom = Number.NEGATIVE_INFINITY;
 
     /** @param random returns numbers from 0 up to 1 */
     constructor(random: () => number) {
@@ -35,67 +51,114 @@
         return this.#leader;
     }
 
-    /** Consensus term of the newest list; 0 before the first. */
+    /** The highest consensus term of a list; 0 before the first. */
     get term(): number {
-        return this.#list?.term ?? 0;
+        return this.#term;
     }
 
     /**
-     * Records a list of hosts. Returns false, without recording it, if it names no control host or a newer list is known:
-     * a member that is behind may be in the same term as the leader. The first list counts as a confirmation, so that
-     * hosts that start together do not all link to every control host.
+     * Records a list of hosts. Returns true if the leader, its term or the control hosts are others than before. They are
+     * judged apart: a member that is behind may know the present leader and still name former members.
      */
     listed(list: HostList, now: number): boolean {
-        if (list.control.length === 0 || (this.#list !== undefined && !isNewer(list, this.#list))) {
+        if (list.control.length === 0) {
             return false;
         }
-        if (this.#list === undefined) {
-            this.#confirmedAt = now;
+        const hasNewLeader = this.#recordLeader(list);
+        return this.#recordControl(list, now) || hasNewLeader;
+    }
+
+    #recordLeader({ term, leader = this.#leader }: HostList): boolean {
+        if (term < this.#term || (term === this.#term && leader === this.#leader)) {
+            return false;
         }
-        this.#list = list;
-        this.#leader = list.leader ?? this.#leader;
-        const known = [...list.control].sort();
-        const rotation = Math.floor(this.#random() * known.length);
-        this.#rotated = [...known.slice(rotation), ...known.slice(0, rotation)];
+        this.#term = term;
+        this.#leader = leader;
         return true;
     }
 
-    /** Records that a control host which is current told this host the number of its configuration. */
-    confirmed(now: number): void {
-        this.#confirmedAt = now;
+    /** Only the leader's own list names the entry hosts; within its term, each of its lists is newer than the one before. */
+    #recordControl({ term, index, control, entries }: HostList, now: number): boolean {
+        if (term < this.#controlTerm || (entries === undefined && index <= this.#index)) {
+            return false;
+        }
+        const known = [...this.#control].sort();
+        const listed = [...control].sort();
+        this.#controlTerm = term;
+        this.#index = index;
+        if (listed.length === known.length && listed.every((id, position) => id === known[position])) {
+            return false;
+        }
+        if (known.length === 0) {
+            this.#searchFrom = now + CONFIRMATION_LIMIT_MS;
+        }
+        const rotation = Math.floor(this.#random() * listed.length);
+        this.#control = [...listed.slice(rotation), ...listed.slice(0, rotation)];
+        return true;
+    }
+
+    /** Records that a current control host named the highest number that this host has heard of. */
+    heard(now: number): void {
+        if (!this.#isLate(now) && now >= this.#trustedFrom) {
+            this.#heardAt = now;
+        }
+    }
+
+    /** Records that the configuration with the highest number that this host has heard of is in force. */
+    newestInForce(): void {
+        this.#confirmedAt = this.#heardAt;
+    }
+
+    /** Follows the time; to be called about every 50 ms. */
+    tick(now: number): void {
+        if (this.#isLate(now)) {
+            this.#trustedFrom = now + STALL_MS;
+        }
+        this.#tickedAt = now;
+        this.#confirmedSince = this.isConfirmed(now) ? this.#confirmedSince ?? now : undefined;
+    }
+
+    #isLate(now: number): boolean {
+        return this.#tickedAt !== undefined && now - this.#tickedAt > STALL_MS;
     }
 
-    /** Returns true while this host has recently heard from a control host that is current. */
+    /** Returns true while a current control host has recently confirmed that the newest configuration is in force. */
     isConfirmed(now: number): boolean {
-        return this.unconfirmedMs(now) < CONFIRMATION_LIMIT_MS;
+        return now - this.#confirmedAt < CONFIRMATION_LIMIT_MS;
     }
 
-    /** Time since the last confirmation, in ms; infinite before the first. */
-    unconfirmedMs(now: number): number {
-        return now - this.#confirmedAt;
+    /** Returns true while this host may be behind, so that it looks for other control hosts than those it is linked to. */
+    isSearching(now: number): boolean {
+        return !this.isConfirmed(now) && now >= this.#searchFrom;
     }
 
     /**
-     * Returns the ids of the control hosts to keep links to: the leader and some others, those with a link first. While
-     * no linked one is current, these are all that are known and the seeds, since the control hosts may have been
-     * replaced while this host was frozen or cut off.
+     * Returns the ids of the control hosts to keep links to: the leader and some others, those with a link first. During
+     * a search these are all that are known and the seeds, since the control hosts may have been replaced while this host
+     * was frozen or cut off.
      * @param linked ids of hosts with an open link
      */
     wanted(linked: ReadonlySet<string>, seeds: readonly string[], now: number): readonly string[] {
-        if (this.#list === undefined || !this.isConfirmed(now)) {
-            return [...new Set([...this.#rotated, ...seeds])];
+        if (this.isSearching(now)) {
+            return [...new Set([...this.#control, ...seeds])];
         }
-        const leader = this.#rotated.filter(id => id === this.#leader);
-        const ordered = new Set([...leader, ...this.#rotated.filter(id => linked.has(id)), ...this.#rotated]);
+        const leader = this.#control.filter(id => id === this.#leader);
+        const ordered = new Set([...leader, ...this.#control.filter(id => linked.has(id)), ...this.#control]);
         return [...ordered].slice(0, CONTROL_LINKS);
     }
 
-    /**
-     * Returns true when other entry hosts should be asked for their list, and records the request: while this host has a
-     * list, but none of its control hosts nor of the seeds confirms anything.
-     */
+    /** Returns the ids of linked control hosts whose links are not needed, once they have not been for some time. */
+    surplus(linked: ReadonlySet<string>, now: number): readonly string[] {
+        if (now - (this.#confirmedSince ?? now) < SURPLUS_LINK_MS) {
+            return [];
+        }
+        const wanted = this.wanted(linked, [], now);
+        return [...linked].filter(id => !wanted.includes(id));
+    }
+
+    /** Returns true when other entry hosts should be asked for their list of hosts, and records the request. */
     mustRequestList(now: number): boolean {
-        const isDue = this.#list !== undefined && !this.isConfirmed(now)
+        const isDue = this.#control.length > 0 && this.isSearching(now)
             && now - this.#listRequestedAt >= LIST_REQUEST_INTERVAL_MS;
         if (isDue) {
             this.#listRequestedAt = now;
@@ -104,18 +167,21 @@
     }
 
     /**
-     * Returns the list to send to another entry host; undefined while it is not confirmed. The entry hosts are left out,
+     * Returns the list to send to another entry host; undefined while nothing is confirmed. The entry hosts are left out,
      * as only the leader knows all of them.
      */
     listToForward(now: number): HostList | undefined {
-        return this.isConfirmed(now) && this.#list !== undefined ? { ...this.#list, entries: undefined } : undefined;
-    }
-}
-
-/** Only the leader's own list names the entry hosts; within its term, each of its lists is newer than the one before. */
-function isNewer(list: HostList, known: HostList): boolean {
-    if (list.entries !== undefined) {
-        return list.term >= known.term;
+        if (!this.isConfirmed(now)) {
+            return undefined;
+        }
+        const control = [...this.#control].sort();
+        return {
+            kind: "hostList",
+            term: this.#controlTerm,
+            index: this.#index,
+            leader: this.#leader,
+            control,
+            entries: undefined,
+        };
     }
-    return list.index > known.index || (list.index === known.index && list.term >= known.term);
 }
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -35,7 +35,7 @@
 const TICK_MS = 50;
 
 /** Interval at which a host that is current confirms the number of its configuration to the linked entry hosts. */
-const CONFIRMATION_INTERVAL_MS = 1_000;
+const CONFIRMATION_INTERVAL_MS = 500;
 
 /** Interval at which a host that knows no leader requests membership. */
 const JOIN_INTERVAL_MS = 300;
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -1,6 +1,6 @@
 import type { LimitAccuracy } from "@medlarledge/customers";
 import { EndpointDirectory } from "@medlarledge/directory";
-import { Gateway, UNRESTRICTED_PERMITS } from "@medlarledge/gateway";
+import { ElapsedClock, Gateway, UNRESTRICTED_PERMITS } from "@medlarledge/gateway";
 import {
     type EndpointRecord,
     type Host,
@@ -93,9 +93,11 @@
     readonly #limits: HostLimits | undefined;
     readonly #configurationRequests = new ConfigurationRequests();
     readonly #control: ControlContacts;
+    /** Counts the time in which the machine was suspended, too. */
+    readonly #elapsed: ElapsedClock;
     #seeds: readonly string[];
-    /** Whether the configuration counted as confirmed at the last check. */
-    #wasConfirmed = false;
+    /** Whether this host looked for other control hosts at the last check. */
+    #wasSearching = false;
     #timer: NodeJS.Timeout | undefined;
     #isStopping = false;
     /** Whether the lease had lapsed at the last check. */
@@ -133,6 +135,7 @@
     constructor(options: EntryHostOptions) {
         this.#options = options;
         this.#control = new ControlContacts(options.random);
+        this.#elapsed = new ElapsedClock(options.clock);
         this.#plans = new ConnectionPlans(options.self, options.clock.now());
         this.#contacts = new ContactMonitor({
             self: options.self,
@@ -309,7 +312,7 @@
         }
         this.#closeSessionsWhenNotReady(now);
         this.#requestConfiguration();
-        this.#checkConfirmation(now);
+        this.#checkControlContact();
     }
 
     #closeSessionsWhenNotReady(now: number): void {
@@ -378,30 +381,30 @@
 
     #hostsReceived(list: MessageOf<"hostList">, from: Host): void {
         const { leader: formerLeader, term: formerTerm } = this.#control;
-        if (!this.#control.listed(list, this.#options.clock.now())) {
+        const formerEntries = this.#plans.entries;
+        const hasNewControl = this.#control.listed(list, this.#elapsed.now());
+        const { leader, term } = this.#control;
+        if (list.entries !== undefined && list.control.length > 0 && list.term === term) {
+            this.#plans.hostsChanged(list.entries);
+        }
+        if (!hasNewControl && this.#plans.entries === formerEntries) {
             return;
         }
-        const { term, index, control, entries } = list;
-        const { leader } = this.#control;
-        this.#contacts.retainControlHosts(control);
-        this.#plans.hostsChanged(entries ?? this.#plans.entries);
+        const { index, control } = list;
+        const entries = this.#plans.entries.length;
+        this.#options.log.event("hostsChanged", { from: from.id, term, index, leader, control, entries });
         this.#limits?.hostsChanged();
-        this.#options.log.event("hostsChanged", {
-            from: from.id,
-            term,
-            index,
-            leader,
-            control,
-            entries: this.#plans.entries.length,
-        });
-        this.#updateLinks();
+        if (hasNewControl) {
+            this.#contacts.retainControlHosts(control);
+            this.#updateLinks();
+        }
         if (leader !== formerLeader || term !== formerTerm) {
             this.#leaderChanged();
         }
     }
 
     #forwardHostList(to: Host): void {
-        const list = this.#control.listToForward(this.#options.clock.now());
+        const list = this.#control.listToForward(this.#elapsed.now());
         if (list !== undefined) {
             this.#links.send(to.id, list);
         }
@@ -414,26 +417,59 @@
     }
 
     #updateLinks(): void {
-        const linked = new Set(this.#connectedControl().map(host => host.id));
-        this.#links.keep(this.#control.wanted(linked, this.#seeds, this.#options.clock.now()));
+        this.#links.keep(this.#control.wanted(this.#linkedControl(), this.#seeds, this.#elapsed.now()));
+    }
+
+    #linkedControl(): ReadonlySet<string> {
+        return new Set(this.#connectedControl().map(host => host.id));
     }
 
     /** Looks for other control hosts while none confirms that the configuration in force is the newest. */
-    #checkConfirmation(now: number): void {
-        const isConfirmed = this.#control.isConfirmed(now);
-        if (isConfirmed !== this.#wasConfirmed) {
-            this.#wasConfirmed = isConfirmed;
-            this.#options.log.event("confirmationChanged", {
-                isConfirmed,
+    #checkControlContact(): void {
+        const now = this.#elapsed.now();
+        this.#control.tick(now);
+        this.#confirm();
+        const isSearching = this.#control.isSearching(now);
+        if (isSearching !== this.#wasSearching) {
+            this.#wasSearching = isSearching;
+            this.#options.log.event(isSearching ? "controlContactLost" : "controlContactRegained", {
                 configuration: this.#gateway.routing.number,
+                newest: this.#configurationRequests.newest,
                 leader: this.#control.leader,
-                linked: this.#connectedControl().map(host => host.id),
+                linked: [...this.#linkedControl()],
             });
             this.#updateLinks();
         }
         if (this.#control.mustRequestList(now)) {
-            this.#sendToOthers({ kind: "hostListWanted" });
+            this.#requestHostList();
         }
+        this.#control.surplus(this.#linkedControl(), now).forEach(id => this.#links.disconnect(id));
+    }
+
+    #confirm(): void {
+        if (this.#gateway.routing.number >= this.#configurationRequests.newest) {
+            this.#control.newestInForce();
+        }
+    }
+
+    /** Asks some random entry hosts for their list of hosts. Opens links to them if there are too few. */
+    #requestHostList(): void {
+        const linked = this.#links.connected().filter(host => !host.control).map(host => host.id);
+        const others = this.#plans.entries.map(({ id }) => id).filter(id => id !== this.#options.self.id);
+        const unlinked = others.filter(id => !linked.includes(id));
+        const chosen = [...this.#shuffled(linked), ...this.#shuffled(unlinked)].slice(0, FORWARDING_HOSTS);
+        for (const id of chosen) {
+            void this.#links.open(id, FORWARDING_LINK_TIMEOUT_MS).then(isOpen => {
+                if (isOpen) {
+                    this.#links.send(id, { kind: "hostListWanted" });
+                }
+            });
+        }
+    }
+
+    #shuffled(ids: readonly string[]): readonly string[] {
+        const keyed = ids.map(id => ({ id, key: this.#options.random() }));
+        return keyed.sort((left, right) => left.key - right.key).map(({ id }) => id);
     }
 
     #logLease(): void {
@@ -513,14 +549,15 @@
     }
 
     #offeredBy(host: Host, { number, isCurrent }: MessageOf<"configurationOffer">): void {
-        if (isCurrent) {
-            this.#control.confirmed(this.#options.clock.now());
-        }
         if (number > this.#configurationRequests.newest) {
             const inForce = this.#gateway.routing.number;
             this.#options.log.event("configurationOffered", { peer: host.id, number, inForce });
         }
         this.#configurationRequests.offered(host.id, number);
+        if (isCurrent && number >= this.#configurationRequests.newest) {
+            this.#control.heard(this.#elapsed.now());
+            this.#confirm();
+        }
         this.#requestConfiguration();
     }
 
@@ -547,6 +584,7 @@
             this.#plans.configurationChanged();
             this.#keyLease?.configured(change.number, this.#gateway.routing.customers !== undefined);
             this.#keyLeaseChecked();
+            this.#confirm();
             this.#options.log.event("configurationInForce", { number: change.number, from: from.id });
         }
         const { newest } = this.#configurationRequests;
--- a/packages/fleet/src/host-links.ts
+++ b/packages/fleet/src/host-links.ts
@@ -59,6 +59,11 @@
         });
     }
 
+    /** Closes the link to a host. It is not dialed again unless it is among the hosts to keep. */
+    disconnect(id: string): void {
+        this.#mesh.disconnect(id);
+    }
+
     /** Closes idle links that were opened on demand. */
     closeIdle(isInUse: (id: string) => boolean, now: number): void {
         for (const id of this.#temporary) {
--- a/packages/fleet/tests/confirmations.test.ts
+++ b/packages/fleet/tests/confirmations.test.ts
@@ -9,7 +9,7 @@
 
 /** A control host and an entry host linked to it, whose received offers are collected. */
 async function linkedHosts(others: readonly string[]) {
-    const { host, self } = await startControlHost(await mkdtemp(join(tmpdir(), "medlarledge-")), others);
+    const { host, self } = await startControlHost(await mkdtemp(join(tmpdir(), "medlarledge-")), { others });
     const { mesh } = await startPeer(false, SILENT_LOG);
     const offers: ConfigurationOffer[] = [];
     void mesh.events.observe((event: MeshEvent) => {
--- a/packages/fleet/tests/departures.test.ts
+++ b/packages/fleet/tests/departures.test.ts
@@ -5,6 +5,7 @@
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { expect, test } from "vitest";
+import type { ConfigurationReader } from "../src/index.js";
 import { startControlHost, startPeer } from "./linked-hosts.js";
 
 const RECORD: EndpointRecord = {
@@ -20,6 +21,12 @@
     role: EndpointRole.Replica,
 };
 
+/** Fails the test that reads a configuration. */
+const NO_CONFIGURATIONS: ConfigurationReader = {
+    validate: () => [],
+    routing: () => expect.fail("there is no configuration"),
+};
+
 async function savedRecords(dataFolder: string): Promise<readonly EndpointRecord[]> {
     const text = await readFile(join(dataFolder, "last-known.json"), "utf8");
     return (JSON.parse(text) as { readonly records: readonly EndpointRecord[]; }).records;
@@ -29,7 +36,7 @@
 // (DRAIN; docs/incidents/departure-lost-with-power.md).
 test("a departure is on the disk when it is acknowledged", async () => {
     const dataFolder = await mkdtemp(join(tmpdir(), "medlarledge-"));
-    const { host } = await startControlHost(dataFolder);
+    const { host } = await startControlHost(dataFolder, { configurations: NO_CONFIGURATIONS });
     expect(await host.announce(RECORD)).toBe(true);
     expect(await host.announce({ ...RECORD, sequence: 2, state: EndpointState.Leaving })).toBe(true);
     expect(await savedRecords(dataFolder)).toMatchObject([{ id: "i-1", state: EndpointState.Leaving, sequence: 2 }]);
@@ -40,7 +47,7 @@
 // Guards against an acknowledgement by a control host whose disk is full, which forgets the departure at a restart.
 test("a departure that cannot be stored is not acknowledged until it is", async () => {
     const dataFolder = await mkdtemp(join(tmpdir(), "medlarledge-"));
-    const { host } = await startControlHost(dataFolder);
+    const { host } = await startControlHost(dataFolder, { configurations: NO_CONFIGURATIONS });
     const obstacle = join(dataFolder, "last-known.json.tmp");
     await mkdir(obstacle);
     expect(await host.announce({ ...RECORD, state: EndpointState.Leaving })).toBe(false);
@@ -56,7 +63,7 @@
     const records = [{ ...RECORD, state: EndpointState.Leaving, leavingMs: 1_000 }];
     const savedAt = Date.now() - 5_000;
     await writeFile(join(dataFolder, "last-known.json"), JSON.stringify({ records, orders: [], savedAt }));
-    const { self } = await startControlHost(dataFolder);
+    const { self } = await startControlHost(dataFolder, { configurations: NO_CONFIGURATIONS });
     const entry = await startPeer(false, SILENT_LOG);
     const received: EndpointRecord[] = [];
     void entry.mesh.events.observe((event: MeshEvent) => {
--- a/packages/fleet/tests/host-lists.test.ts
+++ b/packages/fleet/tests/host-lists.test.ts
@@ -35,5 +35,6 @@
     await expect.poll(() => links.length).toBe(1);
     await new Promise(resolve => setTimeout(resolve, 500));
     leader.mesh.disconnect(links[0] ?? "");
-    await expect.poll(() => links.length, { timeout: 2_000 }).toBe(2);
+    // Before a search for other control hosts would find it among the seeds.
+    await expect.poll(() => links.length, { timeout: 700 }).toBe(2);
 });
--- a/packages/fleet/tests/linked-hosts.ts
+++ b/packages/fleet/tests/linked-hosts.ts
@@ -95,7 +95,13 @@
 }
 
 /** A control host that is started; it is stopped after the test. */
-export async function startControlHost(dataFolder: string, others: readonly string[] = []) {
+export async function startControlHost(
+    dataFolder: string,
+    { others = [], configurations = CONFIGURATIONS }: {
+        readonly others?: readonly string[];
+        readonly configurations?: ConfigurationReader;
+    } = {},
+) {
     const self = await newHost(true);
     const host = new ControlHost({
         self,
@@ -107,7 +113,7 @@
         log: SILENT_LOG,
         meter: new MetricsPage(),
         connector: { connect: () => Promise.resolve({ ok: false, failure: { kind: "refused", reason: "" } }) },
-        configurations: CONFIGURATIONS,
+        configurations,
         authority: { promote: () => Promise.resolve(PromotionOutcome.Unknown) },
         primariesStepDown: true,
         limitAccuracy: undefined,
--- a/packages/fleet/tests/replaced-control-hosts.test.ts
+++ b/packages/fleet/tests/replaced-control-hosts.test.ts
@@ -5,18 +5,23 @@
 
 const connector = { connect: () => Promise.reject(new Error("there are no endpoints")) };
 
-function hostList(leader: string, control: readonly string[], entries: readonly HostPlacement[] = []): Message {
-    return { kind: "hostList", term: 3, index: 1, leader, control, entries };
+function hostList(
+    index: number,
+    leader: string,
+    control: readonly string[],
+    entries: readonly HostPlacement[] = [],
+): Message {
+    return { kind: "hostList", term: 3, index, leader, control, entries };
 }
 
 /**
  * An entry host that has configuration 1 from a control host that is gone, and a list of control hosts that are gone too.
  */
-async function createLeftHost(seeds: readonly string[], entries: readonly HostPlacement[] = []) {
+async function createHostWithoutControl(seeds: readonly string[], entries: readonly HostPlacement[] = []) {
     const gone = (await Promise.all([newHost(true), newHost(true), newHost(true)])).map(host => host.id);
     const former = await startControl(1, {
         greeting: ({ id }) => [
-            hostList(id, gone, entries),
+            hostList(1, id, gone, entries),
             { kind: "configurationOffer", number: 1, isCurrent: true },
         ],
     });
@@ -31,7 +36,7 @@
 /** Starts the control host that has configuration 2 and confirms it to the hosts linked to it. */
 async function startSuccessor(self?: Host): Promise<Host> {
     const offer = { kind: "configurationOffer", number: 2, isCurrent: true } as const;
-    const greeting = ({ id }: Host): readonly Message[] => [hostList(id, [id]), offer];
+    const greeting = ({ id }: Host): readonly Message[] => [hostList(2, id, [id]), offer];
     const { mesh, self: host } = await startControl(2, { ...self === undefined ? {} : { self }, greeting });
     const timer = setInterval(() => mesh.connected().forEach(({ id }) => mesh.send(id, offer)), 500);
     cleanUp(async () => clearInterval(timer));
@@ -42,14 +47,14 @@
 // (CONFIG; docs/incidents/configuration-after-replaced-control-hosts.md).
 test("an entry host whose listed control hosts are all gone takes the newer configuration from a seed", async () => {
     const successor = await newHost(true);
-    const { inForce } = await createLeftHost([successor.id]);
+    const { inForce } = await createHostWithoutControl([successor.id]);
     await startSuccessor(successor);
     await expect.poll(() => inForce, { timeout: 3_000 }).toEqual([1, 2]);
 });
 
 // Guards against settings whose new seeds are not asked while an old list of hosts is known (CONFIG).
 test("an entry host whose listed control hosts are all gone asks the seeds of changed settings", async () => {
-    const { host, inForce } = await createLeftHost([]);
+    const { host, inForce } = await createHostWithoutControl([]);
     const { id } = await startSuccessor();
     host.setSeeds([id]);
     await expect.poll(() => inForce, { timeout: 3_000 }).toEqual([1, 2]);
@@ -61,6 +66,24 @@
     const self = await newHost(false);
     const neighbour = await createEntryHost([seed], CONFIGURATIONS, { log: SILENT_LOG, connector, self });
     expect(await neighbour.start()).toBeUndefined();
-    const { inForce } = await createLeftHost([], [{ id: self.id, dataCentre: self.dataCentre }]);
+    const { inForce } = await createHostWithoutControl([], [{ id: self.id, dataCentre: self.dataCentre }]);
     await expect.poll(() => inForce, { timeout: 4_000 }).toEqual([1, 2]);
 });
+
+// Guards against an entry host that is linked only to a control host that is behind, and counts on it (CONFIG).
+test("an entry host looks for another control host while the linked one does not say that it is current", async () => {
+    const successor = await newHost(true);
+    const behind = await startControl(1, {
+        greeting: ({ id }) => [hostList(2, id, [id]), { kind: "configurationOffer", number: 1, isCurrent: false }],
+    });
+    const offer = { kind: "configurationOffer", number: 1, isCurrent: false } as const;
+    const timer = setInterval(() => behind.mesh.connected().forEach(({ id }) => behind.mesh.send(id, offer)), 500);
+    cleanUp(async () => clearInterval(timer));
+    const { log, inForce } = configurationLog();
+    const host = await createEntryHost([behind.self.id], CONFIGURATIONS, { log, connector });
+    expect(await host.start()).toBeUndefined();
+    await expect.poll(() => inForce).toEqual([1]);
+    host.setSeeds([successor.id]);
+    await startSuccessor(successor);
+    await expect.poll(() => inForce, { timeout: 3_000 }).toEqual([1, 2]);
+});
--- a/packages/protocol/src/fleet-message.ts
+++ b/packages/protocol/src/fleet-message.ts
@@ -14,7 +14,7 @@
     readonly orders: readonly PromotionOrder[];
 }
 
-/** Control host to entry hosts and other control hosts: the hosts of the system. */
+/** Control host to all linked hosts, and entry host to another one that asks for it: the hosts of the system. */
 export interface HostList {
     readonly kind: "hostList";
     /** Consensus term of the sender. */
@@ -24,11 +24,11 @@
     readonly leader: string | undefined;
     /** Ids of the control hosts. */
     readonly control: readonly string[];
-    /** Entry hosts in use, sorted by id; undefined from a control host that is not the leader, since its list may be incomplete. */
+    /** Entry hosts in use, sorted by id; undefined from a host that is not the leader, since its list may be incomplete. */
     readonly entries: readonly HostPlacement[] | undefined;
 }
 
-/** Entry host to entry host: asks for its list of hosts. It answers only while it is itself confirmed. */
+/** Entry host to entry host: asks for its list of hosts. It answers only while its own configuration is confirmed. */
 export interface HostListRequest {
     readonly kind: "hostListWanted";
 }
@@ -37,7 +37,10 @@
 export interface ConfigurationOffer {
     readonly kind: "configurationOffer";
     readonly number: number;
-    /** Whether the sender has just heard from the leader, or leads, and has applied all that was committed by then. */
+    /**
+     * Whether the sender has heard from the leader within an election timeout, or leads, and has applied all that was
+     * committed by then.
+     */
     readonly isCurrent: boolean;
 }
 
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -24,10 +24,14 @@
         level: "info",
         meaning: "A control host told this host of a newer configuration than any that it had heard of.",
     },
-    confirmationChanged: {
+    controlContactLost: {
         level: "warn",
         meaning:
-            "For 1.5 s no control host has confirmed that the configuration of this host is the newest, and others are looked for; or one does.",
+            "For 1.5 s no control host has confirmed that this host has the newest configuration; it looks for others. `linked` names those with a link.",
+    },
+    controlContactRegained: {
+        level: "info",
+        meaning: "A control host confirms again that this host has the newest configuration.",
     },
     configurationOutdated: {
         level: "info",
