--- a/packages/fleet/tests/membership.test.ts
+++ b/packages/fleet/tests/membership.test.ts
@@ -40,7 +40,12 @@
 ])("a new host that starts %s another is lost, and loses its disk, does not end the quorum", async (_, steps) => {
     const { leader, others } = await found();
     for (const step of steps) {
-        await (step === "start" ? network.start("d") : network.remove(others[0] ?? ""));
+        if (step === "start") {
+            await network.start("d");
+        }
+        else {
+            network.remove(others[0] ?? "");
+        }
         await vi.advanceTimersByTimeAsync(900);
     }
     network.loseDisk("d");
