--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -82,6 +82,8 @@
     /** Host ids of the first members at the first start of the system; undefined on any later start. */
     readonly initialMembers: readonly string[] | undefined;
     readonly clock: Clock;
+    /** Seed of the election timeouts; a random one by default, so that hosts do not start elections together. */
+    readonly seed?: number;
     readonly send: (to: string, envelope: ConsensusEnvelope) => void;
     /** Returns the findings on a configuration; none means that it is valid. */
     readonly validate: (files: readonly ConfigurationFile[]) => readonly string[];
@@ -321,7 +323,7 @@
     }
 
     #run(store: ConsensusStore, recovered: RecoveredState): void {
-        const { clock, send } = this.#options;
+        const { clock, send, seed } = this.#options;
         this.#store = store;
         this.#memberId = recovered.memberId ?? "";
         this.#state = new ControlState();
@@ -335,7 +337,7 @@
                 snapshotEvery: SNAPSHOT_INTERVAL_ENTRIES,
                 maxBatchEntries: MAX_BATCH_ENTRIES,
                 snapshotChunkBytes: SNAPSHOT_CHUNK_BYTES,
-                seed: randomInt(2 ** 31),
+                seed: seed ?? randomInt(2 ** 31),
             },
             clock,
             tickMs: TICK_MS,
--- a/packages/fleet/tests/member-network.ts
+++ b/packages/fleet/tests/member-network.ts
@@ -54,6 +54,7 @@
     readonly events: { readonly host: string; readonly name: LogEvent; readonly fields: LogFields; }[] = [];
     readonly #hosts = new Map<string, SimulatedHost>();
     readonly #syncMs: number;
+    readonly #seed: number;
     readonly #joinTimer: NodeJS.Timeout;
     #incarnation = 0;
     /** Why a host could not start, if one could not; a host with a stalled disk starts later. */
@@ -61,7 +62,8 @@
     /** Whether messages from one host to another are lost. */
     isCut: (from: string, to: string) => boolean = () => false;
 
-    constructor(syncMs = 1) {
+    constructor(syncMs = 1, seed = 1) {
+        this.#seed = seed;
         this.#syncMs = syncMs;
         this.#joinTimer = setInterval(() => this.#requestMembership(), JOIN_INTERVAL_MS);
     }
@@ -179,6 +181,7 @@
             dataFolder: "/data",
             files: filesOf(disk, this.#syncMs, isRunning),
             initialMembers,
+            seed: this.#seed * 1_000 + this.#incarnation,
             clock: { now: () => performance.now(), wallClock: () => Date.now() },
             send: (to, envelope) => {
                 if (isRunning()) {
--- a/packages/fleet/tests/membership.test.ts
+++ b/packages/fleet/tests/membership.test.ts
@@ -85,11 +85,11 @@
     expect(statuses.length).toBeLessThan(10);
     expect([...new Set(statuses.map(({ membership }) => membership))]).toEqual(["none", "learner", "voter"]);
     const [joined, cutOff] = [statuses.findLast(({ leader }) => leader !== undefined), statuses.at(-1)];
-    expect(joined).toMatchObject({ membership: "voter", term: 1 });
+    const { term, hostsIndex } = network.member(leader).status;
+    expect(joined).toMatchObject({ membership: "voter", term });
     expect(cutOff).toMatchObject({ membership: "voter", appliedIndex: cutOff?.["committedIndex"] });
     expect(cutOff?.["leader"]).toBeUndefined();
     expect(cutOff?.["leaderSilenceMs"]).toBeGreaterThan(9_000);
-    const { term, hostsIndex } = network.member(leader).status;
     expect(cutOff?.["term"]).toBe(term);
     expect(cutOff?.["hostsIndex"]).toBeLessThan(hostsIndex);
 });
--- a/packages/fleet/tests/replaced-disks.ts
+++ b/packages/fleet/tests/replaced-disks.ts
@@ -22,7 +22,7 @@
 
     constructor(seed: number) {
         this.#random = xoroshiro128plus(seed);
-        this.#network = new MemberNetwork(this.#pick([0, 1, 5, 30]));
+        this.#network = new MemberNetwork(this.#pick([0, 1, 5, 30]), seed);
     }
 
     async run(lossCount: number): Promise<void> {
