Count the silence of a voter on from before the election of the leader

Cause: a leader measures the silence of a voter that has not answered it from its own election. Each change of the leader deferred the removal of the first host, so that it was still a voter when the second one went.

Change: a control host knows since when it has had no link to another one, and the leader counts that time too.

Evidence: the new test fails without it (the lost voter is still a member 0.6 s after the election) and passes now.

--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -104,6 +104,8 @@
     /** The newest configuration known to be committed, from the group's log or from before a restart. */
     #configuration: ConfigurationChange | undefined;
     readonly #entries = new Map<string, KnownEntryHost>();
+    /** When the link to each control host that has none at present was lost. */
+    readonly #controlLostAt = new Map<string, number>();
     /** Endpoints that leave or have left, by id, as long as the file may not tell it. */
     readonly #unsavedDepartures = new Map<string, EndpointState>();
     #seeds: readonly string[];
@@ -152,6 +154,7 @@
             initialMembers,
             clock,
             send: (to, envelope) => this.#links.send(to, envelope),
+            unlinkedMs: host => clock.now() - (this.#controlLostAt.get(host) ?? clock.now()),
             validate: files => configurations.validate(files),
             events: {
                 roleChanged: () => this.#roleChanged(),
@@ -425,6 +428,9 @@
             this.#connected(event.host);
         }
         else {
+            if (event.host.control) {
+                this.#controlLostAt.set(event.host.id, this.#options.clock.now());
+            }
             const entry = this.#entries.get(event.host.id);
             this.#announcer.disconnected(event.host);
             if (entry !== undefined) {
@@ -434,6 +440,7 @@
     }
 
     #connected(host: Host): void {
+        this.#controlLostAt.delete(host.id);
         if (!host.control) {
             this.#entries.set(host.id, { host, disconnectedAt: undefined });
             this.#announcer.connected(host);
--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -85,6 +85,11 @@
     /** Seed of the election timeouts; a random one by default, so that hosts do not start elections together. */
     readonly seed?: number;
     readonly send: (to: string, envelope: ConsensusEnvelope) => void;
+    /**
+     * Time for which this host has had no link to another control host that it had a link to before, in ms; 0 while it has
+     * one. Defaults to 0 for all.
+     */
+    readonly unlinkedMs?: (host: string) => number;
     /** Returns the findings on a configuration; none means that it is valid. */
     readonly validate: (files: readonly ConfigurationFile[]) => readonly string[];
     readonly events: MemberEvents;
@@ -519,6 +524,19 @@
         }
     }
 
+    /**
+     * Time since each other member was last heard from, by the consensus or before this leader was elected: otherwise each
+     * change of the leader would defer the replacement of a member that is gone.
+     */
+    #silentMs(agreement: ConsensusTask): ReadonlyMap<string, number> {
+        const unlinkedMs = this.#options.unlinkedMs ?? (() => 0);
+        return new Map(
+            [...agreement.memberSilence()].map((
+                [id, silentMs],
+            ) => [id, Math.max(silentMs, unlinkedMs(hostOfMember(id)))]),
+        );
+    }
+
     #repair(agreement: ConsensusTask): void {
         const now = this.#options.clock.now();
         for (const [memberId, requestedAt] of this.#joinRequestedAt) {
@@ -530,7 +548,7 @@
             joining: [...this.#joinRequestedAt.keys()],
             caughtUp: agreement.caughtUpLearners(),
             suspected: agreement.suspectedVoters(),
-            silentMs: agreement.memberSilence(),
+            silentMs: this.#silentMs(agreement),
         });
         if (next !== undefined) {
             this.#lastRequestId += 1;
--- a/packages/fleet/tests/member-network.ts
+++ b/packages/fleet/tests/member-network.ts
@@ -56,6 +56,7 @@
     readonly #syncMs: number;
     readonly #seed: number;
     readonly #joinTimer: NodeJS.Timeout;
+    readonly #endedAt = new Map<string, number>();
     #incarnation = 0;
     /** Why a host could not start, if one could not; a host with a stalled disk starts later. */
     #startFailure: string | undefined;
@@ -72,6 +73,7 @@
     async start(id: string, initialMembers?: readonly string[]): Promise<void> {
         const host = this.#hosts.get(id) ?? { disk: new Disk(), process: undefined };
         this.#hosts.set(id, host);
+        this.#endedAt.delete(id);
         const process: Process = {
             member: this.#member(id, host, () => process.isRunning, initialMembers),
             isRunning: true,
@@ -93,6 +95,7 @@
         const host = this.#hosts.get(id);
         if (host?.process !== undefined) {
             host.process.isRunning = false;
+            this.#endedAt.set(id, performance.now());
             void host.process.member.stop();
             host.process = undefined;
         }
@@ -188,6 +191,7 @@
                     this.#deliver(id, to, member => member.receive(envelope));
                 }
             },
+            unlinkedMs: other => performance.now() - (this.#endedAt.get(other) ?? performance.now()),
             validate: () => [],
             events: {
                 roleChanged: () => undefined,
--- a/packages/fleet/tests/membership.test.ts
+++ b/packages/fleet/tests/membership.test.ts
@@ -57,6 +57,25 @@
     expect(await changed).toBe(true);
 });
 
+// Guards against a group that needs all its other voters for as long as its leader changes: the time of silence of the
+// lost one began anew with each election (CONFIG).
+test("a lost voter is replaced at once by a leader that is elected later", async () => {
+    const { leader, others: [lost = "", other = ""] } = await found();
+    network.remove(lost);
+    await network.start("d");
+    await vi.advanceTimersByTimeAsync(400);
+    network.isCut = (from, to) => [leader, other].includes(from) && [leader, other].includes(to);
+    await vi.advanceTimersByTimeAsync(900);
+    expect(network.leader()).toBeUndefined();
+    network.isCut = () => false;
+    await vi.waitUntil(async () => {
+        await vi.advanceTimersByTimeAsync(20);
+        return network.leader() !== undefined;
+    });
+    await vi.advanceTimersByTimeAsync(600);
+    expect(network.member(other).hosts).not.toContain(lost);
+});
+
 // Guards against a host list with an address that nobody answers at, which takes the place of one of the few control
 // hosts to which an entry host keeps links.
 test("a new host that is gone before it has caught up does not stay listed", async () => {
