Promote a successor as soon as the removal of the lost voter is applied

Callers saw (real processes on a machine at a load of 30, one run of a soak with replaced hosts): no quorum any more after a control host lost its disk 0.5 s after the removal of the replaced one was committed, before its successor was promoted.

Cause: the next step was taken at the next check, up to 100 ms later, and between the two steps the group needs all its voters.

Change: a leader takes the next step when it applies a change of members.

--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -423,6 +423,7 @@
             const { index, term, members } = entry;
             this.#options.events.event("membersChanged", { index, term, ...members });
             this.#options.events.roleChanged();
+            this.#membersApplied();
         }
         if (command === undefined) {
             return;
@@ -524,6 +525,13 @@
         }
     }
 
+    /** Takes the next step at once: between the removal of a voter and the promotion of its successor all are needed. */
+    #membersApplied(): void {
+        if (this.#agreement !== undefined && this.isLeader) {
+            this.#repair(this.#agreement);
+        }
+    }
+
     /**
      * Time since each other member was last heard from, by the consensus or before this leader was elected: otherwise each
      * change of the leader would defer the replacement of a member that is gone.
