--- a/scripts/check.mjs
+++ b/scripts/check.mjs
@@ -28,6 +28,11 @@
         process.execPath,
         ["scripts/soak.mjs", "--series", "departures", "--seeds", "3", "--seconds", "20", "--network", "100"],
     ],
+    [
+        "soak of replacements",
+        process.execPath,
+        ["scripts/soak.mjs", "--series", "replacements", "--seeds", "41", "--seconds", "20", "--network", "100"],
+    ],
 ];
 
 let failed = false;
