Keep the known control hosts when a list names only a new leader

Cause: a list whose members are older, but whose leader is news, passed its members on to the check for isolation and to the log. The start of a host was logged as a lost contact.

Change: both use the control hosts that were accepted; a search begins only after the first list.

Evidence: unit test of the accepted hosts; tests of linked hosts pass.

--- a/packages/fleet/src/control-contacts.ts
+++ b/packages/fleet/src/control-contacts.ts
@@ -51,6 +51,11 @@
         return this.#leader;
     }
 
+    /** Ids of the control hosts; none before the first list. */
+    get hosts(): readonly string[] {
+        return this.#control;
+    }
+
     /** The highest consensus term of a list; 0 before the first. */
     get term(): number {
         return this.#term;
@@ -127,19 +132,19 @@
         return now - this.#confirmedAt < CONFIRMATION_LIMIT_MS;
     }
 
-    /** Returns true while this host may be behind, so that it looks for other control hosts than those it is linked to. */
+    /** Returns true while this host may be behind, so that it looks for other control hosts than those that it knows. */
     isSearching(now: number): boolean {
-        return !this.isConfirmed(now) && now >= this.#searchFrom;
+        return this.#control.length > 0 && !this.isConfirmed(now) && now >= this.#searchFrom;
     }
 
     /**
      * Returns the ids of the control hosts to keep links to: the leader and some others, those with a link first. During
      * a search these are all that are known and the seeds, since the control hosts may have been replaced while this host
-     * was frozen or cut off.
+     * was frozen or cut off. Before the first list they are the seeds.
      * @param linked ids of hosts with an open link
      */
     wanted(linked: ReadonlySet<string>, seeds: readonly string[], now: number): readonly string[] {
-        if (this.isSearching(now)) {
+        if (this.#control.length === 0 || this.isSearching(now)) {
             return [...new Set([...this.#control, ...seeds])];
         }
         const leader = this.#control.filter(id => id === this.#leader);
@@ -158,8 +163,7 @@
 
     /** Returns true when other entry hosts should be asked for their list of hosts, and records the request. */
     mustRequestList(now: number): boolean {
-        const isDue = this.#control.length > 0 && this.isSearching(now)
-            && now - this.#listRequestedAt >= LIST_REQUEST_INTERVAL_MS;
+        const isDue = this.isSearching(now) && now - this.#listRequestedAt >= LIST_REQUEST_INTERVAL_MS;
         if (isDue) {
             this.#listRequestedAt = now;
         }
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -390,9 +390,9 @@
         if (!hasNewControl && this.#plans.entries === formerEntries) {
             return;
         }
-        const { index, control } = list;
+        const { hosts: control } = this.#control;
         const entries = this.#plans.entries.length;
-        this.#options.log.event("hostsChanged", { from: from.id, term, index, leader, control, entries });
+        this.#options.log.event("hostsChanged", { from: from.id, term, leader, control, entries });
         this.#limits?.hostsChanged();
         if (hasNewControl) {
             this.#contacts.retainControlHosts(control);
--- a/packages/fleet/tests/control-contacts.test.ts
+++ b/packages/fleet/tests/control-contacts.test.ts
@@ -75,7 +75,7 @@
     const contacts = new ControlContacts(() => 0);
     contacts.listed(list(5, 1_000, ["c1", "c2"]), 0);
     expect(contacts.listed(list(6, 20, ["c2", "c3"]), 0)).toBe(true);
-    expect(contacts).toMatchObject({ leader: "c2", term: 6 });
+    expect(contacts).toMatchObject({ leader: "c2", term: 6, hosts: ["c1", "c2"] });
     expect(wanted(contacts, 0)).toEqual(["c1", "c2"]);
 });
 
