review: case 8, a planned replacement leaves the group one voter short for a second

Cause: a control host that gets SIGTERM keeps its vote, and its ready successor gets one only after 1 s of silence.

--- a/review/stand-ins-2/system.mjs
+++ b/review/stand-ins-2/system.mjs
@@ -147,6 +147,19 @@
         return new Promise(done => child === undefined ? done() : child.once("exit", done));
     }
 
+    /** Stops a process as the platform does: SIGTERM, and SIGKILL after the grace time. */
+    async terminate(name) {
+        const machine = this.machines.get(name);
+        const child = machine.process;
+        machine.process = undefined;
+        this.record.write(`SIGTERM to ${name}`);
+        child.kill("SIGTERM");
+        const timer = setTimeout(() => child.kill("SIGKILL"), this.bounds.grace_period_s * 1000);
+        await new Promise(done => child.once("exit", done));
+        clearTimeout(timer);
+        this.record.write(`${name} has ended`);
+    }
+
     /** Empties the machine's own data folder, inside the temporary folder of this case. */
     wipe(name) {
         const { dataFolder } = this.machines.get(name);
