--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -3,7 +3,7 @@
 # under test are those of the build of the deploy file.
 set -e
 cd "$(dirname "$0")"
-for file in stand-ins-2/*.mjs 6/*.mjs 7/*.mjs 8/*.mjs 9/*.mjs 10/*.mjs; do
+for file in stand-ins/*.mjs stand-ins-2/*.mjs 6/*.mjs 7/*.mjs 8/*.mjs 9/*.mjs 10/*.mjs; do
     [ ! -f "$file" ] || node --check "$file"
 done
 for file in ../target/medlarledge-control.cjs ../target/medlarledge-entry.cjs; do
