Limit appends in bytes, and repeat none at each heartbeat

Cause: an append held up to 64 entries whatever their size. 64 entries of 306 KB make a message that the receiver rejects for its size (16 MiB). The sender was not told and encoded, compressed and sent the same append again at each heartbeat, which cost it its heartbeats and then its leadership. The new host never caught up, nor would a member that was cut off or frozen.

Change: the log decides what one append may hold, in entries and in bytes. An entry that no message could carry is refused when it is proposed.

Why it works: no append can exceed what receivers accept, one batch at most is on its way to a member, and heartbeats stay small.

--- a/packages/agreement/src/consensus-state.ts
+++ b/packages/agreement/src/consensus-state.ts
@@ -22,8 +22,11 @@
     lastContactAt: number;
     /** When the last message was sent. */
     sentAt: number;
-    /** True while an append with entries is unanswered; later entries wait for the reply and are sent in one batch. */
-    waiting: boolean;
+    /**
+     * When the entries or the snapshot chunk were sent that the member has not answered yet, in ms; undefined if there
+     * are none. Until then it only gets heartbeats; later entries wait for the reply and are sent in one batch.
+     */
+    unansweredSince: number | undefined;
     transfer: SnapshotTransfer | undefined;
 }
 
--- a/packages/agreement/src/log.ts
+++ b/packages/agreement/src/log.ts
@@ -54,6 +54,22 @@
         return this.#entries.slice(from - this.#baseIndex - 1, Math.max(0, to - this.#baseIndex));
     }
 
+    /** Number of payload bytes of the entries from `from` to `to`, both included. */
+    payloadBytes(from: number, to: number): number {
+        return this.slice(from, to).reduce((sum, { payload }) => sum + payload.byteLength, 0);
+    }
+
+    /** Returns the entries from `from` on that fit into both limits, but at least one if there is one. */
+    batch(from: number, maxEntries: number, maxBytes: number): readonly LogEntry[] {
+        const entries = this.slice(from, from + maxEntries - 1);
+        let bytes = 0;
+        const end = entries.findIndex(({ payload }, index) => {
+            bytes += payload.byteLength;
+            return index > 0 && bytes > maxBytes;
+        });
+        return end === -1 ? entries : entries.slice(0, end);
+    }
+
     append(entry: LogEntry): void {
         this.#entries.push(entry);
         if (entry.members !== undefined) {
--- a/packages/agreement/src/proposal.ts
+++ b/packages/agreement/src/proposal.ts
@@ -1,9 +1,9 @@
-import type { LogEntry, Members } from "@medlarledge/protocol";
+import { type LogEntry, MAX_LOG_ENTRY_BYTES, type Members } from "@medlarledge/protocol";
 import type { ConsensusState } from "./consensus-state.js";
 import { membersRefusal } from "./membership.js";
 import { broadcast, updatePeers } from "./replication.js";
 
-/** Maximum number of uncommitted entries, in batches. Further proposals are refused to bound the memory. */
+/** Maximum number of uncommitted entries and bytes, in batches. Further proposals are refused to bound the memory. */
 const MAX_UNCOMMITTED_BATCHES = 16;
 const EMPTY = new Uint8Array();
 
@@ -13,8 +13,11 @@
         state.emit({ kind: "proposed", requestId, outcome: "notLeader" });
         return;
     }
-    const uncommitted = state.log.lastIndex - state.commitIndex;
-    if (uncommitted >= MAX_UNCOMMITTED_BATCHES * state.options.maxBatchEntries) {
+    if (payload.byteLength > MAX_LOG_ENTRY_BYTES) {
+        state.emit({ kind: "proposed", requestId, outcome: "tooLarge" });
+        return;
+    }
+    if (hasTooMuchUncommitted(state)) {
         state.emit({ kind: "proposed", requestId, outcome: "busy" });
         return;
     }
@@ -22,6 +25,11 @@
     broadcast(state, now);
 }
 
+function hasTooMuchUncommitted({ log, commitIndex, options }: ConsensusState): boolean {
+    return log.lastIndex - commitIndex >= MAX_UNCOMMITTED_BATCHES * options.maxBatchEntries
+        || log.payloadBytes(commitIndex + 1, log.lastIndex) >= MAX_UNCOMMITTED_BATCHES * options.maxBatchBytes;
+}
+
 /** Appends an entry that changes the members, or reports at once why it is refused. */
 export function proposeMembers(state: ConsensusState, requestId: number, members: Members, now: number): void {
     const outcome = state.role === "leader" ? membersRefusal(state, members) : "notLeader";
--- a/packages/agreement/src/replication.ts
+++ b/packages/agreement/src/replication.ts
@@ -46,7 +46,7 @@
         match: 0,
         lastContactAt: Number.NEGATIVE_INFINITY,
         sentAt: Number.NEGATIVE_INFINITY,
-        waiting: false,
+        unansweredSince: undefined,
         transfer: undefined,
     };
 }
@@ -86,16 +86,19 @@
     }
 }
 
-/** Sends new entries to each member without an unanswered append or a snapshot transfer. */
+/** Sends new entries to each member without unanswered entries or a snapshot transfer. */
 export function broadcast(state: ConsensusState, now: number): void {
     for (const [id, peer] of state.peers) {
-        if (!peer.waiting && peer.transfer === undefined) {
+        if (peer.unansweredSince === undefined && peer.transfer === undefined) {
             sendTo(state, id, peer, now);
         }
     }
 }
 
-/** Sends the next entries or the next chunk of a snapshot, or a heartbeat if there is neither. */
+/**
+ * Sends the next entries or the next chunk of a snapshot, or a heartbeat if there is neither or the last one is
+ * unanswered. If that one was lost, the reply to the heartbeat tells it: replies come in the order of the messages.
+ */
 export function sendTo(state: ConsensusState, id: string, peer: Peer, now: number): void {
     peer.sentAt = now;
     const previousIndex = peer.next - 1;
@@ -104,8 +107,13 @@
         sendSnapshot(state, id, peer, now);
         return;
     }
-    const entries = state.log.slice(peer.next, previousIndex + state.options.maxBatchEntries);
-    peer.waiting = entries.length > 0;
+    const { maxBatchEntries, maxBatchBytes } = state.options;
+    const entries = peer.unansweredSince === undefined
+        ? state.log.batch(peer.next, maxBatchEntries, maxBatchBytes)
+        : [];
+    if (entries.length > 0) {
+        peer.unansweredSince = now;
+    }
     const { commitIndex, term } = state;
     state.send(id, { kind: "append", term, previousIndex, previousTerm, commitIndex, entries, sentAt: now });
 }
@@ -187,16 +195,19 @@
     if (peer === undefined) {
         return;
     }
-    peer.waiting = false;
+    if (message.sentAt >= (peer.unansweredSince ?? Infinity)) {
+        peer.unansweredSince = undefined;
+    }
     if (message.success) {
         peer.match = Math.max(peer.match, message.matchIndex);
         peer.next = Math.max(peer.next, peer.match + 1);
         advanceCommit(state);
     }
     else {
+        peer.unansweredSince = undefined;
         peer.next = Math.max(peer.match + 1, Math.min(peer.next - 1, message.matchIndex + 1));
     }
-    if (peer.next <= state.log.lastIndex && peer.transfer === undefined) {
+    if (peer.next <= state.log.lastIndex && peer.transfer === undefined && peer.unansweredSince === undefined) {
         sendTo(state, from, peer, now);
     }
 }
--- a/packages/agreement/src/snapshot.ts
+++ b/packages/agreement/src/snapshot.ts
@@ -4,10 +4,13 @@
 import { advanceCommit, followLeader, recordReply, sendTo } from "./replication.js";
 import type { Snapshot } from "./types.js";
 
-/** Requests a snapshot of the state machine when enough entries were committed since the last one. */
+/** Requests a snapshot of the state machine when enough entries or bytes were committed since the last one. */
 export function requestSnapshot(state: ConsensusState): void {
-    const dueIndex = (state.snapshot?.lastIndex ?? 0) + state.options.snapshotEvery;
-    if (state.appliedIndex >= dueIndex && state.snapshotRequested === undefined) {
+    const { appliedIndex, options } = state;
+    const lastIndex = state.snapshot?.lastIndex ?? 0;
+    const isDue = appliedIndex >= lastIndex + options.snapshotEvery
+        || state.log.payloadBytes(lastIndex + 1, appliedIndex) >= options.snapshotEveryBytes;
+    if (isDue && state.snapshotRequested === undefined) {
         state.snapshotRequested = state.appliedIndex;
         state.emit({ kind: "takeSnapshot", index: state.appliedIndex });
     }
@@ -25,17 +28,33 @@
     }
     state.snapshot = { lastIndex: index, lastTerm, members: state.log.membersAt(index), data };
     state.saveSnapshot(state.snapshot);
-    state.log.compact(index - state.options.snapshotEvery);
+    state.log.compact(compactionIndex(state, index));
 }
 
-/** Sends the next chunk of the snapshot to a member whose next entry is no longer in the log. */
+/** Index up to which entries that a snapshot covers leave the memory; the ones after it fit into both limits. */
+function compactionIndex({ log, options }: ConsensusState, snapshotIndex: number): number {
+    let bytes = 0;
+    const covered = log.slice(Math.max(log.baseIndex, snapshotIndex - options.snapshotEvery) + 1, snapshotIndex);
+    const last = covered.findLast(({ payload }) => {
+        bytes += payload.byteLength;
+        return bytes > options.snapshotEveryBytes;
+    });
+    return last?.index ?? snapshotIndex - options.snapshotEvery;
+}
+
+/**
+ * Sends the next chunk of the snapshot to a member whose next entry is no longer in the log. While the last chunk is
+ * unanswered, an empty one is sent as a heartbeat.
+ */
 export function sendSnapshot(state: ConsensusState, id: string, peer: Peer, now: number): void {
     if (state.snapshot === undefined) {
         return;
     }
     peer.transfer ??= { snapshot: state.snapshot, offset: 0 };
     const { snapshot, offset } = peer.transfer;
-    const end = offset + state.options.snapshotChunkBytes;
+    const isUnanswered = peer.unansweredSince !== undefined;
+    const end = isUnanswered ? offset : offset + state.options.snapshotChunkBytes;
+    peer.unansweredSince ??= now;
     state.send(id, {
         kind: "snapshotChunk",
         term: state.term,
@@ -44,7 +63,7 @@
         members: snapshot.members,
         offset,
         data: snapshot.data.subarray(offset, end),
-        done: end >= snapshot.data.byteLength,
+        done: !isUnanswered && end >= snapshot.data.byteLength,
         sentAt: now,
     });
 }
@@ -127,14 +146,15 @@
     }
     if (message.done) {
         peer.transfer = undefined;
-        peer.waiting = false;
+        peer.unansweredSince = undefined;
         peer.match = Math.max(peer.match, message.lastIndex);
         peer.next = Math.max(peer.next, peer.match + 1);
         advanceCommit(state);
         sendTo(state, from, peer, now);
     }
-    else if (message.offset !== peer.transfer.offset) {
+    else if (message.offset !== peer.transfer.offset || message.sentAt > (peer.unansweredSince ?? Infinity)) {
         peer.transfer.offset = message.offset;
+        peer.unansweredSince = undefined;
         sendTo(state, from, peer, now);
     }
 }
--- a/packages/agreement/src/types.ts
+++ b/packages/agreement/src/types.ts
@@ -10,8 +10,12 @@
     readonly electionMs: number;
     /** Committed entries between two snapshots. As many entries stay in memory for members that lag slightly. */
     readonly snapshotEvery: number;
+    /** Payload bytes of committed entries between two snapshots; no more stay in memory after one. */
+    readonly snapshotEveryBytes: number;
     /** Maximum number of entries in one append. */
     readonly maxBatchEntries: number;
+    /** Maximum number of payload bytes in one append, unless it holds a single larger entry. */
+    readonly maxBatchBytes: number;
     /** Maximum number of snapshot bytes in one message. */
     readonly snapshotChunkBytes: number;
     /** Seed of the random election timeouts. */
@@ -60,12 +64,13 @@
  * - `committed`: the entry was emitted in a `commit` effect, earlier or in the same list of effects.
  * - `notLeader`: not added to any log, since this member is not the leader.
  * - `lost`: another entry was committed at its index, so this one will never be committed.
- * - `busy`: not added; too many entries are uncommitted, or an earlier membership change is not committed, or the
- *   learner to be promoted has not caught up. A later attempt may succeed.
+ * - `busy`: not added; too many entries or bytes are uncommitted, or an earlier membership change is not committed, or
+ *   the learner to be promoted has not caught up. A later attempt may succeed.
+ * - `tooLarge`: not added; no message could carry the entry to another member.
  * - `refused`: not added; the requested members differ from the present ones by more than one voter, or are invalid.
  * - `unknown`: a received snapshot covers the entry's index, so this member cannot determine whether it was committed.
  */
-export type ProposalOutcome = "committed" | "notLeader" | "lost" | "busy" | "refused" | "unknown";
+export type ProposalOutcome = "committed" | "notLeader" | "lost" | "busy" | "tooLarge" | "refused" | "unknown";
 
 /** Input of a member. */
 export type ConsensusEvent =
--- a/packages/agreement/tests/consensus-member.test.ts
+++ b/packages/agreement/tests/consensus-member.test.ts
@@ -7,7 +7,9 @@
     heartbeatMs: 50,
     electionMs: 300,
     snapshotEvery: 512,
+    snapshotEveryBytes: 1024 * 1024,
     maxBatchEntries: 4,
+    maxBatchBytes: 64 * 1024,
     snapshotChunkBytes: 10,
     seed: 1,
 };
@@ -237,6 +239,97 @@
     expect(member.outcome(5)).toBeUndefined();
 });
 
+// Guards against an append that the receiver rejects for its size, and that is then repeated for ever (CONFIG;
+// docs/incidents/review-6-large-appends.md).
+test("an append holds at most maxBatchBytes, but a larger entry is sent alone", () => {
+    const member = new Member({ maxBatchBytes: 10 });
+    member.becomeLeader();
+    member.acknowledge("b", 1);
+    [4, 5, 2, 30, 1].forEach((size, position) =>
+        member.handle({ kind: "propose", requestId: position, payload: new Uint8Array(size) })
+    );
+    const batches: number[][] = [];
+    for (let matchIndex = 2; matchIndex <= 6;) {
+        const sent = member.takeSent("append").findLast(({ entries }) => entries.length > 0);
+        batches.push(sent?.entries.map(({ payload }) => payload.byteLength) ?? []);
+        matchIndex = (sent?.previousIndex ?? 0) + (sent?.entries.length ?? 0);
+        member.acknowledge("b", matchIndex);
+        matchIndex += 1;
+    }
+    expect(batches).toEqual([[4], [5, 2], [30], [1]]);
+});
+
+// Guards against a leader that encodes the same large batch again at each heartbeat, which delays the heartbeats until
+// the others elect another leader.
+test("entries that are not answered yet are sent again only after the reply to a later heartbeat", () => {
+    const member = new Member();
+    member.becomeLeader();
+    member.acknowledge("b", 1);
+    member.propose(1);
+    const sentAt = member.now;
+    member.sent = [];
+    member.advance(200);
+    const heartbeats = member.sent.filter(({ to }) => to === "b").map(({ message }) => message as Append);
+    expect(heartbeats.length).toBeGreaterThanOrEqual(3);
+    expect(heartbeats.flatMap(({ entries }) => entries)).toEqual([]);
+    member.sent = [];
+    const reply = { kind: "appendReply", term: 1, success: true, matchIndex: 1 } as const;
+    member.receive("b", { ...reply, sentAt: sentAt - 1 });
+    expect(member.sent).toEqual([]);
+    member.receive("b", { ...reply, sentAt: sentAt + 50 });
+    expect(member.takeSent("append").map(({ entries }) => entries.length)).toEqual([1]);
+});
+
+// Guards against a leader whose memory grows with each large configuration while the others do not answer.
+test("proposals beyond the limit of uncommitted bytes are refused as busy", () => {
+    const member = new Member({ maxBatchBytes: 10 });
+    member.becomeLeader();
+    for (let requestId = 1; requestId <= 10; requestId += 1) {
+        member.handle({ kind: "propose", requestId, payload: new Uint8Array(20) });
+    }
+    expect(member.outcome(8)).toBeUndefined();
+    expect(member.outcome(9)).toBe("busy");
+});
+
+// Guards against a log in memory that holds as many large entries as it may hold small ones.
+test("a snapshot is requested after snapshotEveryBytes, and no more bytes stay in memory", () => {
+    const member = new Member({ snapshotEveryBytes: 100 }, { ...MEMBERS, learners: ["d"] });
+    member.becomeLeader();
+    member.acknowledge("b", 1);
+    member.acknowledge("c", 1);
+    for (let requestId = 1; requestId <= 4; requestId += 1) {
+        member.handle({ kind: "propose", requestId, payload: new Uint8Array(40) });
+        member.acknowledge("b", requestId + 1);
+    }
+    const requested = member.effects.filter(effect => effect.kind === "takeSnapshot");
+    expect(requested.map(({ index }) => index)).toEqual([4]);
+    member.handle({ kind: "snapshotTaken", index: 4, data: PAYLOAD });
+    member.sent = [];
+    member.acknowledge("c", 2);
+    member.receive("d", { kind: "appendReply", term: 1, success: false, matchIndex: 0, sentAt: member.now });
+    expect(member.sent.map(({ to, message }) => [to, message.kind])).toEqual([["c", "append"], ["d", "snapshotChunk"]]);
+});
+
+// Guards against a chunk that is sent at each heartbeat over a link that takes longer for it.
+test("a snapshot chunk that is not answered yet is sent again only after the reply to a later heartbeat", () => {
+    const member = new Member({ snapshotEvery: 1 });
+    member.becomeLeader();
+    member.acknowledge("b", 1);
+    for (let requestId = 1; requestId <= 3; requestId += 1) {
+        member.propose(requestId);
+        member.acknowledge("b", requestId + 1);
+        member.handle({ kind: "snapshotTaken", index: requestId + 1, data: new Uint8Array(25) });
+    }
+    member.receive("c", { kind: "appendReply", term: 1, success: false, matchIndex: 0, sentAt: member.now });
+    const sentAt = member.now;
+    expect(member.takeSent("snapshotChunk").map(({ data }) => data.length)).toEqual([10]);
+    member.advance(100);
+    expect(member.takeSent("snapshotChunk").map(({ data }) => data.length)).toEqual([0, 0]);
+    const reply = { kind: "snapshotReply", term: 1, lastIndex: 4, offset: 0, done: false } as const;
+    member.receive("c", { ...reply, sentAt: sentAt + 50 });
+    expect(member.takeSent("snapshotChunk").map(({ offset, data }) => [offset, data.length])).toEqual([[0, 10]]);
+});
+
 test("entries of an earlier term are committed only together with an entry of the current term", () => {
     const member = new Member();
     member.advance(300);
--- a/packages/agreement/tests/group.ts
+++ b/packages/agreement/tests/group.ts
@@ -12,7 +12,15 @@
 } from "../src/index.js";
 import { Checker, digestAfter } from "./checker.js";
 
-const OPTIONS = { heartbeatMs: 10, electionMs: 40, snapshotEvery: 5, maxBatchEntries: 3, snapshotChunkBytes: 5 };
+const OPTIONS = {
+    heartbeatMs: 10,
+    electionMs: 40,
+    snapshotEvery: 5,
+    snapshotEveryBytes: 12,
+    maxBatchEntries: 3,
+    maxBatchBytes: 6,
+    snapshotChunkBytes: 5,
+};
 const ROUND_MS = 10;
 
 type Write = Extract<ConsensusEffect, { kind: "persist" | "saveSnapshot"; }>;
--- a/packages/agreement/tests/opening.ts
+++ b/packages/agreement/tests/opening.ts
@@ -16,7 +16,9 @@
     heartbeatMs: 50,
     electionMs: 300,
     snapshotEvery: 512,
+    snapshotEveryBytes: 1024 * 1024,
     maxBatchEntries: 256,
+    maxBatchBytes: 64 * 1024,
     snapshotChunkBytes: 262_144,
     seed: 1,
 };
--- a/packages/control/src/configuration-state.ts
+++ b/packages/control/src/configuration-state.ts
@@ -1,8 +1,12 @@
-import { ChangeOutcome, type ChangeResult, type ConfigurationChange } from "@medlarledge/protocol";
+import { ChangeOutcome, type ChangeResult, type ConfigurationChange, MAX_LOG_ENTRY_BYTES } from "@medlarledge/protocol";
 
 /** Maximum number of accepted changes stored, so that a repeated request gets the same reply after later changes. */
 export const MAX_ACCEPTED_CHANGES = 1_000;
 
+/** Finding on a configuration that no message could carry to the other hosts. */
+export const CONFIGURATION_TOO_LARGE =
+    `the configuration takes more than ${MAX_LOG_ENTRY_BYTES} bytes in a message between hosts`;
+
 export interface AcceptedChange {
     readonly number: number;
     readonly digest: string;
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -1,5 +1,6 @@
 export * from "./apply-result.js";
 export { type ControlCommand, decodeCommand, encodeCommand } from "./command.js";
+export { CONFIGURATION_TOO_LARGE } from "./configuration-state.js";
 export { MAX_TERMS } from "./database-state.js";
 export { EndpointObserver } from "./endpoint-observer.js";
 export type { FailoverStep } from "./failover-step.js";
--- a/packages/control/src/requests.ts
+++ b/packages/control/src/requests.ts
@@ -1,6 +1,7 @@
 import { ChangeOutcome, type Endpoint, EndpointState } from "@medlarledge/protocol";
 import { z } from "zod";
 import type { ControlCommand } from "./command.js";
+import { CONFIGURATION_TOO_LARGE } from "./configuration-state.js";
 import type { LeaderContext } from "./leader-context.js";
 import type { Status } from "./status.js";
 import { viewOf } from "./view.js";
@@ -119,6 +120,11 @@
             }
             const command = { kind: "changeConfiguration", change, at: context.wallClock } as const;
             context.propose(command, (later, proposed) => {
+                if (proposed.kind === "failed" && proposed.reason === "tooLarge") {
+                    const tooLarge = later.state.configurationState();
+                    reply(later, false, tooLarge.result(ChangeOutcome.Invalid, [CONFIGURATION_TOO_LARGE]));
+                    return;
+                }
                 if (proposed.kind === "failed" || proposed.result.kind !== "changeConfiguration") {
                     reply(later, false, later.state.configurationState().result(ChangeOutcome.Unavailable, []));
                     return;
--- a/packages/daemon/src/control-host.ts
+++ b/packages/daemon/src/control-host.ts
@@ -13,7 +13,10 @@
 
 /** Log entries between two snapshots. */
 const SNAPSHOT_EVERY = 512;
+/** Bytes of log entries between two snapshots. */
+const SNAPSHOT_EVERY_BYTES = 16 * 1024 * 1024;
 const MAX_BATCH_ENTRIES = 256;
+const MAX_BATCH_BYTES = 512 * 1024;
 const SNAPSHOT_CHUNK_BYTES = 256 * 1024;
 
 /** Time to gather the other hosts' reports on a suspected primary. */
@@ -176,7 +179,9 @@
                 heartbeatMs: settings.timing.heartbeatMs,
                 electionMs: settings.timing.electionMs,
                 snapshotEvery: SNAPSHOT_EVERY,
+                snapshotEveryBytes: SNAPSHOT_EVERY_BYTES,
                 maxBatchEntries: MAX_BATCH_ENTRIES,
+                maxBatchBytes: MAX_BATCH_BYTES,
                 snapshotChunkBytes: SNAPSHOT_CHUNK_BYTES,
                 seed: randomInt(2 ** 31),
             },
--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -8,6 +8,7 @@
     type StoreError,
 } from "@medlarledge/agreement";
 import {
+    CONFIGURATION_TOO_LARGE,
     type ControlCommand,
     ControlState,
     decodeCommand,
@@ -31,11 +32,13 @@
 import { randomInt } from "node:crypto";
 import { membershipOf, type MemberStatus, StatusSchedule } from "./member-status.js";
 
-/**
- * Committed entries between two snapshots. Limits the log in memory to a few megabytes even with large configurations.
- */
+/** Committed entries between two snapshots. */
 const SNAPSHOT_INTERVAL_ENTRIES = 64;
+/** Bytes of committed entries between two snapshots; bounds the log in memory while configurations are large. */
+const SNAPSHOT_INTERVAL_BYTES = 4 * 1024 * 1024;
 const MAX_BATCH_ENTRIES = 64;
+/** A batch has to reach the slowest links within an election timeout; configurations shrink to about a tenth. */
+const MAX_BATCH_BYTES = 512 * 1024;
 const SNAPSHOT_CHUNK_BYTES = 256 * 1024;
 
 /** Interval of empty append messages to a member. */
@@ -340,7 +343,9 @@
                 heartbeatMs: HEARTBEAT_INTERVAL_MS,
                 electionMs: ELECTION_TIMEOUT_MS,
                 snapshotEvery: SNAPSHOT_INTERVAL_ENTRIES,
+                snapshotEveryBytes: SNAPSHOT_INTERVAL_BYTES,
                 maxBatchEntries: MAX_BATCH_ENTRIES,
+                maxBatchBytes: MAX_BATCH_BYTES,
                 snapshotChunkBytes: SNAPSHOT_CHUNK_BYTES,
                 seed: seed ?? randomInt(2 ** 31),
             },
@@ -405,16 +410,23 @@
 
     #proposed(requestId: number, outcome: string): void {
         this.#commandEnded(requestId, outcome === "committed");
-        if (outcome !== "committed") {
+        if (outcome === "tooLarge") {
+            this.#proposalEnded(requestId, ChangeOutcome.Invalid, [CONFIGURATION_TOO_LARGE]);
+        }
+        else if (outcome !== "committed") {
             this.#unavailable(requestId);
         }
     }
 
     /** Answers a proposal whose outcome is not known; the operator has to send it again. */
     #unavailable(requestId: number): void {
+        this.#proposalEnded(requestId, ChangeOutcome.Unavailable, []);
+    }
+
+    #proposalEnded(requestId: number, outcome: ChangeOutcome, findings: readonly string[]): void {
         const proposal = this.#proposals.get(requestId);
         this.#proposals.delete(requestId);
-        proposal?.resolve(this.#state.configurationState().result(ChangeOutcome.Unavailable, []));
+        proposal?.resolve(this.#state.configurationState().result(outcome, findings));
     }
 
     #apply(entry: LogEntry): void {
--- a/packages/fleet/tests/member-network.ts
+++ b/packages/fleet/tests/member-network.ts
@@ -1,5 +1,12 @@
 import type { FileSystem } from "@medlarledge/agreement";
-import { ChangeOutcome, type ChangeResult, type ConfigurationChange } from "@medlarledge/protocol";
+import {
+    ChangeOutcome,
+    type ChangeResult,
+    type ConfigurationChange,
+    type ConfigurationFile,
+    encodeMessage,
+    MAX_MESSAGE_BYTES,
+} from "@medlarledge/protocol";
 import type { LogEvent, LogFields } from "@medlarledge/telemetry";
 import { expect, vi } from "vitest";
 import { GroupMember } from "../src/group-member.js";
@@ -143,8 +150,8 @@
     }
 
     /** Proposes a change at a host, which passes it on to the leader. Resolves to true when it is acknowledged. */
-    async change(number: number, at: string): Promise<boolean> {
-        const change: ConfigurationChange = { number, digest: `d${number}`, operator: "o", files: [] };
+    async change(number: number, at: string, files: readonly ConfigurationFile[] = []): Promise<boolean> {
+        const change: ConfigurationChange = { number, digest: `d${number}`, operator: "o", files };
         const isAcknowledged = ({ outcome }: ChangeResult): boolean =>
             outcome === ChangeOutcome.Accepted || outcome === ChangeOutcome.AlreadyAccepted;
         const member = this.member(at);
@@ -187,7 +194,7 @@
             seed: this.#seed * 1_000 + this.#incarnation,
             clock: { now: () => performance.now(), wallClock: () => Date.now() },
             send: (to, envelope) => {
-                if (isRunning()) {
+                if (isRunning() && encodeMessage(envelope).byteLength <= MAX_MESSAGE_BYTES) {
                     this.#deliver(id, to, member => member.receive(envelope));
                 }
             },
--- a/packages/fleet/tests/membership.test.ts
+++ b/packages/fleet/tests/membership.test.ts
@@ -1,3 +1,4 @@
+import { ChangeOutcome } from "@medlarledge/protocol";
 import { afterEach, expect, test, vi } from "vitest";
 import { MemberNetwork } from "./member-network.js";
 
@@ -112,3 +113,49 @@
     expect(cutOff?.["term"]).toBe(term);
     expect(cutOff?.["hostsIndex"]).toBeLessThan(hostsIndex);
 });
+
+/** Makes changes of 512 KB each, one after the other, until all hosts but those that are away have the last one. */
+async function makeLargeChanges(at: string, count: number): Promise<void> {
+    const files = [{ name: "routes", text: "x".repeat(512 * 1_024) }];
+    for (let number = 1; number <= count; number += 1) {
+        const changed = network.change(number, at, files);
+        await vi.advanceTimersByTimeAsync(20);
+        expect(await changed).toBe(true);
+    }
+}
+
+// Guards against a new control host that never catches up, and a group that cannot replace another one later, since the
+// entries that it misses were sent in one message that receivers reject (CONFIG;
+// docs/incidents/review-6-large-appends.md).
+test("a new host catches up behind configurations that together exceed a message", async () => {
+    const { leader, others } = await found();
+    await makeLargeChanges(leader, 40);
+    network.remove(others[0] ?? "");
+    await network.start("d");
+    await vi.advanceTimersByTimeAsync(6_000);
+    expect(network.member("d").status.membership).toBe("voter");
+    expect(network.member("d").configuration?.number).toBe(40);
+});
+
+// Guards against the same for a member that comes back with its disk (CONFIG).
+test("a host that was cut off catches up behind configurations that together exceed a message", async () => {
+    const { leader, others: [away = "", other = ""] } = await found();
+    network.isCut = (from, to) => [from, to].includes(away);
+    await makeLargeChanges(leader, 40);
+    network.isCut = () => false;
+    await vi.advanceTimersByTimeAsync(2_000);
+    expect(network.member(away).configuration?.number).toBe(40);
+    expect(network.member(other).configuration?.number).toBe(40);
+});
+
+// Guards against a configuration that is stored and can then not be sent to any other host (CONFIG).
+test("a configuration that no message can carry is refused as invalid", async () => {
+    const { leader } = await found();
+    const change = { number: 1, digest: "d1", operator: "o", files: [{ name: "routes", text: "x".repeat(2 ** 24) }] };
+    const result = network.member(leader).propose(change);
+    await vi.advanceTimersByTimeAsync(1_000);
+    expect(await result).toMatchObject({ outcome: ChangeOutcome.Invalid, number: 0 });
+    const changed = network.change(2, leader);
+    await vi.advanceTimersByTimeAsync(100);
+    expect(await changed).toBe(true);
+});
--- a/packages/protocol/src/codec.ts
+++ b/packages/protocol/src/codec.ts
@@ -8,6 +8,12 @@
 /** Maximum size of a message from another process, in bytes. Snapshots are sent in smaller chunks. */
 export const MAX_MESSAGE_BYTES = 16 * 1024 * 1024;
 
+/** Room for the fields of a message around a log entry or a configuration, in bytes. */
+const MESSAGE_OVERHEAD_BYTES = 64 * 1024;
+
+/** Maximum size of the payload of a log entry, in bytes; a larger one could not be sent to another member. */
+export const MAX_LOG_ENTRY_BYTES = MAX_MESSAGE_BYTES - MESSAGE_OVERHEAD_BYTES;
+
 /** Encoded messages of at least this size are compressed for peers that accept it; smaller ones gain little. */
 const MIN_COMPRESSED_BYTES = 4 * 1024;
 
--- a/packages/runtime/src/peer-link.ts
+++ b/packages/runtime/src/peer-link.ts
@@ -1,4 +1,12 @@
-import { decodeMessage, type Hello, type Host, isHost, type Message, PROTOCOL_VERSION } from "@medlarledge/protocol";
+import {
+    decodeMessage,
+    type Hello,
+    type Host,
+    isHost,
+    MAX_MESSAGE_BYTES,
+    type Message,
+    PROTOCOL_VERSION,
+} from "@medlarledge/protocol";
 import type { RawData, WebSocket } from "ws";
 import { encodeShared, encodeSharedCompressed } from "./shared-encoding.js";
 
@@ -44,6 +52,8 @@
     message(link: PeerLink, message: Message): void;
     /** A message could not be decoded; the link stays open. */
     rejected(link: PeerLink, reason: string): void;
+    /** A message was not sent, since the peer would reject it for its size. */
+    oversized(link: PeerLink, kind: Message["kind"], bytes: number): void;
     /** The link ended; called once. */
     closed(link: PeerLink, failure: LinkFailure): void;
 }
@@ -117,7 +127,12 @@
             this.#fail({ kind: "slow", bufferedBytes: this.#socket.bufferedAmount });
             return;
         }
-        const bytes = this.#acceptsCompressed ? encodeSharedCompressed(message) : encodeShared(message);
+        const encoded = encodeShared(message);
+        if (encoded.byteLength > MAX_MESSAGE_BYTES) {
+            this.#handler.oversized(this, message.kind, encoded.byteLength);
+            return;
+        }
+        const bytes = this.#acceptsCompressed ? encodeSharedCompressed(message) : encoded;
         this.bytesSent += bytes.byteLength;
         this.messagesSent += 1;
         this.#socket.send(bytes);
--- a/packages/runtime/src/peer-mesh.ts
+++ b/packages/runtime/src/peer-mesh.ts
@@ -192,6 +192,8 @@
             opened: (link, host) => this.#opened(link, host),
             message: (link, message) => this.#received(link, message),
             rejected: (link, reason) => this.#options.log.event("messageRejected", { peer: link.peer?.id, reason }),
+            oversized: (link, kind, bytes) =>
+                this.#options.log.event("messageOversized", { peer: link.peer?.id, kind, bytes }),
             closed: (link, failure) => this.#ended(link, failure),
         };
         const link = new PeerLink({
--- a/packages/runtime/tests/consensus-task.test.ts
+++ b/packages/runtime/tests/consensus-task.test.ts
@@ -11,7 +11,9 @@
     heartbeatMs: 50,
     electionMs: 60_000,
     snapshotEvery: 1,
+    snapshotEveryBytes: 1024 * 1024,
     maxBatchEntries: 4,
+    maxBatchBytes: 64 * 1024,
     snapshotChunkBytes: 100,
     seed: 1,
 };
--- a/packages/runtime/tests/peer-mesh.test.ts
+++ b/packages/runtime/tests/peer-mesh.test.ts
@@ -1,5 +1,5 @@
 import { createAuthority, issueHostKeys, type KeyPair } from "@medlarledge/daemon";
-import { encodeMessage, type Host, PROTOCOL_VERSION } from "@medlarledge/protocol";
+import { encodeMessage, type Host, MAX_MESSAGE_BYTES, PROTOCOL_VERSION } from "@medlarledge/protocol";
 import { type Log, type LogFields, SILENT_LOG } from "@medlarledge/telemetry";
 import { mkdtemp, writeFile } from "node:fs/promises";
 import { tmpdir } from "node:os";
@@ -67,6 +67,20 @@
         expect(left.mesh.connected().map(host => host.id)).toEqual(["b1"]);
     });
 
+    // Guards against a message that the receiver rejects while its sender is not told.
+    it("does not send a message that is larger than its peer accepts, and logs it", async () => {
+        const oversized: LogFields[] = [];
+        const log: Log = { event: (name, fields = {}) => name === "messageOversized" && oversized.push(fields) };
+        const left = await start("a1", undefined, log);
+        const right = await start("b1", undefined);
+        right.mesh.keepConnected("a1", left.host.peerAddress);
+        await until(left, event => event.kind === "connected");
+        left.mesh.send("b1", { kind: "leaderReply", id: "1", ok: true, body: "x".repeat(MAX_MESSAGE_BYTES) });
+        expect(oversized).toEqual([expect.objectContaining({ peer: "b1", kind: "leaderReply" })]);
+        left.mesh.send("b1", { kind: "leaderReply", id: "2", ok: true, body: "" });
+        await until(right, event => event.kind === "message" && event.message.kind === "leaderReply");
+    });
+
     // Guards against an exception that ends the process when another program sends a message of the right form.
     it.each([
         ["no host", undefined],
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -16,6 +16,10 @@
     peerDisconnected: { level: "warn", meaning: "A connection to another process closed." },
     peerRefused: { level: "warn", meaning: "Another process was refused: certificate, protocol or identity." },
     messageRejected: { level: "warn", meaning: "A message of another process could not be decoded." },
+    messageOversized: {
+        level: "error",
+        meaning: "A message was not sent, since it is larger than another process accepts.",
+    },
     leaderChanged: { level: "info", meaning: "The control group has another leader, or none." },
     leaseLost: { level: "warn", meaning: "This host may not acknowledge writes at present." },
     leaseRegained: { level: "info", meaning: "This host may acknowledge writes again." },
--- a/packages/testing/src/capacity/agreement-cost.ts
+++ b/packages/testing/src/capacity/agreement-cost.ts
@@ -30,7 +30,9 @@
                 heartbeatMs: 50,
                 electionMs: 300,
                 snapshotEvery: 512,
+                snapshotEveryBytes: 1024 * 1024,
                 maxBatchEntries: 256,
+                maxBatchBytes: 64 * 1024,
                 snapshotChunkBytes: 256 * 1_024,
                 seed: index + 1,
             });
--- a/packages/testing/src/faults/simulated-control-options.ts
+++ b/packages/testing/src/faults/simulated-control-options.ts
@@ -8,7 +8,9 @@
     heartbeatMs: 50,
     electionMs: 300,
     snapshotEvery: 64,
+    snapshotEveryBytes: 1024 * 1024,
     maxBatchEntries: 256,
+    maxBatchBytes: 64 * 1024,
     snapshotChunkBytes: 4096,
 };
 export const READING_MS = 150;
