Count replicas that have left as holders of commits

Cause: an endpoint was promoted once it was known to have every commit that any announced replica could have. A replica that has deregistered was not among these, though its log comes to the next endpoint at its address. A departure was also passed on with a sequence number that other hosts ignored when they had heard a later announcement.

Change: a replica that has left counts as one that does not answer until an endpoint of the group takes its address, until enough other replicas have received what the primary had after the departure, or until a replacement has waited for 8 s. The leader probes a primary that answers, and its replicas, to learn the second. A leaving endpoint that left is taken as such whatever the sequence number of the record.

Why it works: any acknowledged commit is on the replicas that are present, or on one that is still counted.

--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -10,14 +10,9 @@
 export { ControlLeader } from "./leader.js";
 export { type HostProcess, LeaseAuthority, type RenewalDecision } from "./lease-authority.js";
 export { hostOfMember, nextMembers, replacementMemberId } from "./member-plan.js";
+export type { MonitorProbeResult } from "./primary-check.js";
 export { PrimaryLease } from "./primary-lease.js";
-export {
-    type MonitorEffect,
-    type MonitorEvent,
-    type MonitorProbeResult,
-    type MonitorView,
-    PrimaryMonitor,
-} from "./primary-monitor.js";
+export { type MonitorEffect, type MonitorEvent, type MonitorView, PrimaryMonitor } from "./primary-monitor.js";
 export { OPERATOR_PAGES, type Problem } from "./problems.js";
 export { REQUEST_NAMES, type RequestError, type RequestName } from "./requests.js";
 export { ControlState, MAX_HISTORY } from "./state.js";
--- a/packages/control/src/primary-monitor.ts
+++ b/packages/control/src/primary-monitor.ts
@@ -1,4 +1,6 @@
 import { type EndpointRecord, EndpointRole, EndpointState, type PromotionOrder } from "@medlarledge/protocol";
+import { DepartedReplicas } from "./departed-replicas.js";
+import { type MonitorProbeResult, PrimaryCheck } from "./primary-check.js";
 import { comparePositions, type ProbedPosition, safeSuccessors } from "./safe-successor.js";
 
 /** Reports of entry hosts expire after this time; a host repeats a report of an unreachable endpoint more often. */
@@ -25,11 +27,8 @@
 /** A group without a primary gets one after this time; before, its endpoints may still be starting. */
 export const MISSING_PRIMARY_TIMEOUT_MS = 1_500;
 
-/** Result of probing an endpoint: the last log position that it received, ordered by term, then by number. */
-export interface MonitorProbeResult extends ProbedPosition {
-    /** False when the endpoint was too busy to tell its role. */
-    readonly leads: boolean;
-}
+/** Time for which a replacement waits until the log of a replica that has left is at another endpoint. */
+export const LOG_TRANSFER_TIMEOUT_MS = 8_000;
 
 export interface MonitorReport {
     readonly endpoint: string;
@@ -41,7 +40,13 @@
     | { readonly kind: "tick"; }
     /** An entry host reported on the primary that it uses. */
     | { readonly kind: "report"; readonly from: string; readonly report: MonitorReport; }
-    | { readonly kind: "reading"; readonly endpoint: string; readonly reading: MonitorProbeResult | undefined; }
+    | {
+        readonly kind: "reading";
+        readonly endpoint: string;
+        readonly reading: MonitorProbeResult | undefined;
+        /** The round of the effect that caused the probe. */
+        readonly round?: number | undefined;
+    }
     /** The order is sent to the platform now; before, it was announced to the hosts. */
     | { readonly kind: "sent"; readonly fence: number; }
     /** The platform's answer to an order; `unknown` when none came. */
@@ -50,7 +55,8 @@
 export type MonitorEffect =
     /** Requests a report on the endpoint from all entry hosts. */
     | { readonly kind: "check"; readonly endpoint: string; }
-    | { readonly kind: "read"; readonly endpoint: string; }
+    /** Probes an endpoint. `round` is set for a check of a primary that answers. */
+    | { readonly kind: "read"; readonly endpoint: string; readonly round?: number; }
     | { readonly kind: "promote"; readonly order: PromotionOrder; }
     | {
         readonly kind: "event";
@@ -62,6 +68,8 @@
 export interface MonitorView {
     /** Endpoints of the group that have not left. */
     readonly endpoints: readonly EndpointRecord[];
+    /** Endpoints of the group that have left and have no successor at their address. */
+    readonly departed: readonly EndpointRecord[];
     /** Entry hosts that are connected. */
     readonly entries: readonly string[];
     /**
@@ -73,6 +81,8 @@
     readonly syncReplicas: number;
     /** Returns the next fencing token; each call returns a higher one. */
     readonly nextFencingToken: () => number;
+    /** Returns true if a primary that answers may be probed now, which limits these probes over all groups. */
+    readonly takePrimaryCheck: () => boolean;
 }
 
 /** Why a primary is replaced. */
@@ -80,8 +90,8 @@
     readonly reason: string;
     /** The primary that entry hosts report as unreachable; undefined when it is replaced for another reason. */
     readonly suspect: string | undefined;
-    /** Whether it was logged that the replacement waits for positions of replicas. */
-    readonly isWaitLogged?: boolean;
+    /** Since when the replacement has waited for positions of replicas, which is logged once; undefined before. */
+    readonly waitsSince?: number;
 }
 
 type Phase =
@@ -103,6 +113,12 @@
         readonly since: number;
     };
 
+interface CheckResult {
+    readonly endpoint: string;
+    readonly reading: MonitorProbeResult | undefined;
+    readonly round: number;
+}
+
 interface ReceivedReport extends MonitorReport {
     readonly at: number;
 }
@@ -129,6 +145,8 @@
     #lastPrimary: string | undefined;
     #withoutPrimarySince: number | undefined;
     #checkedAt = Number.NEGATIVE_INFINITY;
+    readonly #departedReplicas = new DepartedReplicas();
+    readonly #primaryCheck = new PrimaryCheck();
 
     constructor(group: string) {
         this.#group = group;
@@ -146,7 +164,12 @@
                 this.#reports.set(event.from, { ...event.report, at: now });
                 break;
             case "reading":
-                this.#probeResults.set(event.endpoint, event.reading);
+                if (event.round === undefined) {
+                    this.#probeResults.set(event.endpoint, event.reading);
+                }
+                else {
+                    this.#handleCheckResult({ ...event, round: event.round }, view, effects);
+                }
                 break;
             case "sent":
                 this.#handleOrderSent(event, now);
@@ -218,6 +241,40 @@
             effects.push({ kind: "check", endpoint: record.id });
             this.#advance(view, now, effects);
         }
+        else {
+            this.#checkPrimary(record.id, view, now, effects);
+        }
+    }
+
+    /** Probes a primary that answers while replicas that have left may be the only ones with some of its commits. */
+    #checkPrimary(primary: string, view: MonitorView, now: number, effects: MonitorEffect[]): void {
+        const departed = view.syncReplicas > 0 ? this.#departedReplicas.holders(view.departed) : [];
+        if (departed.length === 0) {
+            this.#primaryCheck.end();
+        }
+        else if (this.#primaryCheck.isDue(now) && view.takePrimaryCheck()) {
+            const round = this.#primaryCheck.start(primary, departed, now);
+            effects.push({ kind: "read", endpoint: primary, round });
+        }
+    }
+
+    /** Probes the replicas once the primary has told its position, and releases departed ones when enough have it. */
+    #handleCheckResult(
+        { endpoint, reading, round }: CheckResult,
+        view: MonitorView,
+        effects: MonitorEffect[],
+    ): void {
+        const hasLed = this.#primaryCheck.answered(round, endpoint, reading);
+        if (hasLed && reading !== undefined && reading.term >= this.#newestReportedTerm()) {
+            for (const { id } of view.endpoints.filter(({ id: other }) => other !== endpoint)) {
+                effects.push({ kind: "read", endpoint: id, round });
+            }
+        }
+        this.#departedReplicas.release(this.#primaryCheck.releasable(view.syncReplicas));
+    }
+
+    #newestReportedTerm(): number {
+        return Math.max(0, ...[...this.#reports.values()].map(({ term }) => term));
     }
 
     #withoutPrimary(view: MonitorView, now: number, effects: MonitorEffect[]): void {
@@ -307,7 +364,7 @@
             this.#finish("is already the primary", currentPrimary, effects);
             return;
         }
-        const best = openOrder ?? this.#bestSuccessor(successors, view, now);
+        const best = openOrder ?? this.#bestSuccessor(successors, cause, view, now);
         if (best === undefined) {
             this.#remainUndecided(phase, successors, view, now, effects);
         }
@@ -324,15 +381,16 @@
         now: number,
         effects: MonitorEffect[],
     ): void {
-        const loggedCause = { ...cause, isWaitLogged: true };
+        const loggedCause = { ...cause, waitsSince: cause.waitsSince ?? now };
         const undecidedSince = phase.undecidedSince ?? now;
         if (now - undecidedSince >= RETRY_INTERVAL_MS) {
             this.#choose(loggedCause, view, now, effects);
             return;
         }
         this.#phase = { kind: "choosing", cause: loggedCause, since, undecidedSince };
-        if (cause.isWaitLogged !== true) {
-            const waitedFor = candidates.map(({ id }) => id).filter(id => this.#probeResults.get(id)?.isExact !== true);
+        if (cause.waitsSince === undefined) {
+            const waitedFor = [...candidates, ...this.#departedHolders(cause, view, now)].map(({ id }) => id)
+                .filter(id => this.#probeResults.get(id)?.isExact !== true);
             const { syncReplicas } = view;
             const fields = { group: this.#group, waitedFor, syncReplicas, positions: this.#positions() };
             effects.push({ kind: "event", name: "promotionWaits", fields });
@@ -434,9 +492,15 @@
      * The endpoint with the newest log position; one that recently failed to be promoted only if there is no other.
      * Undefined while none is known to have every acknowledged commit, where replicas acknowledge them.
      */
-    #bestSuccessor(candidates: readonly EndpointRecord[], view: MonitorView, now: number): string | undefined {
+    #bestSuccessor(
+        candidates: readonly EndpointRecord[],
+        cause: Replacement,
+        view: MonitorView,
+        now: number,
+    ): string | undefined {
         const ids = candidates.map(({ id }) => id);
-        const safe = view.syncReplicas > 0 ? safeSuccessors(ids, this.#probeResults, view.syncReplicas) : ids;
+        const holders = [...ids, ...this.#departedHolders(cause, view, now).map(({ id }) => id)];
+        const safe = view.syncReplicas > 0 ? safeSuccessors(holders, this.#probeResults, view.syncReplicas) : ids;
         const answered = candidates.filter(({ id }) =>
             safe.includes(id) && this.#probeResults.get(id) !== undefined && !this.#isFormerPrimary(id)
         );
@@ -447,6 +511,12 @@
         return [...choice].sort((left, right) => this.#compare(left, right))[0]?.id;
     }
 
+    /** Replicas that have left and may be the only ones with some commits; none once their log has not come for long. */
+    #departedHolders({ waitsSince }: Replacement, view: MonitorView, now: number): readonly EndpointRecord[] {
+        const isOverdue = waitsSince !== undefined && now - waitsSince >= LOG_TRANSFER_TIMEOUT_MS;
+        return isOverdue ? [] : this.#departedReplicas.holders(view.departed);
+    }
+
     /** Sorts the newest position first. Of equal ones an endpoint that stays, and one that told it exactly, is better. */
     #compare(left: EndpointRecord, right: EndpointRecord): number {
         const first = this.#probeResults.get(left.id) ?? NO_POSITION;
--- a/packages/control/tests/primary-monitor.test.ts
+++ b/packages/control/tests/primary-monitor.test.ts
@@ -1,7 +1,10 @@
 import { type EndpointRecord, EndpointRole, EndpointState } from "@medlarledge/protocol";
 import { describe, expect, it } from "vitest";
+import { PRIMARY_CHECK_INTERVAL_MS } from "../src/primary-check.js";
 import {
     CONFIRM_MS,
+    LOG_TRANSFER_TIMEOUT_MS,
+    MIN_RECHECK_INTERVAL_MS,
     MISSING_PRIMARY_TIMEOUT_MS,
     type MonitorEffect,
     type MonitorEvent,
@@ -28,15 +31,18 @@
     now = 10_000;
     orderedPrimary: string | undefined;
     syncReplicas = 0;
+    departed: EndpointRecord[] = [];
     #fence = 0;
 
     handle(event: MonitorEvent): readonly MonitorEffect[] {
         const view: MonitorView = {
             endpoints: this.endpoints,
+            departed: this.departed,
             entries: this.entries,
             orderedPrimary: this.orderedPrimary,
             syncReplicas: this.syncReplicas,
             nextFencingToken: () => (this.#fence += 1),
+            takePrimaryCheck: () => true,
         };
         const effects = this.watch.handle(event, view, this.now);
         this.effects.push(...effects);
@@ -62,6 +68,27 @@
         return this.handle({ kind: "reading", endpoint, reading: { leads: false, term, number, isExact: false } });
     }
 
+    /** Answers the open probes of a check of the primary with the positions of the endpoints; others do not answer. */
+    answerCheck(numbers: Readonly<Record<string, number>>): void {
+        const answered = new Set<MonitorEffect>();
+        for (let open = this.#openChecks(answered); open.length > 0; open = this.#openChecks(answered)) {
+            for (const effect of open) {
+                answered.add(effect);
+                const number = numbers[effect.endpoint];
+                const reading = number === undefined
+                    ? undefined
+                    : { leads: effect.endpoint === "a", term: 1, number, isExact: true };
+                this.handle({ kind: "reading", endpoint: effect.endpoint, reading, round: effect.round });
+            }
+        }
+    }
+
+    #openChecks(answered: ReadonlySet<MonitorEffect>) {
+        return this.effects.flatMap(effect =>
+            effect.kind === "read" && effect.round !== undefined && !answered.has(effect) ? [effect] : []
+        );
+    }
+
     reportUnreachable(hosts: readonly string[] = ENTRIES): void {
         hosts.forEach(host => this.report(host, false));
     }
@@ -340,6 +367,83 @@
         expect(scene.promotions()).toEqual([["c", 1]]);
     });
 
+    /** A scene in which c has left, which may be the only replica with some acknowledged commits. */
+    function sceneWithDepartedReplica(): Scene {
+        const scene = new Scene();
+        scene.syncReplicas = 1;
+        scene.endpoints = [record("a", { role: EndpointRole.Primary }), record("b")];
+        scene.departed = [record("c", { state: EndpointState.Left })];
+        return scene;
+    }
+
+    // Guards against losing acknowledged commits because the replica that has them has just left, and its log is not yet
+    // at the endpoint that takes its address (LOST; docs/incidents/review-10-departed-replica.md).
+    it("waits for the log of a replica that has left, and promotes the endpoint that has taken it over", () => {
+        const scene = sceneWithDepartedReplica();
+        scene.reportUnreachable();
+        scene.reading("b", 100);
+        scene.advanceTime(PROBE_TIMEOUT_MS);
+        scene.advanceTime(RETRY_INTERVAL_MS);
+        expect(scene.promotions()).toEqual([]);
+        const waits = scene.effects.filter(effect => effect.kind === "event" && effect.name === "promotionWaits");
+        expect(waits).toMatchObject([{ fields: { waitedFor: ["c"] } }]);
+        scene.endpoints.push(record("d"));
+        scene.departed = [];
+        scene.reportUnreachable();
+        scene.advanceTime(RETRY_INTERVAL_MS);
+        scene.reading("b", 100);
+        scene.reading("d", 160);
+        expect(scene.promotions()).toEqual([["d", 1]]);
+    });
+
+    // Guards against a replica that was removed for good and holds up each later promotion (RECOVER).
+    it("does not wait for a replica that has left once another one has received what the primary had then", () => {
+        const scene = sceneWithDepartedReplica();
+        scene.advanceTime(50);
+        scene.answerCheck({ a: 160, b: 160 });
+        scene.advanceTime(10_000);
+        scene.reportUnreachable();
+        scene.reading("b", 170);
+        expect(scene.promotions()).toEqual([["b", 1]]);
+    });
+
+    it("waits for it while the other one has received less, and checks that again", () => {
+        const scene = sceneWithDepartedReplica();
+        scene.advanceTime(50);
+        scene.answerCheck({ a: 160, b: 100 });
+        scene.reportUnreachable();
+        scene.reading("b", 100);
+        scene.advanceTime(PROBE_TIMEOUT_MS);
+        expect(scene.promotions()).toEqual([]);
+        ENTRIES.forEach(host => scene.report(host, true));
+        scene.advanceTime(RETRY_INTERVAL_MS);
+        scene.reading("b", 100);
+        expect(scene.watch.phase).toBe("calm");
+        scene.advanceTime(PRIMARY_CHECK_INTERVAL_MS);
+        scene.answerCheck({ a: 180, b: 180 });
+        scene.advanceTime(MIN_RECHECK_INTERVAL_MS);
+        scene.reportUnreachable();
+        scene.reading("b", 180);
+        expect(scene.promotions()).toEqual([["b", 1]]);
+    });
+
+    // Guards against a group without a primary for good after the loss of all that had some commits (RECOVER).
+    it("promotes the best of the present replicas when the log of the departed one does not come", () => {
+        const scene = sceneWithDepartedReplica();
+        scene.reportUnreachable();
+        for (let passed = 0; passed < LOG_TRANSFER_TIMEOUT_MS - 100; passed += 50) {
+            scene.reading("b", 100);
+            scene.advanceTime(50);
+            scene.reportUnreachable();
+        }
+        expect(scene.promotions()).toEqual([]);
+        scene.advanceTime(RETRY_INTERVAL_MS);
+        scene.reading("b", 100);
+        scene.advanceTime(PROBE_TIMEOUT_MS);
+        scene.reading("b", 100);
+        expect(scene.promotions()).toEqual([["b", 1]]);
+    });
+
     it("prefers a replica that stays to one that leaves with the same position", () => {
         const scene = new Scene();
         scene.syncReplicas = 1;
--- a/packages/directory/src/endpoint-directory.ts
+++ b/packages/directory/src/endpoint-directory.ts
@@ -22,6 +22,10 @@
      */
     merge(record: EndpointRecord, now: number): MergeResult {
         const known = this.#records.get(record.id);
+        if (known !== undefined && isEndOf(record, known)) {
+            this.#set({ ...known, state: EndpointState.Left }, now);
+            return "changed";
+        }
         if (known !== undefined && !isNewer(record, known)) {
             return this.#mergeLeavingTime(record, known, now);
         }
@@ -73,6 +77,18 @@
         return this.records(now).filter(record => record.group === group && record.state !== EndpointState.Left);
     }
 
+    /**
+     * Returns the endpoints of a group that have left and whose log no later endpoint of the group at their address has
+     * taken over.
+     */
+    departedEndpoints(group: string): readonly EndpointRecord[] {
+        const records = this.#stored().filter(record => record.group === group);
+        return records.filter(({ state, host, port, born }) =>
+            state === EndpointState.Left
+            && !records.some(other => other.host === host && other.port === port && other.born > born)
+        );
+    }
+
     /** Returns the groups with at least one endpoint that has not left. */
     groups(): readonly string[] {
         const present = this.#stored().filter(record => record.state !== EndpointState.Left);
@@ -132,6 +148,14 @@
     return record.born > known.born || (record.born === known.born && record.sequence > known.sequence);
 }
 
+/**
+ * Returns true when the record says that an endpoint which is known to be leaving has left. Its sequence number may be
+ * lower, since it comes from a host that has not heard all announcements.
+ */
+function isEndOf(record: EndpointRecord, known: EndpointRecord): boolean {
+    return record.born === known.born && record.state === EndpointState.Left && known.state === EndpointState.Leaving;
+}
+
 function differs(record: EndpointRecord, known: EndpointRecord): boolean {
     return record.born !== known.born || record.state !== known.state || record.role !== known.role
         || record.group !== known.group || record.host !== known.host || record.port !== known.port
--- a/packages/directory/tests/endpoint-directory.test.ts
+++ b/packages/directory/tests/endpoint-directory.test.ts
@@ -96,3 +96,26 @@
     directory.merge(record({ born: 2_000, sequence: 2, state: EndpointState.Leaving }), 11_000);
     expect(directory.records(12_000)[0]?.leavingMs).toBe(1_000);
 });
+
+// Guards against an endpoint that stays "leaving" at hosts that have heard a later announcement of it than the host that
+// it told of its end (docs/incidents/review-10-departed-replica.md).
+test("an endpoint that leaves has left, whichever announcement of it was heard last", () => {
+    const directory = new EndpointDirectory();
+    directory.merge(record({ sequence: 40, state: EndpointState.Leaving }), 0);
+    expect(directory.merge(record({ sequence: 3, state: EndpointState.Left }), 0)).toBe("changed");
+    expect(directory.merge(record({ sequence: 40, state: EndpointState.Leaving }), 0)).toBe("ignored");
+    expect(directory.currentEndpoints("orders", 0)).toEqual([]);
+});
+
+// Guards against commits that are lost with a replica, and against waiting for one whose log another endpoint has.
+test("an endpoint that has left counts as departed until another one of the group takes its address", () => {
+    const directory = new EndpointDirectory();
+    directory.merge(record({ state: EndpointState.Left }), 0);
+    directory.merge(record({ id: "i-2", host: "10.0.0.2" }), 0);
+    expect(directory.departedEndpoints("orders").map(({ id }) => id)).toEqual(["i-1"]);
+    directory.merge(record({ id: "i-3", group: "stock", born: 2_000 }), 0);
+    expect(directory.departedEndpoints("orders").map(({ id }) => id)).toEqual(["i-1"]);
+    directory.merge(record({ id: "i-4", born: 3_000 }), 0);
+    expect(directory.departedEndpoints("orders")).toEqual([]);
+    expect(directory.departedEndpoints("stock").map(({ id }) => id)).toEqual(["i-3"]);
+});
--- a/packages/fleet/src/promotion-manager.ts
+++ b/packages/fleet/src/promotion-manager.ts
@@ -11,6 +11,9 @@
 /** Limit for one probe of an endpoint's role and position. */
 const PROBE_TIMEOUT_MS = 200;
 
+/** Interval between two probes of primaries that answer, of any groups. */
+const PRIMARY_CHECK_INTERVAL_MS = 50;
+
 /** Fencing tokens available in one consensus term. A leader gives far fewer promotion orders. */
 const FENCES_PER_TERM = 100_000;
 
@@ -46,10 +49,11 @@
     readonly #watches = new Map<string, PrimaryMonitor>();
     #term = 0;
     #fenceCount = 0;
+    #primaryCheckedAt = Number.NEGATIVE_INFINITY;
 
     readonly #executors: Executors = {
         check: (group, { endpoint }) => this.#options.check(group, endpoint),
-        read: (group, { endpoint }) => void this.#probe(group, endpoint),
+        read: (group, { endpoint, round }) => void this.#probe(group, endpoint, round),
         promote: (group, { order }) => void this.#promote(group, order),
         event: (_, { name, fields }) => this.#options.event(name, fields),
     };
@@ -94,16 +98,25 @@
         return {
             syncReplicas,
             endpoints: this.#options.directory.currentEndpoints(group, this.#options.clock.now()),
+            departed: this.#options.directory.departedEndpoints(group),
             entries: this.#options.entries(),
             orderedPrimary: this.#options.orderedPrimary(group),
             nextFencingToken: () => {
                 this.#fenceCount += 1;
                 return this.#term * FENCES_PER_TERM + this.#fenceCount;
             },
+            takePrimaryCheck: () => this.#takePrimaryCheck(),
         };
     }
 
-    async #probe(group: string, endpoint: string): Promise<void> {
+    #takePrimaryCheck(): boolean {
+        const now = this.#options.clock.now();
+        const isDue = now - this.#primaryCheckedAt >= PRIMARY_CHECK_INTERVAL_MS;
+        this.#primaryCheckedAt = isDue ? now : this.#primaryCheckedAt;
+        return isDue;
+    }
+
+    async #probe(group: string, endpoint: string, round: number | undefined): Promise<void> {
         const term = this.#term;
         const record = this.#options.directory.record(endpoint);
         const reading = record === undefined
@@ -112,7 +125,7 @@
         if (term !== this.#term) {
             return;
         }
-        this.#handle(group, { kind: "reading", endpoint, reading });
+        this.#handle(group, { kind: "reading", endpoint, reading, round });
     }
 
     async #promote(group: string, order: PromotionOrder): Promise<void> {
