Make unanswered promotion orders void before a group counts as calm

Cause: the monitor counts on a newer order, whose higher token makes an older one void. It ended the replacement, since the primary was reachable again, without giving one.

Change: an order stays open until it is answered or a newer one is accepted. While one is open that names another endpoint, the leader probes the primary and orders it again, until that is accepted. A new leader, which knows nothing of earlier orders, does so once for each group.

Why it works: whichever way a replacement ends, each tick of a calm group asks whether an order is open, and an accepted order makes all earlier ones void.

--- a/packages/control/src/primary-monitor.ts
+++ b/packages/control/src/primary-monitor.ts
@@ -1,5 +1,6 @@
 import { type EndpointRecord, EndpointRole, EndpointState, type PromotionOrder } from "@medlarledge/protocol";
 import { DepartedReplicas } from "./departed-replicas.js";
+import { OpenOrders, type OrderOutcome } from "./open-orders.js";
 import { type MonitorProbeResult, PrimaryCheck } from "./primary-check.js";
 import { comparePositions, type ProbedPosition, safeSuccessors } from "./safe-successor.js";
 
@@ -48,9 +49,8 @@
         readonly round?: number | undefined;
     }
     /** The order is sent to the platform now; before, it was announced to the hosts. */
-    | { readonly kind: "sent"; readonly fence: number; }
-    /** The platform's answer to an order; `unknown` when none came. */
-    | { readonly kind: "ordered"; readonly fence: number; readonly outcome: "accepted" | "refused" | "unknown"; };
+    | { readonly kind: "sent"; readonly order: PromotionOrder; }
+    | { readonly kind: "ordered"; readonly fence: number; readonly outcome: OrderOutcome; };
 
 export type MonitorEffect =
     /** Requests a report on the endpoint from all entry hosts. */
@@ -58,6 +58,8 @@
     /** Probes an endpoint. `round` is set for a check of a primary that answers. */
     | { readonly kind: "read"; readonly endpoint: string; readonly round?: number; }
     | { readonly kind: "promote"; readonly order: PromotionOrder; }
+    /** Orders the present primary again, which changes nothing but makes earlier orders void. */
+    | { readonly kind: "confirm"; readonly order: PromotionOrder; }
     | {
         readonly kind: "event";
         readonly name: "promotionChoosing" | "promotionWaits" | "promotionOrdered" | "promotionDone";
@@ -77,6 +79,8 @@
      * or where endpoints themselves stop being the primary when another one is promoted.
      */
     readonly orderedPrimary: string | undefined;
+    /** Whether a newer order makes earlier ones void that the platform has not carried out yet. */
+    readonly newerOrdersVoidEarlier: boolean;
     /** Number of replicas that receive a commit before it is acknowledged. */
     readonly syncReplicas: number;
     /** Returns the next fencing token; each call returns a higher one. */
@@ -130,7 +134,7 @@
 /**
  * Monitors the primary of one group on the leader of the control group and replaces it when it has failed or is about
  * to leave. Has no durable state: a new leader starts with an empty monitor, and its orders have higher fencing
- * tokens.
+ * tokens. Before it takes the group as calm it makes the orders of earlier leaders void.
  */
 export class PrimaryMonitor {
     readonly #group: string;
@@ -147,9 +151,12 @@
     #checkedAt = Number.NEGATIVE_INFINITY;
     readonly #departedReplicas = new DepartedReplicas();
     readonly #primaryCheck = new PrimaryCheck();
+    readonly #openOrders: OpenOrders;
 
-    constructor(group: string) {
+    /** @param mayHaveEarlierOrders whether earlier leaders may have given orders for the group */
+    constructor(group: string, mayHaveEarlierOrders: boolean) {
         this.#group = group;
+        this.#openOrders = new OpenOrders(mayHaveEarlierOrders);
     }
 
     get phase(): Phase["kind"] {
@@ -246,10 +253,13 @@
         }
     }
 
-    /** Probes a primary that answers while replicas that have left may be the only ones with some of its commits. */
+    /**
+     * Probes a primary that answers while an earlier order may still promote another endpoint, or while replicas that
+     * have left may be the only ones with some commits.
+     */
     #checkPrimary(primary: string, view: MonitorView, now: number, effects: MonitorEffect[]): void {
-        const departed = view.syncReplicas > 0 ? this.#departedReplicas.holders(view.departed) : [];
-        if (departed.length === 0) {
+        const departed = this.#openDepartures(view);
+        if (departed.length === 0 && !this.#isThreatened(primary, view)) {
             this.#primaryCheck.end();
         }
         else if (this.#primaryCheck.isDue(now) && view.takePrimaryCheck()) {
@@ -258,7 +268,19 @@
         }
     }
 
-    /** Probes the replicas once the primary has told its position, and releases departed ones when enough have it. */
+    /** Replicas that have left and may be the only ones with some acknowledged commits. */
+    #openDepartures({ syncReplicas, departed }: MonitorView): readonly EndpointRecord[] {
+        return syncReplicas > 0 ? this.#departedReplicas.holders(departed) : [];
+    }
+
+    #isThreatened(primary: string, view: MonitorView): boolean {
+        return view.newerOrdersVoidEarlier && this.#openOrders.threaten(primary);
+    }
+
+    /**
+     * Once the primary has answered that it leads, makes earlier orders void and probes the replicas. Releases departed
+     * replicas when enough others have received what the primary had.
+     */
     #handleCheckResult(
         { endpoint, reading, round }: CheckResult,
         view: MonitorView,
@@ -266,7 +288,12 @@
     ): void {
         const hasLed = this.#primaryCheck.answered(round, endpoint, reading);
         if (hasLed && reading !== undefined && reading.term >= this.#newestReportedTerm()) {
-            for (const { id } of view.endpoints.filter(({ id: other }) => other !== endpoint)) {
+            if (this.#phase.kind === "calm" && this.#isThreatened(endpoint, view)) {
+                const order = { group: this.#group, endpoint, fence: view.nextFencingToken() };
+                effects.push({ kind: "confirm", order });
+            }
+            const replicas = this.#openDepartures(view).length > 0 ? view.endpoints : [];
+            for (const { id } of replicas.filter(({ id: other }) => other !== endpoint)) {
                 effects.push({ kind: "read", endpoint: id, round });
             }
         }
@@ -327,6 +354,7 @@
         const { reason, suspect } = cause;
         this.#phase = { kind: "choosing", cause, since: now };
         this.#probeResults.clear();
+        this.#primaryCheck.end();
         const event = { group: this.#group, reason, primary: this.primary(view) };
         effects.push({ kind: "event", name: "promotionChoosing", fields: event });
         for (const { id } of this.#candidates(view, suspect)) {
@@ -429,13 +457,15 @@
     }
 
     /** The platform has the usual time from the moment at which it gets the order. */
-    #handleOrderSent({ fence }: Extract<MonitorEvent, { kind: "sent"; }>, now: number): void {
-        if (this.#phase.kind === "promoting" && this.#phase.order.fence === fence) {
+    #handleOrderSent({ order }: Extract<MonitorEvent, { kind: "sent"; }>, now: number): void {
+        this.#openOrders.sent(order);
+        if (this.#phase.kind === "promoting" && this.#phase.order.fence === order.fence) {
             this.#phase = { ...this.#phase, since: now };
         }
     }
 
     #handleOrderAnswer({ fence, outcome }: Extract<MonitorEvent, { kind: "ordered"; }>, now: number): void {
+        this.#openOrders.answered(fence, outcome);
         if (this.#phase.kind !== "promoting" || this.#phase.order.fence !== fence || outcome === "accepted") {
             return;
         }
@@ -443,8 +473,8 @@
             this.#failedPromotions.set(this.#phase.order.endpoint, now);
             this.#refusedOrders.set(this.#phase.order.endpoint, now);
         }
-        // An unanswered order may still be executed, so the endpoints are probed before a new one is given. The higher
-        // fencing token of the new order invalidates the old one.
+        // An unanswered order may still be executed, so the endpoints are probed before a new one is given. It stays open
+        // until a newer order is accepted.
         const cause = { ...this.#phase.cause, reason: `the order was ${outcome}` };
         this.#phase = { kind: "pausing", cause, since: now };
     }
@@ -511,10 +541,10 @@
         return [...choice].sort((left, right) => this.#compare(left, right))[0]?.id;
     }
 
-    /** Replicas that have left and may be the only ones with some commits; none once their log has not come for long. */
+    /** Replicas that have left and count in a replacement; none once their log has not come for long. */
     #departedHolders({ waitsSince }: Replacement, view: MonitorView, now: number): readonly EndpointRecord[] {
         const isOverdue = waitsSince !== undefined && now - waitsSince >= LOG_TRANSFER_TIMEOUT_MS;
-        return isOverdue ? [] : this.#departedReplicas.holders(view.departed);
+        return isOverdue ? [] : this.#openDepartures(view);
     }
 
     /** Sorts the newest position first. Of equal ones an endpoint that stays, and one that told it exactly, is better. */
--- a/packages/control/tests/primary-monitor.test.ts
+++ b/packages/control/tests/primary-monitor.test.ts
@@ -24,7 +24,7 @@
 
 /** A monitor with its simulated time and endpoints and the effects that it produced. */
 class Scene {
-    readonly watch = new PrimaryMonitor("orders");
+    readonly watch: PrimaryMonitor;
     readonly effects: MonitorEffect[] = [];
     endpoints: EndpointRecord[] = [record("a", { role: EndpointRole.Primary }), record("b"), record("c")];
     entries: readonly string[] = ENTRIES;
@@ -32,12 +32,18 @@
     orderedPrimary: string | undefined;
     syncReplicas = 0;
     departed: EndpointRecord[] = [];
+    newerOrdersVoidEarlier = true;
     #fence = 0;
 
+    constructor(mayHaveEarlierOrders = false) {
+        this.watch = new PrimaryMonitor("orders", mayHaveEarlierOrders);
+    }
+
     handle(event: MonitorEvent): readonly MonitorEffect[] {
         const view: MonitorView = {
             endpoints: this.endpoints,
             departed: this.departed,
+            newerOrdersVoidEarlier: this.newerOrdersVoidEarlier,
             entries: this.entries,
             orderedPrimary: this.orderedPrimary,
             syncReplicas: this.syncReplicas,
@@ -93,6 +99,24 @@
         hosts.forEach(host => this.report(host, false));
     }
 
+    /** The platform gets an order. */
+    sent(endpoint: string, fence: number): void {
+        this.handle({ kind: "sent", order: { group: "orders", endpoint, fence } });
+    }
+
+    /** A check of the primary finds that it leads, and the order that confirms it is sent. */
+    confirmPrimary(): void {
+        const confirmed = this.confirmations().length;
+        this.answerCheck({ a: 10, b: 10, c: 10 });
+        this.confirmations().slice(confirmed).forEach(([endpoint, fence]) => this.sent(endpoint, fence));
+    }
+
+    confirmations(): readonly (readonly [string, number])[] {
+        return this.effects.flatMap(effect =>
+            effect.kind === "confirm" ? [[effect.order.endpoint, effect.order.fence] as const] : []
+        );
+    }
+
     promotions(): readonly (readonly [string, number])[] {
         return this.effects.flatMap(effect =>
             effect.kind === "promote" ? [[effect.order.endpoint, effect.order.fence] as const] : []
@@ -473,3 +497,126 @@
         expect(scene.promotions()).toEqual([["b", 1]]);
     });
 });
+
+describe("where an order without an answer may still be carried out", () => {
+    /** The order to promote b gets no answer, and the primary answers again. */
+    function sceneWithOpenOrder(): Scene {
+        const scene = new Scene();
+        scene.reportUnreachable();
+        scene.reading("b", 10);
+        scene.reading("c", 9);
+        scene.sent("b", 1);
+        scene.handle({ kind: "ordered", fence: 1, outcome: "unknown" });
+        ENTRIES.forEach(host => scene.report(host, true));
+        scene.advanceTime(RETRY_INTERVAL_MS);
+        scene.reading("b", 10);
+        scene.reading("c", 10);
+        expect(scene.watch.phase).toBe("calm");
+        expect(scene.promotions()).toEqual([["b", 1]]);
+        return scene;
+    }
+
+    // Guards against a call that is carried out seconds later and promotes a replica which has fallen behind, although
+    // the primary is in use again (LOST; docs/incidents/review-9-unanswered-promotion.md).
+    it("orders the primary that is reachable again, which makes the earlier order void", () => {
+        const scene = sceneWithOpenOrder();
+        scene.advanceTime(50);
+        scene.confirmPrimary();
+        expect(scene.confirmations()).toEqual([["a", 2]]);
+        scene.handle({ kind: "ordered", fence: 2, outcome: "accepted" });
+        scene.advanceTime(60_000);
+        scene.confirmPrimary();
+        expect(scene.confirmations()).toHaveLength(1);
+    });
+
+    // Guards against an answer to the confirming order that is lost as well.
+    it("repeats the confirming order with higher tokens until it is accepted", () => {
+        const scene = sceneWithOpenOrder();
+        scene.advanceTime(50);
+        scene.confirmPrimary();
+        scene.handle({ kind: "ordered", fence: 2, outcome: "unknown" });
+        scene.advanceTime(PRIMARY_CHECK_INTERVAL_MS);
+        scene.confirmPrimary();
+        scene.handle({ kind: "ordered", fence: 3, outcome: "refused" });
+        scene.advanceTime(2 * PRIMARY_CHECK_INTERVAL_MS);
+        scene.confirmPrimary();
+        expect(scene.confirmations()).toEqual([["a", 2], ["a", 3], ["a", 4]]);
+        scene.handle({ kind: "ordered", fence: 4, outcome: "accepted" });
+        scene.advanceTime(60_000);
+        scene.confirmPrimary();
+        expect(scene.confirmations()).toHaveLength(3);
+    });
+
+    // Guards against an order for an endpoint that only announces itself as the primary, which would promote it.
+    it("orders no endpoint that has not just answered as the primary", () => {
+        const scene = sceneWithOpenOrder();
+        scene.advanceTime(50);
+        scene.answerCheck({});
+        scene.advanceTime(PRIMARY_CHECK_INTERVAL_MS);
+        const check = scene.effects.findLast(effect => effect.kind === "read");
+        const reading = { leads: false, term: 2, number: 10, isExact: true };
+        scene.handle({ kind: "reading", endpoint: "a", reading, round: check?.round });
+        expect(scene.confirmations()).toEqual([]);
+        scene.advanceTime(2 * PRIMARY_CHECK_INTERVAL_MS);
+        scene.confirmPrimary();
+        expect(scene.confirmations()).toEqual([["a", 2]]);
+    });
+
+    // Guards against a primary that fails again while it is being confirmed and is then not replaced.
+    it("replaces the primary when it fails before the earlier order is void", () => {
+        const scene = sceneWithOpenOrder();
+        scene.advanceTime(50);
+        scene.confirmPrimary();
+        scene.advanceTime(MIN_RECHECK_INTERVAL_MS);
+        scene.reportUnreachable();
+        scene.reading("b", 10);
+        scene.reading("c", 12);
+        expect(scene.promotions().at(-1)).toEqual(["c", 3]);
+    });
+
+    // Guards against a call that is carried out after another endpoint has become the primary by itself.
+    it("orders another endpoint that leads in the meantime", () => {
+        const scene = sceneWithOpenOrder();
+        scene.endpoints = [record("a"), record("b"), record("c", { role: EndpointRole.Primary })];
+        ENTRIES.forEach(host => scene.report(host, true, "c", 2));
+        scene.advanceTime(50);
+        const check = scene.effects.findLast(effect => effect.kind === "read" && effect.round !== undefined);
+        const reading = { leads: true, term: 2, number: 10, isExact: true };
+        scene.handle({
+            kind: "reading",
+            endpoint: "c",
+            reading,
+            round: check?.kind === "read" ? check.round : undefined,
+        });
+        expect(scene.confirmations()).toEqual([["c", 2]]);
+    });
+
+    it("needs no further order when the endpoint that it names has become the primary", () => {
+        const scene = sceneWithOpenOrder();
+        scene.endpoints = [record("a"), record("b", { role: EndpointRole.Primary }), record("c")];
+        ENTRIES.forEach(host => scene.report(host, true, "b", 2));
+        scene.advanceTime(PRIMARY_CHECK_INTERVAL_MS);
+        expect(scene.effects.filter(effect => effect.kind === "read" && effect.round !== undefined)).toEqual([]);
+    });
+
+    // Guards against an open order that nobody knows of because the leader of the control group has changed.
+    it("makes the orders of earlier leaders void before it takes the group as calm", () => {
+        const scene = new Scene(true);
+        scene.advanceTime(50);
+        scene.confirmPrimary();
+        expect(scene.confirmations()).toEqual([["a", 1]]);
+        scene.handle({ kind: "ordered", fence: 1, outcome: "accepted" });
+        scene.advanceTime(60_000);
+        scene.confirmPrimary();
+        expect(scene.confirmations()).toHaveLength(1);
+    });
+
+    it("gives no such order where the first leader has given none, or where newer orders do not void earlier ones", () => {
+        const first = new Scene();
+        first.advanceTime(60_000);
+        const unchecked = new Scene(true);
+        unchecked.newerOrdersVoidEarlier = false;
+        unchecked.advanceTime(60_000);
+        expect([...first.effects, ...unchecked.effects]).toEqual([]);
+    });
+});
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -204,6 +204,8 @@
             check: (group, endpoint) =>
                 this.#links.sendAll(this.#connectedEntries(), { kind: "primaryCheck", group, endpoint }),
             announce: order => this.#announceOrder(order),
+            leads: () => this.#member.hasQuorum,
+            newerOrdersVoidEarlier: options.primariesStepDown,
             orderedPrimary: group =>
                 options.primariesStepDown ? undefined : this.#directory.newestOrder(group)?.endpoint,
             event: (event, fields) => this.#promotionStep(event, fields),
--- a/packages/fleet/src/promotion-manager.ts
+++ b/packages/fleet/src/promotion-manager.ts
@@ -14,6 +14,9 @@
 /** Interval between two probes of primaries that answer, of any groups. */
 const PRIMARY_CHECK_INTERVAL_MS = 50;
 
+/** Term of the first leader of the control group. */
+const FIRST_TERM = 1;
+
 /** Fencing tokens available in one consensus term. A leader gives far fewer promotion orders. */
 const FENCES_PER_TERM = 100_000;
 
@@ -34,6 +37,10 @@
      * this host must not give it.
      */
     readonly announce: (order: PromotionOrder) => Promise<boolean>;
+    /** Returns true while this host leads the control group and a quorum answers it. */
+    readonly leads: () => boolean;
+    /** Whether the authority refuses orders with a lower fencing token than it has seen. */
+    readonly newerOrdersVoidEarlier: boolean;
     /** The endpoint that hosts use as the primary because of an order; undefined where orders do not decide that. */
     readonly orderedPrimary: (group: string) => string | undefined;
     readonly event: (name: LogEvent, fields: LogFields) => void;
@@ -55,6 +62,7 @@
         check: (group, { endpoint }) => this.#options.check(group, endpoint),
         read: (group, { endpoint, round }) => void this.#probe(group, endpoint, round),
         promote: (group, { order }) => void this.#promote(group, order),
+        confirm: (group, { order }) => void this.#confirm(group, order),
         event: (_, { name, fields }) => this.#options.event(name, fields),
     };
 
@@ -86,7 +94,7 @@
         }
         let watch = this.#watches.get(group);
         if (watch === undefined) {
-            watch = new PrimaryMonitor(group);
+            watch = new PrimaryMonitor(group, this.#term > FIRST_TERM);
             this.#watches.set(group, watch);
         }
         for (const effect of watch.handle(event, this.#view(group, settings), this.#options.clock.now())) {
@@ -97,6 +105,7 @@
     #view(group: string, { syncReplicas }: GroupSettings): MonitorView {
         return {
             syncReplicas,
+            newerOrdersVoidEarlier: this.#options.newerOrdersVoidEarlier,
             endpoints: this.#options.directory.currentEndpoints(group, this.#options.clock.now()),
             departed: this.#options.directory.departedEndpoints(group),
             entries: this.#options.entries(),
@@ -130,13 +139,23 @@
 
     async #promote(group: string, order: PromotionOrder): Promise<void> {
         const term = this.#term;
-        const { authority, holder } = this.#options;
         const mayGive = await this.#options.announce(order) && term === this.#term;
+        await this.#give(group, order, mayGive, "promotionAnswered");
+    }
+
+    /** Orders the present primary again. Hosts need not know of that, since they use it already. */
+    async #confirm(group: string, order: PromotionOrder): Promise<void> {
+        await this.#give(group, order, this.#options.leads(), "primaryConfirmed");
+    }
+
+    async #give(group: string, order: PromotionOrder, mayGive: boolean, event: LogEvent): Promise<void> {
+        const term = this.#term;
+        const { authority, holder } = this.#options;
         if (mayGive) {
-            this.#handle(group, { kind: "sent", fence: order.fence });
+            this.#handle(group, { kind: "sent", order });
         }
         const outcome = mayGive ? await authority.promote({ ...order, holder }) : PromotionOutcome.Unknown;
-        this.#options.event("promotionAnswered", { ...order, outcome });
+        this.#options.event(event, { ...order, outcome });
         if (term === this.#term) {
             this.#handle(group, { kind: "ordered", fence: order.fence, outcome });
         }
--- a/packages/fleet/tests/promotion-manager.test.ts
+++ b/packages/fleet/tests/promotion-manager.test.ts
@@ -31,6 +31,8 @@
         entries: () => [],
         check: () => undefined,
         announce: () => Promise.resolve(true),
+        leads: () => true,
+        newerOrdersVoidEarlier: true,
         orderedPrimary: () => undefined,
         event: () => undefined,
     });
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -21,6 +21,11 @@
         meaning: "A message was not sent, since it is larger than another process accepts.",
     },
     leaderChanged: { level: "info", meaning: "The control group has another leader, or none." },
+    primaryConfirmed: {
+        level: "info",
+        meaning:
+            "The present primary was ordered again, so that earlier orders which may still be carried out become void; `outcome` is the answer.",
+    },
     voteHandover: {
         level: "info",
         meaning: "A control host that stops asked for a successor of its vote; `outcome` tells what became of it.",
