Judge a primary that no entry host has used since its own start

Cause: entry hosts reported only on an endpoint that had answered them as the primary. After their own start none had, and the leader took the saved announcement for a primary that nobody complains about.

Change: until a primary has answered, an entry host reports on the endpoint that announced itself as one. The leader asks the hosts about a primary that none of them has reported as reachable, and keeps their reports by host and endpoint. Hosts repeat their reports when the leader changes.

Why it works: a presumed primary is either reported as reachable, or is asked about until most hosts have said that they do not reach it.

--- a/packages/control/src/primary-monitor.ts
+++ b/packages/control/src/primary-monitor.ts
@@ -22,6 +22,9 @@
 /** Pause between two checks of an endpoint that most entry hosts reach. */
 export const MIN_RECHECK_INTERVAL_MS = 500;
 
+/** Interval of requests for reports on a primary that no entry host has reported as reachable. */
+export const REPORT_REQUEST_INTERVAL_MS = 1_000;
+
 /** An endpoint whose promotion the platform refused is not promoted by that order later. */
 const REFUSAL_VALID_MS = 5_000;
 
@@ -33,6 +36,7 @@
 
 export interface MonitorReport {
     readonly endpoint: string;
+    /** Latest term in which the host has seen the endpoint as the primary; 0 if it has not. */
     readonly term: number;
     readonly reachable: boolean;
 }
@@ -124,6 +128,7 @@
 }
 
 interface ReceivedReport extends MonitorReport {
+    readonly from: string;
     readonly at: number;
 }
 
@@ -138,6 +143,7 @@
  */
 export class PrimaryMonitor {
     readonly #group: string;
+    /** The last report of each host on each endpoint. */
     readonly #reports = new Map<string, ReceivedReport>();
     readonly #probeResults = new Map<string, MonitorProbeResult | undefined>();
     /** Time of the last refused or timed-out promotion, by endpoint. */
@@ -148,6 +154,8 @@
     /** The primary when the last replacement ended. */
     #lastPrimary: string | undefined;
     #withoutPrimarySince: number | undefined;
+    /** A primary that no entry host reports as reachable, and when they are asked about it. */
+    #unreported: { readonly endpoint: string; readonly askAt: number; } | undefined;
     #checkedAt = Number.NEGATIVE_INFINITY;
     readonly #departedReplicas = new DepartedReplicas();
     readonly #primaryCheck = new PrimaryCheck();
@@ -168,7 +176,11 @@
         const effects: MonitorEffect[] = [];
         switch (event.kind) {
             case "report":
-                this.#reports.set(event.from, { ...event.report, at: now });
+                this.#reports.set(`${event.from} ${event.report.endpoint}`, {
+                    ...event.report,
+                    from: event.from,
+                    at: now,
+                });
                 break;
             case "reading":
                 if (event.round === undefined) {
@@ -249,10 +261,32 @@
             this.#advance(view, now, effects);
         }
         else {
+            this.#requestReports(record.id, view, now, effects);
             this.#checkPrimary(record.id, view, now, effects);
         }
     }
 
+    /**
+     * Asks all entry hosts about a primary that none of them has reported as reachable. It is known from its announcement
+     * only, perhaps one from before a restart, and may have failed since.
+     */
+    #requestReports(primary: string, view: MonitorView, now: number, effects: MonitorEffect[]): void {
+        const isReported = [...this.#reports.values()].some(report =>
+            report.endpoint === primary && report.reachable && view.entries.includes(report.from)
+        );
+        if (isReported || view.entries.length === 0) {
+            this.#unreported = undefined;
+            return;
+        }
+        if (this.#unreported?.endpoint !== primary) {
+            this.#unreported = { endpoint: primary, askAt: now + REPORT_REQUEST_INTERVAL_MS };
+        }
+        else if (now >= this.#unreported.askAt) {
+            this.#unreported = { endpoint: primary, askAt: now + REPORT_REQUEST_INTERVAL_MS };
+            effects.push({ kind: "check", endpoint: primary });
+        }
+    }
+
     /**
      * Probes a primary that answers while an earlier order may still promote another endpoint, or while replicas that
      * have left may be the only ones with some commits.
@@ -344,8 +378,9 @@
             return true;
         }
         const answered =
-            [...this.#reports].filter(([from, report]) =>
-                view.entries.includes(from) && report.endpoint === endpoint && report.at >= since - MAX_REPORT_AGE_MS
+            [...this.#reports.values()].filter(report =>
+                view.entries.includes(report.from) && report.endpoint === endpoint
+                && report.at >= since - MAX_REPORT_AGE_MS
             ).length;
         return now - since >= CONFIRM_MS && against > answered / 2 && against >= Math.min(2, view.entries.length);
     }
@@ -444,7 +479,7 @@
     ): void {
         const record = view.endpoints.find(({ id }) => id === order.endpoint);
         const isSeen = [...this.#reports.values()].some(report =>
-            report.endpoint === order.endpoint && report.reachable && report.at > since
+            report.endpoint === order.endpoint && report.reachable && report.term > 0 && report.at > since
         );
         if (record?.role === EndpointRole.Primary || isSeen) {
             this.#finish("promoted", order.endpoint, effects);
@@ -576,11 +611,9 @@
 
     /** Entry hosts whose last unexpired report says that they do not reach the endpoint. */
     #hostsNotReaching(endpoint: string, now: number): readonly string[] {
-        return [...this.#reports]
-            .filter(([, report]) =>
-                report.endpoint === endpoint && !report.reachable && now - report.at <= MAX_REPORT_AGE_MS
-            )
-            .map(([from]) => from);
+        return [...this.#reports.values()]
+            .filter(report => report.endpoint === endpoint && !report.reachable && now - report.at <= MAX_REPORT_AGE_MS)
+            .map(({ from }) => from);
     }
 }
 
--- a/packages/control/tests/primary-monitor.test.ts
+++ b/packages/control/tests/primary-monitor.test.ts
@@ -12,6 +12,7 @@
     PrimaryMonitor,
     PROBE_TIMEOUT_MS,
     PROMOTION_TIMEOUT_MS,
+    REPORT_REQUEST_INTERVAL_MS,
     RETRY_INTERVAL_MS,
 } from "../src/primary-monitor.js";
 
@@ -620,3 +621,59 @@
         expect([...first.effects, ...unchecked.effects]).toEqual([]);
     });
 });
+
+describe("where no entry host has used the primary since its own start", () => {
+    // Guards against a primary that fails while all processes restart and is never replaced (RECOVER;
+    // docs/incidents/review-7-primary-lost-with-restart.md).
+    it("replaces a primary that most hosts do not reach, though none has seen it lead", () => {
+        const scene = new Scene();
+        ENTRIES.forEach(host => scene.report(host, false, "a", 0));
+        scene.reading("b", 9);
+        scene.reading("c", 10);
+        expect(scene.promotions()).toEqual([["c", 1]]);
+    });
+
+    // Guards against a promoted endpoint that fails before any host has used it: hosts report only the former primary.
+    it("asks about a primary that nobody reports, and replaces it when most hosts do not reach it", () => {
+        const scene = new Scene();
+        scene.reportUnreachable();
+        scene.reading("b", 10);
+        scene.reading("c", 9);
+        scene.endpoints = [record("a"), record("b", { role: EndpointRole.Primary }), record("c")];
+        scene.advanceTime(50);
+        expect(scene.watch.phase).toBe("calm");
+        const checks = (): number => scene.effects.filter(effect => effect.kind === "check").length;
+        const before = checks();
+        for (let passed = 0; passed <= 2 * REPORT_REQUEST_INTERVAL_MS; passed += 200) {
+            scene.advanceTime(200);
+            scene.reportUnreachable();
+        }
+        expect(checks() - before).toBe(2);
+        ENTRIES.forEach(host => scene.report(host, false, "b", 0));
+        scene.reading("c", 9);
+        scene.reading("a", 8);
+        expect(scene.promotions()).toEqual([["b", 1], ["c", 2]]);
+    });
+
+    it("asks nobody about a primary that a host reaches", () => {
+        const scene = new Scene();
+        scene.report("e1", true, "a", 0);
+        for (let passed = 0; passed <= 3 * REPORT_REQUEST_INTERVAL_MS; passed += 200) {
+            scene.advanceTime(200);
+        }
+        expect(scene.effects).toEqual([]);
+    });
+
+    // Guards against an order that counts as carried out because a host reaches the endpoint, which does not lead yet.
+    it("does not take an endpoint for promoted because a host reaches it", () => {
+        const scene = new Scene();
+        scene.reportUnreachable();
+        scene.reading("b", 10);
+        scene.reading("c", 9);
+        scene.advanceTime(50);
+        scene.report("e1", true, "b", 0);
+        expect(scene.watch.phase).toBe("promoting");
+        scene.report("e1", true, "b", 2);
+        expect(scene.watch.phase).toBe("calm");
+    });
+});
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -414,6 +414,7 @@
         this.#lease?.leaderChanged();
         this.#keyLease?.requestNow();
         this.#limits?.leaderChanged();
+        this.#reporter.clear();
     }
 
     #updateLinks(): void {
@@ -598,9 +599,12 @@
     async #reportPrimary({ group, endpoint }: MessageOf<"primaryCheck">): Promise<void> {
         const usedGroup = this.#gateway.groups.get(group);
         await usedGroup?.checkPrimary(endpoint);
-        const state = usedGroup?.primaryState();
-        if (state !== undefined) {
-            this.#links.sendAll(this.#connectedControl(), { kind: "primaryReport", group, ...state });
+        const own = usedGroup?.primaryState();
+        const asked = own?.endpoint === endpoint ? undefined : usedGroup?.reachabilityOf(endpoint);
+        for (const state of [own, asked]) {
+            if (state !== undefined) {
+                this.#links.sendAll(this.#connectedControl(), { kind: "primaryReport", group, ...state });
+            }
         }
     }
 }
--- a/packages/gateway/src/group-endpoint.ts
+++ b/packages/gateway/src/group-endpoint.ts
@@ -147,6 +147,11 @@
         return this.#reachability.isReachable;
     }
 
+    /** True when this process has connections of its own to the endpoint and has found out whether it can be reached. */
+    get isReachabilityKnown(): boolean {
+        return this.share >= 1 && this.#reachability.isKnown;
+    }
+
     /** True when this process may have connections to the endpoint and the endpoint is reachable. */
     get isDirectlyReachable(): boolean {
         return this.#reachability.isReachable && this.share > 0;
--- a/packages/gateway/src/group.ts
+++ b/packages/gateway/src/group.ts
@@ -1,4 +1,4 @@
-import { type EndpointRecord, EndpointState, type PromotionOrder } from "@medlarledge/protocol";
+import { type EndpointRecord, EndpointRole, EndpointState, type PromotionOrder } from "@medlarledge/protocol";
 import {
     Availability,
     chooseForRead,
@@ -46,6 +46,7 @@
 
 export interface PrimaryState {
     readonly endpoint: string;
+    /** Latest term in which the endpoint answered as the primary; 0 if this process has had no such answer from it. */
     readonly term: number;
     readonly reachable: boolean;
 }
@@ -124,16 +125,30 @@
     }
 
     /**
-     * The endpoint that last answered as primary, its term, and whether it can be reached. Undefined before the first
-     * such answer, and on a host without connections to the endpoint.
+     * The endpoint that last answered as primary and whether it can be reached. Before the first such answer of a present
+     * endpoint it is one that announced itself as the primary: nobody else may know whether that one answers. Undefined
+     * where this host cannot tell, as without connections of its own.
      */
     primaryState(): PrimaryState | undefined {
+        const confirmed = this.state.lastConfirmation?.endpoint;
+        if (confirmed !== undefined && this.#endpoints.has(confirmed)) {
+            return this.reachabilityOf(confirmed);
+        }
+        const announced = [...this.#endpoints.values()].filter(({ record }) => record.role === EndpointRole.Primary);
+        const known = announced.filter(endpoint => endpoint.isReachabilityKnown);
+        const endpoint = known.find(({ isReachable }) => isReachable) ?? known[0];
+        return endpoint === undefined ? undefined : this.reachabilityOf(endpoint.record.id);
+    }
+
+    /** Whether this host can reach an endpoint; undefined where it cannot tell. */
+    reachabilityOf(id: string): PrimaryState | undefined {
+        const endpoint = this.#endpoints.get(id);
         const confirmation = this.state.lastConfirmation;
-        const endpoint = confirmation === undefined ? undefined : this.#endpoints.get(confirmation.endpoint);
-        // Only a host with connections of its own can tell whether the endpoint is reachable.
-        return confirmation === undefined || endpoint === undefined || endpoint.share < 1
-            ? undefined
-            : { endpoint: confirmation.endpoint, term: confirmation.term, reachable: endpoint.isReachable };
+        return endpoint?.isReachabilityKnown !== true ? undefined : {
+            endpoint: id,
+            term: confirmation?.endpoint === id ? confirmation.term : 0,
+            reachable: endpoint.isReachable,
+        };
     }
 
     /** Snapshot of the group as this process observes it, for logs and metrics. */
--- a/packages/gateway/tests/probes.test.ts
+++ b/packages/gateway/tests/probes.test.ts
@@ -47,3 +47,26 @@
     await probe("a");
     expect(primary()).not.toBe("a");
 });
+
+// Guards against a primary that fails while all hosts restart and that nobody reports, so that it is never replaced
+// (RECOVER; docs/incidents/review-7-primary-lost-with-restart.md).
+test("a host reports an announced primary that it has never reached", async () => {
+    const started = createTestGateway({ share: 2, host: "started-later", cut: ["a"] });
+    const group = started.gateway.groups.get("orders");
+    expect(group?.primaryState()).toBeUndefined();
+    await advanceTime(2_000);
+    expect(group?.primaryState()).toEqual({ endpoint: "a", term: 0, reachable: false });
+    started.cut.clear();
+    await advanceTime(2_000);
+    expect(group?.primaryState()).toEqual({ endpoint: "a", term: 0, reachable: true });
+    await started.connect("confirm").execute(read("1"));
+    expect(group?.primaryState()).toMatchObject({ endpoint: "a", term: 1, reachable: true });
+    started.gateway.close("the test ends");
+});
+
+test("a host does not report endpoints to which it has no connections of its own", async () => {
+    const relaying = createTestGateway({ share: 0, host: "relaying", cut: ["a"] });
+    await advanceTime(2_000);
+    expect(relaying.gateway.groups.get("orders")?.primaryState()).toBeUndefined();
+    relaying.gateway.close("the test ends");
+});
--- a/packages/gateway/tests/test-gateway.ts
+++ b/packages/gateway/tests/test-gateway.ts
@@ -124,6 +124,8 @@
     readonly permits?: PrimaryPermits;
     readonly acceptsKeys?: () => boolean;
     readonly usesLoadReports?: boolean;
+    /** Endpoints from which the gateway is partitioned from its start. */
+    readonly cut?: readonly string[];
     readonly drainMs?: number;
     /** Called for every message that the gateway sends. */
     readonly sent?: (message: RelayMessage) => void;
@@ -136,7 +138,7 @@
     const { share = 4, endpoints = new FakeEndpoints(IDS), host = "host", peers = new Map<string, Gateway>() } =
         options;
     const events: GatewayEvent[] = [];
-    const cut = new Set<string>();
+    const cut = new Set<string>(options.cut);
     const gateway = new Gateway({
         hostId: host,
         incarnation: options.incarnation ?? "1",
--- a/packages/protocol/src/fleet-message.ts
+++ b/packages/protocol/src/fleet-message.ts
@@ -49,12 +49,15 @@
     readonly kind: "configurationWanted";
 }
 
-/** Entry host to control hosts: the primary that it uses for a group, and whether it can reach that endpoint. */
+/**
+ * Entry host to control hosts: the endpoint that it takes for the primary of a group, or that it was asked about, and
+ * whether it can reach that endpoint.
+ */
 export interface PrimaryReport {
     readonly kind: "primaryReport";
     readonly group: string;
     readonly endpoint: string;
-    /** Latest term in which the endpoint was seen as the primary. */
+    /** Latest term in which the endpoint was seen as the primary; 0 if this host has not seen that. */
     readonly term: Term;
     readonly reachable: boolean;
 }
--- a/packages/routing/src/endpoint-reachability.ts
+++ b/packages/routing/src/endpoint-reachability.ts
@@ -34,6 +34,11 @@
         return this.#answeredAt;
     }
 
+    /** False before the first answer and the first failure, when the endpoint is only assumed to be reachable. */
+    get isKnown(): boolean {
+        return !this.isReachable || Number.isFinite(this.#answeredAt);
+    }
+
     get isReachable(): boolean {
         return this.#reach === Reachability.Reachable;
     }
