Let only hosts that have seen a primary lead override announcements

Found on reading again: reports of hosts that have seen no primary lead (term 0) could make the monitor take a former primary for the present one, since all of them are equally new, and the reports on endpoints that have gone were kept until the next promotion.

Change: the presumed primary is the announced one unless a report has a term. Reports are kept by endpoint, and those on an endpoint that has gone are dropped once they are out of date. Departed endpoints are looked up only for groups whose replicas acknowledge commits.

--- a/packages/control/src/departed-replicas.ts
+++ b/packages/control/src/departed-replicas.ts
@@ -13,6 +13,8 @@
      * @param departed endpoints that have left without a successor at their address
      */
     holders(departed: readonly EndpointRecord[]): readonly EndpointRecord[] {
+        const known = new Set(departed.map(keyOf));
+        [...this.#released].filter(key => !known.has(key)).forEach(key => this.#released.delete(key));
         return departed.filter(record => record.role !== EndpointRole.Primary && !this.#released.has(keyOf(record)));
     }
 
--- a/packages/control/src/primary-monitor.ts
+++ b/packages/control/src/primary-monitor.ts
@@ -143,8 +143,8 @@
  */
 export class PrimaryMonitor {
     readonly #group: string;
-    /** The last report of each host on each endpoint. */
-    readonly #reports = new Map<string, ReceivedReport>();
+    /** The last report of each host on each endpoint, by endpoint and host. */
+    readonly #reports = new Map<string, Map<string, ReceivedReport>>();
     readonly #probeResults = new Map<string, MonitorProbeResult | undefined>();
     /** Time of the last refused or timed-out promotion, by endpoint. */
     readonly #failedPromotions = new Map<string, number>();
@@ -176,11 +176,7 @@
         const effects: MonitorEffect[] = [];
         switch (event.kind) {
             case "report":
-                this.#reports.set(`${event.from} ${event.report.endpoint}`, {
-                    ...event.report,
-                    from: event.from,
-                    at: now,
-                });
+                this.#handleReport(event, view, now);
                 break;
             case "reading":
                 if (event.round === undefined) {
@@ -205,7 +201,8 @@
 
     /** The presumed primary. Reports of entry hosts take precedence over the roles that endpoints announce. */
     primary(view: MonitorView): string | undefined {
-        const newestReport = [...this.#reports.values()].sort((left, right) => right.term - left.term)[0];
+        const newestReport = this.#allReports().filter(({ term }) => term > 0)
+            .sort((left, right) => right.term - left.term)[0];
         const announcedPrimaries = view.endpoints.filter(record => record.role === EndpointRole.Primary);
         const promoted = announcedPrimaries.find(({ id }) => id === view.orderedPrimary)
             ?? announcedPrimaries.find(({ id }) => id === this.#lastPrimary);
@@ -216,6 +213,26 @@
         return present ? newestReport?.endpoint : announcedPrimaries[0]?.id;
     }
 
+    /** Records a report, and forgets those on endpoints that have gone. */
+    #handleReport({ from, report }: Extract<MonitorEvent, { kind: "report"; }>, view: MonitorView, now: number): void {
+        for (const [endpoint, reports] of this.#reports) {
+            const isPresent = view.endpoints.some(({ id }) => id === endpoint);
+            if (!isPresent && [...reports.values()].every(({ at }) => now - at > MAX_REPORT_AGE_MS)) {
+                this.#reports.delete(endpoint);
+            }
+        }
+        const reports = this.#reports.get(report.endpoint) ?? new Map<string, ReceivedReport>();
+        this.#reports.set(report.endpoint, reports.set(from, { ...report, from, at: now }));
+    }
+
+    #reportsOn(endpoint: string): readonly ReceivedReport[] {
+        return [...this.#reports.get(endpoint)?.values() ?? []];
+    }
+
+    #allReports(): readonly ReceivedReport[] {
+        return [...this.#reports.keys()].flatMap(endpoint => this.#reportsOn(endpoint));
+    }
+
     #advance(view: MonitorView, now: number, effects: MonitorEffect[]): void {
         switch (this.#phase.kind) {
             case "calm":
@@ -271,8 +288,8 @@
      * only, perhaps one from before a restart, and may have failed since.
      */
     #requestReports(primary: string, view: MonitorView, now: number, effects: MonitorEffect[]): void {
-        const isReported = [...this.#reports.values()].some(report =>
-            report.endpoint === primary && report.reachable && view.entries.includes(report.from)
+        const isReported = this.#reportsOn(primary).some(({ reachable, from }) =>
+            reachable && view.entries.includes(from)
         );
         if (isReported || view.entries.length === 0) {
             this.#unreported = undefined;
@@ -335,7 +352,7 @@
     }
 
     #newestReportedTerm(): number {
-        return Math.max(0, ...[...this.#reports.values()].map(({ term }) => term));
+        return Math.max(0, ...this.#allReports().map(({ term }) => term));
     }
 
     #withoutPrimary(view: MonitorView, now: number, effects: MonitorEffect[]): void {
@@ -378,9 +395,8 @@
             return true;
         }
         const answered =
-            [...this.#reports.values()].filter(report =>
-                view.entries.includes(report.from) && report.endpoint === endpoint
-                && report.at >= since - MAX_REPORT_AGE_MS
+            this.#reportsOn(endpoint).filter(({ from, at }) =>
+                view.entries.includes(from) && at >= since - MAX_REPORT_AGE_MS
             ).length;
         return now - since >= CONFIRM_MS && against > answered / 2 && against >= Math.min(2, view.entries.length);
     }
@@ -478,8 +494,8 @@
         effects: MonitorEffect[],
     ): void {
         const record = view.endpoints.find(({ id }) => id === order.endpoint);
-        const isSeen = [...this.#reports.values()].some(report =>
-            report.endpoint === order.endpoint && report.reachable && report.term > 0 && report.at > since
+        const isSeen = this.#reportsOn(order.endpoint).some(({ reachable, term, at }) =>
+            reachable && term > 0 && at > since
         );
         if (record?.role === EndpointRole.Primary || isSeen) {
             this.#finish("promoted", order.endpoint, effects);
@@ -548,7 +564,7 @@
 
     /** Returns true when an endpoint still takes itself for the primary of an older term than the newest known one. */
     #isFormerPrimary(endpoint: string): boolean {
-        const known = [...this.#reports.values(), ...this.#probeResults.values()].map(item => item?.term ?? 0);
+        const known = [...this.#allReports(), ...this.#probeResults.values()].map(item => item?.term ?? 0);
         const reading = this.#probeResults.get(endpoint);
         return reading?.leads === true && reading.term < Math.max(...known);
     }
@@ -611,8 +627,8 @@
 
     /** Entry hosts whose last unexpired report says that they do not reach the endpoint. */
     #hostsNotReaching(endpoint: string, now: number): readonly string[] {
-        return [...this.#reports.values()]
-            .filter(report => report.endpoint === endpoint && !report.reachable && now - report.at <= MAX_REPORT_AGE_MS)
+        return this.#reportsOn(endpoint)
+            .filter(({ reachable, at }) => !reachable && now - at <= MAX_REPORT_AGE_MS)
             .map(({ from }) => from);
     }
 }
--- a/packages/control/tests/primary-monitor.test.ts
+++ b/packages/control/tests/primary-monitor.test.ts
@@ -664,6 +664,16 @@
         expect(scene.effects).toEqual([]);
     });
 
+    // Guards against a replica that passes for the primary since it announced itself as one before.
+    it("takes the announced primary, whatever hosts reported that have seen none lead", () => {
+        const scene = new Scene();
+        scene.report("e1", true, "b", 0);
+        scene.report("e2", true, "a", 0);
+        scene.report("e3", false, "b", 0);
+        scene.advanceTime(CONFIRM_MS);
+        expect(scene.effects).toEqual([]);
+    });
+
     // Guards against an order that counts as carried out because a host reaches the endpoint, which does not lead yet.
     it("does not take an endpoint for promoted because a host reaches it", () => {
         const scene = new Scene();
--- a/packages/fleet/src/promotion-manager.ts
+++ b/packages/fleet/src/promotion-manager.ts
@@ -107,7 +107,7 @@
             syncReplicas,
             newerOrdersVoidEarlier: this.#options.newerOrdersVoidEarlier,
             endpoints: this.#options.directory.currentEndpoints(group, this.#options.clock.now()),
-            departed: this.#options.directory.departedEndpoints(group),
+            departed: syncReplicas > 0 ? this.#options.directory.departedEndpoints(group) : [],
             entries: this.#options.entries(),
             orderedPrimary: this.#options.orderedPrimary(group),
             nextFencingToken: () => {
