--- a/scripts/build-platform.mjs
+++ b/scripts/build-platform.mjs
@@ -4,33 +4,13 @@
 import { build } from "esbuild";
 import { execFileSync } from "node:child_process";
 import { mkdirSync, writeFileSync } from "node:fs";
+import { loaderOf } from "./program-loader.mjs";
 
 const PROGRAMS = {
     "medlarledge-entry": "platform/src/entry-main.ts",
     "medlarledge-control": "platform/src/control-main.ts",
 };
 
-/** Runs the bundle beside it. Code that another version of Node compiled is refused by V8 and compiled anew. */
-function loaderOf(name) {
-    return `"use strict";
-const { existsSync, readFileSync } = require("node:fs");
-const { wrap } = require("node:module");
-const { join } = require("node:path");
-const { Script } = require("node:vm");
-const bundle = join(__dirname, "${name}.bundle.cjs");
-const cache = join(__dirname, "${name}.cache");
-const cachedData = existsSync(cache) ? readFileSync(cache) : undefined;
-const script = new Script(wrap(readFileSync(bundle, "utf8")), { filename: bundle, cachedData });
-script.runInThisContext()(exports, require, module, bundle, __dirname);
-if (process.env.MEDLARLEDGE_CODE_CACHE === undefined) {
-    void module.exports.run();
-}
-else {
-    require("node:fs").writeFileSync(process.env.MEDLARLEDGE_CODE_CACHE, script.createCachedData());
-}
-`;
-}
-
 /**
  * Optional native parts of libraries. Looking for them at every start takes a fifth of it, and the hosts have none: the
  * libraries' own switches leave them out.
