Probe an endpoint that leaves and has become the primary meanwhile

Cause: a leaving replica was promoted, since it alone had every commit. While hosts still reported its predecessor as unreachable, the next choice left it out, since it leaves as a primary. The replica that remained passed for the only one there is, and for safe.

Change: an endpoint that leaves is left out only when it is the one to be replaced.

--- a/packages/control/src/primary-check.ts
+++ b/packages/control/src/primary-check.ts
@@ -1,9 +1,8 @@
 import type { EndpointRecord } from "@medlarledge/protocol";
 import { comparePositions, type ProbedPosition } from "./safe-successor.js";
 
-/** Pause between two checks of a primary, and its maximum; it doubles with each check that follows another. */
-export const PRIMARY_CHECK_INTERVAL_MS = 1_000;
-const MAX_PRIMARY_CHECK_INTERVAL_MS = 8_000;
+/** Interval between two rounds. An order that may be carried out late is as dangerous in each of them. */
+export const PRIMARY_CHECK_INTERVAL_MS = 500;
 
 /** Result of probing an endpoint: the last log position that it received, ordered by term, then by number. */
 export interface MonitorProbeResult extends ProbedPosition {
@@ -16,8 +15,7 @@
     readonly primary: string;
     /** Replicas that had left before the primary was probed. */
     readonly departed: readonly EndpointRecord[];
-    readonly nextAt: number;
-    readonly intervalMs: number;
+    readonly startedAt: number;
     readonly results: Map<string, MonitorProbeResult | undefined>;
 }
 
@@ -32,18 +30,14 @@
     }
 
     isDue(now: number): boolean {
-        return this.#round === undefined || now >= this.#round.nextAt;
+        return this.#round === undefined || now - this.#round.startedAt >= PRIMARY_CHECK_INTERVAL_MS;
     }
 
     /** Starts a round, in which the primary is probed first. Returns its number. */
     start(primary: string, departed: readonly EndpointRecord[], now: number): number {
-        const formerIntervalMs = this.#round?.intervalMs;
-        const intervalMs = formerIntervalMs === undefined
-            ? PRIMARY_CHECK_INTERVAL_MS
-            : Math.min(2 * formerIntervalMs, MAX_PRIMARY_CHECK_INTERVAL_MS);
         this.#roundCount += 1;
         const number = this.#roundCount;
-        this.#round = { number, primary, departed, nextAt: now + intervalMs, intervalMs, results: new Map() };
+        this.#round = { number, primary, departed, startedAt: now, results: new Map() };
         return number;
     }
 
--- a/packages/control/src/primary-monitor.ts
+++ b/packages/control/src/primary-monitor.ts
@@ -98,6 +98,8 @@
     readonly reason: string;
     /** The primary that entry hosts report as unreachable; undefined when it is replaced for another reason. */
     readonly suspect: string | undefined;
+    /** The primary that leaves, if that is why it is replaced. */
+    readonly leaving?: string;
     /** Since when the replacement has waited for positions of replicas, which is logged once; undefined before. */
     readonly waitsSince?: number;
 }
@@ -264,7 +266,8 @@
         }
         this.#withoutPrimarySince = undefined;
         if (record.state === EndpointState.Leaving && this.#successors(view, record.id).length > 0) {
-            this.#choose({ reason: "the primary leaves", suspect: undefined }, view, now, effects);
+            const cause = { reason: "the primary leaves", suspect: undefined, leaving: record.id };
+            this.#choose(cause, view, now, effects);
         }
         else if (isOtherThanOrdered(record.id, view)) {
             this.#choose({ reason: "the primary is not the ordered one", suspect: undefined }, view, now, effects);
@@ -402,13 +405,13 @@
     }
 
     #choose(cause: Replacement, view: MonitorView, now: number, effects: MonitorEffect[]): void {
-        const { reason, suspect } = cause;
+        const { reason } = cause;
         this.#phase = { kind: "choosing", cause, since: now };
         this.#probeResults.clear();
         this.#primaryCheck.end();
         const event = { group: this.#group, reason, primary: this.primary(view) };
         effects.push({ kind: "event", name: "promotionChoosing", fields: event });
-        for (const { id } of this.#candidates(view, suspect)) {
+        for (const { id } of this.#candidates(view, cause)) {
             effects.push({ kind: "read", endpoint: id });
         }
     }
@@ -421,7 +424,7 @@
     ): void {
         const { cause, since } = phase;
         const { suspect } = cause;
-        const successors = this.#candidates(view, suspect);
+        const successors = this.#candidates(view, cause);
         const isComplete = successors.every(({ id }) => this.#probeResults.has(id));
         if (!isComplete && now - since < PROBE_TIMEOUT_MS) {
             return;
@@ -610,14 +613,14 @@
 
     /**
      * Endpoints that are probed before one of them is chosen. Where replicas acknowledge commits, one that leaves may
-     * be the only one that has all of them.
+     * be the only one that has all of them. One that leaves may also have become the primary since.
      */
-    #candidates(view: MonitorView, replaced: string | undefined): readonly EndpointRecord[] {
-        const successors = this.#successors(view, replaced);
-        const leaving = view.endpoints.filter(({ id, state, role }) =>
-            state === EndpointState.Leaving && role !== EndpointRole.Primary && id !== replaced
+    #candidates(view: MonitorView, { suspect, leaving }: Replacement): readonly EndpointRecord[] {
+        const alsoLeaving = view.endpoints.filter(({ id, state, role }) =>
+            state === EndpointState.Leaving && id !== suspect && id !== leaving
+            && (view.syncReplicas > 0 || role === EndpointRole.Primary)
         );
-        return view.syncReplicas > 0 ? [...successors, ...leaving] : successors;
+        return [...this.#successors(view, suspect), ...alsoLeaving];
     }
 
     /** Active endpoints other than the one to be replaced. */
