Move the reports on primaries into a class of their own

The reports of entry hosts, their age and what they say of the newest primary are one matter (PrimaryReports); the monitor asks it.

--- a/packages/control/src/primary-monitor.ts
+++ b/packages/control/src/primary-monitor.ts
@@ -2,11 +2,9 @@
 import { DepartedReplicas } from "./departed-replicas.js";
 import { OpenOrders, type OrderOutcome } from "./open-orders.js";
 import { type MonitorProbeResult, PrimaryCheck } from "./primary-check.js";
+import { MAX_REPORT_AGE_MS, type MonitorReport, PrimaryReports } from "./primary-reports.js";
 import { comparePositions, type ProbedPosition, safeSuccessors } from "./safe-successor.js";
 
-/** Reports of entry hosts expire after this time; a host repeats a report of an unreachable endpoint more often. */
-export const MAX_REPORT_AGE_MS = 1_500;
-
 /** Time for the other entry hosts to answer a check; their probe of the endpoint takes 250 ms. */
 export const CONFIRM_MS = 400;
 
@@ -34,13 +32,6 @@
 /** Time for which a replacement waits until the log of a replica that has left is at another endpoint. */
 export const LOG_TRANSFER_TIMEOUT_MS = 8_000;
 
-export interface MonitorReport {
-    readonly endpoint: string;
-    /** Latest term in which the host has seen the endpoint as the primary; 0 if it has not. */
-    readonly term: number;
-    readonly reachable: boolean;
-}
-
 export type MonitorEvent =
     | { readonly kind: "tick"; }
     /** An entry host reported on the primary that it uses. */
@@ -129,11 +120,6 @@
     readonly round: number;
 }
 
-interface ReceivedReport extends MonitorReport {
-    readonly from: string;
-    readonly at: number;
-}
-
 const CALM: Phase = { kind: "calm" };
 
 const NO_POSITION: ProbedPosition = { term: 0, number: 0, isExact: false };
@@ -145,8 +131,7 @@
  */
 export class PrimaryMonitor {
     readonly #group: string;
-    /** The last report of each host on each endpoint, by endpoint and host. */
-    readonly #reports = new Map<string, Map<string, ReceivedReport>>();
+    readonly #reports = new PrimaryReports();
     readonly #probeResults = new Map<string, MonitorProbeResult | undefined>();
     /** Time of the last refused or timed-out promotion, by endpoint. */
     readonly #failedPromotions = new Map<string, number>();
@@ -178,7 +163,7 @@
         const effects: MonitorEffect[] = [];
         switch (event.kind) {
             case "report":
-                this.#handleReport(event, view, now);
+                this.#reports.received(event.from, event.report, view.endpoints.map(({ id }) => id), now);
                 break;
             case "reading":
                 if (event.round === undefined) {
@@ -203,36 +188,15 @@
 
     /** The presumed primary. Reports of entry hosts take precedence over the roles that endpoints announce. */
     primary(view: MonitorView): string | undefined {
-        const newestReport = this.#allReports().filter(({ term }) => term > 0)
-            .sort((left, right) => right.term - left.term)[0];
+        const { newestPrimary } = this.#reports;
         const announcedPrimaries = view.endpoints.filter(record => record.role === EndpointRole.Primary);
         const promoted = announcedPrimaries.find(({ id }) => id === view.orderedPrimary)
             ?? announcedPrimaries.find(({ id }) => id === this.#lastPrimary);
         if (promoted !== undefined) {
             return promoted.id;
         }
-        const present = view.endpoints.some(record => record.id === newestReport?.endpoint);
-        return present ? newestReport?.endpoint : announcedPrimaries[0]?.id;
-    }
-
-    /** Records a report, and forgets those on endpoints that have gone. */
-    #handleReport({ from, report }: Extract<MonitorEvent, { kind: "report"; }>, view: MonitorView, now: number): void {
-        for (const [endpoint, reports] of this.#reports) {
-            const isPresent = view.endpoints.some(({ id }) => id === endpoint);
-            if (!isPresent && [...reports.values()].every(({ at }) => now - at > MAX_REPORT_AGE_MS)) {
-                this.#reports.delete(endpoint);
-            }
-        }
-        const reports = this.#reports.get(report.endpoint) ?? new Map<string, ReceivedReport>();
-        this.#reports.set(report.endpoint, reports.set(from, { ...report, from, at: now }));
-    }
-
-    #reportsOn(endpoint: string): readonly ReceivedReport[] {
-        return [...this.#reports.get(endpoint)?.values() ?? []];
-    }
-
-    #allReports(): readonly ReceivedReport[] {
-        return [...this.#reports.keys()].flatMap(endpoint => this.#reportsOn(endpoint));
+        const isPresent = view.endpoints.some(({ id }) => id === newestPrimary);
+        return isPresent ? newestPrimary : announcedPrimaries[0]?.id;
     }
 
     #advance(view: MonitorView, now: number, effects: MonitorEffect[]): void {
@@ -273,7 +237,7 @@
             this.#choose({ reason: "the primary is not the ordered one", suspect: undefined }, view, now, effects);
         }
         else if (
-            now - this.#checkedAt >= MIN_RECHECK_INTERVAL_MS && this.#hostsNotReaching(record.id, now).length > 0
+            now - this.#checkedAt >= MIN_RECHECK_INTERVAL_MS && this.#reports.countNotReaching(record.id, now) > 0
         ) {
             this.#checkedAt = now;
             this.#phase = { kind: "checking", endpoint: record.id, since: now };
@@ -291,10 +255,7 @@
      * only, perhaps one from before a restart, and may have failed since.
      */
     #requestReports(primary: string, view: MonitorView, now: number, effects: MonitorEffect[]): void {
-        const isReported = this.#reportsOn(primary).some(({ reachable, from }) =>
-            reachable && view.entries.includes(from)
-        );
-        if (isReported || view.entries.length === 0) {
+        if (this.#reports.isReached(primary, view.entries) || view.entries.length === 0) {
             this.#unreported = undefined;
             return;
         }
@@ -341,7 +302,7 @@
         effects: MonitorEffect[],
     ): void {
         const hasLed = this.#primaryCheck.answered(round, endpoint, reading);
-        if (hasLed && reading !== undefined && reading.term >= this.#newestReportedTerm()) {
+        if (hasLed && reading !== undefined && reading.term >= this.#reports.newestTerm) {
             if (this.#phase.kind === "calm" && this.#isThreatened(endpoint, view)) {
                 const order = { group: this.#group, endpoint, fence: view.nextFencingToken() };
                 effects.push({ kind: "confirm", order });
@@ -354,10 +315,6 @@
         this.#departedReplicas.release(this.#primaryCheck.releasable(view.syncReplicas));
     }
 
-    #newestReportedTerm(): number {
-        return Math.max(0, ...this.#allReports().map(({ term }) => term));
-    }
-
     #withoutPrimary(view: MonitorView, now: number, effects: MonitorEffect[]): void {
         if (view.endpoints.length === 0) {
             this.#withoutPrimarySince = undefined;
@@ -375,7 +332,7 @@
         now: number,
         effects: MonitorEffect[],
     ): void {
-        const against = this.#hostsNotReaching(endpoint, now).length;
+        const against = this.#reports.countNotReaching(endpoint, now);
         if (against === 0) {
             this.#phase = CALM;
         }
@@ -393,14 +350,11 @@
      * do.
      */
     #isConfirmedUnreachable(endpoint: string, since: number, view: MonitorView, now: number): boolean {
-        const against = this.#hostsNotReaching(endpoint, now).length;
+        const against = this.#reports.countNotReaching(endpoint, now);
         if (against > view.entries.length / 2) {
             return true;
         }
-        const answered =
-            this.#reportsOn(endpoint).filter(({ from, at }) =>
-                view.entries.includes(from) && at >= since - MAX_REPORT_AGE_MS
-            ).length;
+        const answered = this.#reports.countSince(endpoint, view.entries, since - MAX_REPORT_AGE_MS);
         return now - since >= CONFIRM_MS && against > answered / 2 && against >= Math.min(2, view.entries.length);
     }
 
@@ -430,7 +384,7 @@
             return;
         }
         const isSuspectUsable = suspect !== undefined && !isOtherThanOrdered(suspect, view);
-        if (isSuspectUsable && this.#hostsNotReaching(suspect, now).length === 0) {
+        if (isSuspectUsable && this.#reports.countNotReaching(suspect, now) === 0) {
             this.#finish("the primary is reachable again", suspect, effects);
             return;
         }
@@ -497,10 +451,7 @@
         effects: MonitorEffect[],
     ): void {
         const record = view.endpoints.find(({ id }) => id === order.endpoint);
-        const isSeen = this.#reportsOn(order.endpoint).some(({ reachable, term, at }) =>
-            reachable && term > 0 && at > since
-        );
-        if (record?.role === EndpointRole.Primary || isSeen) {
+        if (record?.role === EndpointRole.Primary || this.#reports.wasSeenLeading(order.endpoint, since)) {
             this.#finish("promoted", order.endpoint, effects);
         }
         else if (record === undefined || now - since >= PROMOTION_TIMEOUT_MS) {
@@ -567,9 +518,9 @@
 
     /** Returns true when an endpoint still takes itself for the primary of an older term than the newest known one. */
     #isFormerPrimary(endpoint: string): boolean {
-        const known = [...this.#allReports(), ...this.#probeResults.values()].map(item => item?.term ?? 0);
+        const probed = [...this.#probeResults.values()].map(result => result?.term ?? 0);
         const reading = this.#probeResults.get(endpoint);
-        return reading?.leads === true && reading.term < Math.max(...known);
+        return reading?.leads === true && reading.term < Math.max(this.#reports.newestTerm, ...probed);
     }
 
     /**
@@ -627,13 +578,6 @@
     #successors(view: MonitorView, replaced: string | undefined): readonly EndpointRecord[] {
         return view.endpoints.filter(record => record.state === EndpointState.Active && record.id !== replaced);
     }
-
-    /** Entry hosts whose last unexpired report says that they do not reach the endpoint. */
-    #hostsNotReaching(endpoint: string, now: number): readonly string[] {
-        return this.#reportsOn(endpoint)
-            .filter(({ reachable, at }) => !reachable && now - at <= MAX_REPORT_AGE_MS)
-            .map(({ from }) => from);
-    }
 }
 
 /** Returns true when hosts use another endpoint than this one as the primary because of a promotion order. */
--- a/packages/control/tests/promotion-schedules.ts
+++ b/packages/control/tests/promotion-schedules.ts
@@ -2,7 +2,8 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import type { OrderOutcome } from "../src/open-orders.js";
-import { type MonitorEffect, type MonitorEvent, type MonitorReport, PrimaryMonitor } from "../src/primary-monitor.js";
+import { type MonitorEffect, type MonitorEvent, PrimaryMonitor } from "../src/primary-monitor.js";
+import type { MonitorReport } from "../src/primary-reports.js";
 
 const STEP_MS = 10;
 const TICK_MS = 50;
