--- a/review/stand-ins-3/fleet.mjs
+++ b/review/stand-ins-3/fleet.mjs
@@ -179,7 +179,7 @@
                 : { frontend: machine.service, readiness: machine.readiness },
             internal_port_range: [FIRST_PEER_PORT, FIRST_PEER_PORT + 15],
             seed_nodes: seeds.map(host => host.service),
-            bootstrap: machine.starts === 1,
+            bootstrap: machine.starts === 1 && machine.isNew !== true,
             counts_as_loss: isControl,
             limits: { cpu_share: 1, cpu_cores: 1, memory_mb: 350, file_descriptors: 4096, link_mbps: 1000, disk_mb: isControl ? 128 : 0 },
             data_directory: isControl ? machine.disk : null,
@@ -194,6 +194,15 @@
         };
     }
 
+    /** Adds a control machine with an empty disk at a new address; it is not started yet. */
+    addControl(name, zone) {
+        const third = 50 + this.control.length;
+        const machine = new Machine(this, { name, role: "control", zone, ip: this.ip(this.zones.indexOf(zone) + 1, third) });
+        machine.isNew = true;
+        this.control.push(machine);
+        return machine;
+    }
+
     startAll() {
         [...this.control, ...this.entries].forEach(machine => machine.start());
     }
