Let half of an even group decide when another voter's disk is lost

A group of four needs three voters. When one is gone and another one comes back with an empty disk, the two that are left can neither elect nor commit, although the former self of the empty one will never vote again.

A member that is addressed by a former id of its host now answers that the files of that member are lost. Half of an even number of voters is a quorum once another voter is known to be lost: without it the others are an odd number, and half of all is their majority. Such quorums need not meet those of the voters before a change, so until a change is committed both sets of voters have to agree. A member whose removal is committed grants votes by its committed entries, as the others may still ask for its vote.

--- a/packages/agreement/src/consensus-member.ts
+++ b/packages/agreement/src/consensus-member.ts
@@ -4,6 +4,7 @@
     becomeFollower,
     countOwnVote,
     electionTick,
+    handleMemberLost,
     handlePreVote,
     handlePreVoteReply,
     handleVote,
@@ -47,6 +48,10 @@
     appendReply: handleAppendReply,
     snapshotChunk: handleSnapshotChunk,
     snapshotReply: handleSnapshotReply,
+    memberLost: (state, from, message, now) => {
+        handleMemberLost(state, from, message, now);
+        advanceCommit(state);
+    },
 };
 
 const EVENT_HANDLERS: EventHandlers = {
@@ -135,6 +140,14 @@
         return this.#state.log.membersIndex;
     }
 
+    /**
+     * True if the log itself shows that the latest voters are committed, so that it is known after a restart as well; if
+     * not, proposing the same members again adds that.
+     */
+    get areVotersProven(): boolean {
+        return this.#state.log.voterSets(0).length === 1;
+    }
+
     /**
      * True if this member has applied all that was committed when it last heard from the leader, or from a quorum if it
      * leads, at most an election timeout before `now`. What earlier leaders committed is known only once the leader has
--- a/packages/agreement/src/consensus-state.ts
+++ b/packages/agreement/src/consensus-state.ts
@@ -2,6 +2,7 @@
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
 import { Log } from "./log.js";
+import { isQuorum, reachedByQuorum, type VoterSets } from "./quorum.js";
 import type { ConsensusEffect, ConsensusOptions, HardState, Role, Snapshot } from "./types.js";
 
 /** A snapshot that this leader is sending to a member; `offset` is the number of bytes that the member confirmed. */
@@ -65,6 +66,8 @@
     leader: string | undefined;
     phase: "preVote" | "vote" = "preVote";
     votes = new Set<string>();
+    /** Members whose files are lost, as their hosts said. */
+    readonly lost = new Set<string>();
     /** Batch that holds this member's own vote in the current campaign. */
     ownVoteBatch = 0;
     campaignStartedAt = 0;
@@ -121,8 +124,23 @@
         return this.isVoter || this.log.membersAt(this.commitIndex).voters.includes(this.id);
     }
 
-    get quorum(): number {
-        return Math.floor(this.log.members.voters.length / 2) + 1;
+    /** The voters in force, and those before while the change is not known to be committed. */
+    get voterSets(): VoterSets {
+        return this.log.voterSets(this.commitIndex);
+    }
+
+    /** All voters whose votes and acknowledgements count. */
+    get votingIds(): readonly string[] {
+        return [...new Set(this.voterSets.flat())];
+    }
+
+    isQuorum(has: (id: string) => boolean): boolean {
+        return isQuorum(this.voterSets, this.lost, has);
+    }
+
+    /** The highest value that the members of a quorum have all reached; -Infinity if there is none. */
+    reachedByQuorum(valueOf: (id: string) => number): number {
+        return reachedByQuorum(this.voterSets, this.lost, valueOf);
     }
 
     get nextBatch(): number {
--- a/packages/agreement/src/election.ts
+++ b/packages/agreement/src/election.ts
@@ -1,4 +1,4 @@
-import type { PreVote, PreVoteReply, Vote, VoteReply } from "@medlarledge/protocol";
+import type { MemberLost, PreVote, PreVoteReply, Vote, VoteReply } from "@medlarledge/protocol";
 import type { ConsensusState } from "./consensus-state.js";
 import { startLeading } from "./replication.js";
 
@@ -88,6 +88,17 @@
     }
 }
 
+/** Counts a voter as lost; those that are left may now be a quorum. */
+export function handleMemberLost(state: ConsensusState, _from: string, { member }: MemberLost, now: number): void {
+    state.lost.add(member);
+    if (isVoting(state)) {
+        becomeLeaderAtQuorum(state, now);
+    }
+    else if (state.role === "candidate") {
+        startVoteAtQuorum(state, now);
+    }
+}
+
 function startVoteAtQuorum(state: ConsensusState, now: number): void {
     if (!hasQuorumOfVotes(state)) {
         return;
@@ -110,7 +121,7 @@
 }
 
 function hasQuorumOfVotes(state: ConsensusState): boolean {
-    return state.log.members.voters.filter(id => state.votes.has(id)).length >= state.quorum;
+    return state.isQuorum(id => state.votes.has(id));
 }
 
 function isVoting(state: ConsensusState): boolean {
@@ -121,8 +132,13 @@
     return state.role === "leader" || now - state.leaderContactAt < state.options.electionMs;
 }
 
-function isUpToDate(state: ConsensusState, message: PreVote | Vote): boolean {
-    const { lastTerm, lastIndex } = state.log;
+/**
+ * A member that knows that it is no voter any more compares only its committed entries: the others may still need its vote
+ * because they do not know that its removal is committed, and nobody relies on its later entries.
+ */
+function isUpToDate({ log, commitIndex, canCampaign }: ConsensusState, message: PreVote | Vote): boolean {
+    const lastIndex = canCampaign ? log.lastIndex : commitIndex;
+    const lastTerm = log.termAt(lastIndex) ?? log.lastTerm;
     return message.lastTerm > lastTerm || (message.lastTerm === lastTerm && message.lastIndex >= lastIndex);
 }
 
@@ -131,5 +147,5 @@
 }
 
 function otherVoters(state: ConsensusState): readonly string[] {
-    return state.log.members.voters.filter(id => id !== state.id);
+    return state.votingIds.filter(id => id !== state.id);
 }
--- a/packages/agreement/src/log.ts
+++ b/packages/agreement/src/log.ts
@@ -49,6 +49,20 @@
         return this.#members.findLast(at => at.index <= index)?.members ?? NO_MEMBERS;
     }
 
+    /**
+     * The latest voters, and those before them unless the change is known to be committed. A leader proposes members only
+     * once the ones before are committed, so any later members in the log prove that.
+     * @param commitIndex index of the last entry known to be committed
+     */
+    voterSets(commitIndex: number): readonly (readonly string[])[] {
+        const { voters } = this.members;
+        const firstAt = this.#members.findLastIndex(at => !haveSameVoters(at.members, this.members)) + 1;
+        const isProven = firstAt < this.#members.length - 1;
+        const isCommitted = (this.#members[firstAt]?.index ?? 0) <= Math.max(commitIndex, this.#baseIndex);
+        const previous = this.#members[firstAt - 1]?.members.voters;
+        return isProven || isCommitted || previous === undefined ? [voters] : [previous, voters];
+    }
+
     /** Entries from `from` to `to`, both included. */
     slice(from: number, to: number): readonly LogEntry[] {
         return this.#entries.slice(from - this.#baseIndex - 1, Math.max(0, to - this.#baseIndex));
@@ -106,3 +120,7 @@
         this.#members = [{ index: snapshot.lastIndex, members: snapshot.members }];
     }
 }
+
+function haveSameVoters(one: Members, other: Members): boolean {
+    return one.voters.length === other.voters.length && one.voters.every(id => other.voters.includes(id));
+}
--- a/packages/agreement/src/replication.ts
+++ b/packages/agreement/src/replication.ts
@@ -23,12 +23,13 @@
     broadcast(state, now);
 }
 
-/** Adds and removes peers after the membership changed. */
+/** Adds and removes peers after the membership changed, or after a change of it was committed. */
 export function updatePeers(state: ConsensusState, now: number): void {
     const { voters, learners } = state.log.members;
-    const others = [...voters, ...learners].filter(id => id !== state.id);
+    const others = new Set([...state.votingIds, ...voters, ...learners]);
+    others.delete(state.id);
     for (const id of state.peers.keys()) {
-        if (!others.includes(id)) {
+        if (!others.has(id)) {
             state.peers.delete(id);
         }
     }
@@ -56,10 +57,9 @@
     if (state.role !== "leader") {
         return Number.NEGATIVE_INFINITY;
     }
-    const times = state.log.members.voters.map(id =>
+    return state.reachedByQuorum(id =>
         id === state.id ? now : state.peers.get(id)?.lastContactAt ?? Number.NEGATIVE_INFINITY
     );
-    return times.sort((a, b) => b - a)[state.quorum - 1] ?? Number.NEGATIVE_INFINITY;
 }
 
 /**
@@ -79,6 +79,7 @@
         becomeFollower(state, state.term, now);
         return;
     }
+    updatePeers(state, now);
     for (const [id, peer] of state.peers) {
         if (now - peer.sentAt >= state.options.heartbeatMs) {
             sendTo(state, id, peer, now);
@@ -238,10 +239,7 @@
     if (state.role !== "leader") {
         return;
     }
-    const durable = state.log.members.voters
-        .map(id => id === state.id ? state.persistedIndex : state.peers.get(id)?.match ?? 0)
-        .sort((a, b) => b - a);
-    const index = durable[state.quorum - 1] ?? 0;
+    const index = state.reachedByQuorum(id => id === state.id ? state.persistedIndex : state.peers.get(id)?.match ?? 0);
     if (index > state.commitIndex && state.log.termAt(index) === state.term) {
         state.commitIndex = index;
     }
--- a/packages/agreement/tests/group.ts
+++ b/packages/agreement/tests/group.ts
@@ -85,14 +85,17 @@
     readonly #payloads = new Map<number, string>();
     readonly #random;
     #inFlight: InFlightMessage[] = [];
+    /** Hosts, by their letter, on one side of a partition. */
     #partitioned = new Set<string>();
+    /** The latest member id of each host that lost its disk, by its letter. */
+    readonly #replaced = new Map<string, string>();
     #requests = 0;
     #faults: Faults;
 
     constructor(seed: number, voters: number, faults: Faults) {
         this.#faults = faults;
         this.#random = xoroshiro128plus(seed);
-        const ids = ["a", "b", "c", "d", "e"].slice(0, voters);
+        const ids = ["a", "b", "c", "d", "e", "f"].slice(0, voters);
         const members = { voters: ids, learners: [] };
         ids.forEach(id => this.#add(id, members));
         ["x", "y"].forEach(id => this.#add(id));
@@ -162,9 +165,37 @@
     }
 
     #deliver({ from, to, message }: InFlightMessage): void {
+        if (this.#partitioned.has(letterOf(from)) !== this.#partitioned.has(letterOf(to))) {
+            return;
+        }
         const host = this.#hosts.get(to);
-        if (host !== undefined && this.#partitioned.has(from) === this.#partitioned.has(to)) {
+        if (host !== undefined) {
             this.#handle(host, { kind: "message", from, message });
+            return;
+        }
+        const successor = this.#hosts.get(this.#replaced.get(letterOf(to)) ?? "");
+        if (successor?.agreement !== undefined) {
+            this.#inFlight.push({ from: successor.id, to: from, message: { kind: "memberLost", member: to } });
+        }
+    }
+
+    /** Ends a member for good; its host goes on with an empty disk under a new member id. */
+    loseDisk(): void {
+        const host = this.#pickHost();
+        this.crash(host);
+        this.#hosts.delete(host.id);
+        const letter = letterOf(host.id);
+        const count = Number(host.id.slice(letter.length + 1) || 0) + 1;
+        this.#replaced.set(letter, `${letter}#${count}`);
+        this.#add(`${letter}#${count}`);
+    }
+
+    /** Proposes to a leader the members that it has, which shows that they are committed. */
+    confirmMembers(): void {
+        const host = this.#leader();
+        if (host?.agreement !== undefined) {
+            const { members } = host.agreement;
+            this.#handle(host, { kind: "proposeMembers", requestId: ++this.#requests, members });
         }
     }
 
@@ -238,7 +269,7 @@
     }
 
     partition(): void {
-        this.#partitioned = new Set([...this.#hosts.keys()].filter(() => this.pick(2) === 0));
+        this.#partitioned = new Set([...this.#hosts.keys()].map(letterOf).filter(() => this.pick(2) === 0));
     }
 
     heal(): void {
@@ -273,11 +304,16 @@
         this.#handle(host, { kind: "proposeMembers", requestId: ++this.#requests, members: next });
     }
 
-    /** Ends all faults and requires that a new proposal is committed on all members. */
-    finish(): void {
+    /** Ends all faults and starts the hosts that do not run. */
+    repair(): void {
         this.#faults = { lost: 0, duplicated: 0, unsynced: 0 };
         this.heal();
         [...this.#hosts.values()].filter(host => host.agreement === undefined).forEach(host => this.restart(host));
+    }
+
+    /** Ends all faults and requires that a new proposal is committed on all members. */
+    finish(): void {
+        this.repair();
         let committed = false;
         for (let round = 0; round < 200 && !committed; round += 1) {
             this.round();
@@ -368,6 +404,10 @@
     }
 }
 
+function letterOf(id: string): string {
+    return id.slice(0, 1);
+}
+
 /** Encodes equal states differently each time, so that chunks of two snapshots cannot be joined without notice. */
 function encodeDigest(digest: number, salt: number): Uint8Array {
     const data = Buffer.alloc(13, salt);
--- a/packages/agreement/tests/schedule.ts
+++ b/packages/agreement/tests/schedule.ts
@@ -37,6 +37,18 @@
     group => group.changeMembers(),
 ];
 
+/** Steps of schedules in which any number of disks are lost, also more than the group can recover from. */
+const LOSS_STEPS: readonly Step[] = [
+    ...STEPS,
+    group => group.loseDisk(),
+    group => group.loseDisk(),
+    group => group.confirmMembers(),
+    group => group.confirmMembers(),
+];
+
+/** Time for elections after the faults of a schedule with lost disks, in rounds. */
+const ROUNDS_AFTER_LOSSES = 40;
+
 export interface Schedule {
     readonly seed: number;
     readonly voters: number;
@@ -53,22 +65,49 @@
     return group;
 }
 
+/** Runs one schedule in which disks are lost; only safety is checked, since too many losses leave no quorum. */
+export function runLossSchedule({ seed, voters, faults, steps }: Schedule): void {
+    const group = new Group(seed, voters, faults);
+    rounds(12)(group);
+    steps.forEach(step => LOSS_STEPS[step]!(group));
+    group.repair();
+    rounds(ROUNDS_AFTER_LOSSES)(group);
+    group.checker.finish();
+}
+
 /** Runs one part of the generated schedules. Each part has its own seed. */
 export function runSchedules(part: number): void {
+    runGenerated(runSchedule, { part, count: COUNT, voters: [3, 5], stepCount: STEPS.length });
+}
+
+/** Runs the generated schedules with lost disks, most with an even number of voters. */
+export function runLossSchedules(): void {
+    runGenerated(runLossSchedule, { part: PARTS, count: COUNT, voters: [2, 3, 4, 4, 6], stepCount: LOSS_STEPS.length });
+}
+
+function runGenerated(
+    run: (schedule: Schedule) => unknown,
+    { part, count, voters, stepCount }: {
+        readonly part: number;
+        readonly count: number;
+        readonly voters: readonly number[];
+        readonly stepCount: number;
+    },
+): void {
     const schedule = fc.record({
         seed: fc.integer({ min: 1, max: 0x7fffffff }),
-        voters: fc.constantFrom(3, 5),
+        voters: fc.constantFrom(...voters),
         faults: fc.record({
             lost: fc.constantFrom(0, 2, 8, 24),
             duplicated: fc.constantFrom(0, 2, 8, 24),
             unsynced: fc.constantFrom(4, 24, 48, 56),
         }),
-        steps: fc.array(fc.nat({ max: STEPS.length - 1 }), { minLength: 10, maxLength: 50, size: "max" }),
+        steps: fc.array(fc.nat({ max: stepCount - 1 }), { minLength: 10, maxLength: 50, size: "max" }),
     });
     fc.assert(
         fc.property(schedule, value => {
-            runSchedule(value);
+            run(value);
         }),
-        { seed: SEED * PARTS + part, numRuns: Math.ceil(COUNT / PARTS), endOnFailure: false },
+        { seed: SEED * PARTS + part, numRuns: Math.ceil(count / PARTS), endOnFailure: false },
     );
 }
--- a/packages/protocol/src/consensus-message.ts
+++ b/packages/protocol/src/consensus-message.ts
@@ -82,6 +82,15 @@
     readonly sentAt: number;
 }
 
+/**
+ * Answers a message to a former member of the sender's host: that member's files are lost, so it will never vote or
+ * acknowledge again.
+ */
+export interface MemberLost {
+    readonly kind: "memberLost";
+    readonly member: string;
+}
+
 /** Messages of the Raft consensus among control hosts. */
 export type ConsensusMessage =
     | PreVote
@@ -91,7 +100,8 @@
     | Append
     | AppendReply
     | SnapshotChunk
-    | SnapshotReply;
+    | SnapshotReply
+    | MemberLost;
 
 /** Envelope of a message between members. `from` and `to` are member ids: a host that lost its disk gets a new one. */
 export interface ConsensusEnvelope {
--- a/packages/runtime/src/consensus-task.ts
+++ b/packages/runtime/src/consensus-task.ts
@@ -37,6 +37,8 @@
     readonly clock: Clock;
     /** Interval of ticks, in ms: the precision of heartbeats and elections. */
     readonly tickMs?: number;
+    /** True for the id of a former member of this host, whose files are lost. Defaults to none. */
+    readonly isFormerId?: (id: string) => boolean;
     readonly send: (envelope: ConsensusEnvelope) => void;
 }
 
@@ -87,6 +89,11 @@
         return this.#member.membersIndex;
     }
 
+    /** See `ConsensusMember.areVotersProven`. */
+    get areVotersProven(): boolean {
+        return this.#member.areVotersProven;
+    }
+
     /** See `ConsensusMember.isCurrent`. */
     get isCurrent(): boolean {
         return this.#member.isCurrent(this.#options.clock.now());
@@ -116,10 +123,13 @@
         this.#events.push({ kind: "start", recovered: this.#options.recovered });
     }
 
-    /** Handles a message of another member; one for a former member id of this host is ignored. */
-    receive(envelope: ConsensusEnvelope): void {
-        if (envelope.to === this.#options.agreement.id) {
-            this.#events.push({ kind: "message", from: envelope.from, message: envelope.message });
+    /** Handles a message of another member. One for a former member of this host is answered with `memberLost`. */
+    receive({ from, to, message }: ConsensusEnvelope): void {
+        if (to === this.#options.agreement.id) {
+            this.#events.push({ kind: "message", from, message });
+        }
+        else if (this.#options.isFormerId?.(to) === true) {
+            this.#send(from, { kind: "memberLost", member: to });
         }
     }
 
