--- a/packages/control/src/group-repair.ts
+++ b/packages/control/src/group-repair.ts
@@ -5,8 +5,9 @@
 export const MEMBER_SILENCE_MS = 2_500;
 
 /**
- * A voter that has not answered for this long is replaced by a learner that has caught up. Until then the group needs all
- * its other voters, and another control host may lose its disk 2 s after one was replaced; an election comes before.
+ * In a group with an even number of voters one that has not answered for this long is removed: without it as many others
+ * may fail as with it. Until then the group needs one voter more, and another host may be lost any time after the
+ * successor of the silent one is ready.
  */
 export const SUCCESSION_SILENCE_MS = 1_000;
 
@@ -24,6 +25,16 @@
     readonly leaving: readonly string[];
     /** Time since each other member last answered the leader, in ms. */
     readonly silentMs: ReadonlyMap<string, number>;
+    /** Number of control hosts that may lose their disks at the same time. */
+    readonly toleratedLosses: number;
+}
+
+/**
+ * The number of voters with which a group has a majority left, and every acknowledged entry, after the tolerated losses.
+ * Voters that are only silent count among them, since others may lose their disks until they are back.
+ */
+export function requiredVoters(toleratedLosses: number): number {
+    return Math.max(MIN_VOTERS, 2 * toleratedLosses + 1);
 }
 
 /** What became of a member's request to leave the group. */
@@ -39,18 +50,15 @@
 
 /**
  * Returns the next membership change towards a group of exactly the running control hosts, or undefined if there is
- * none. The hosts are not configured: those that request to join are added, and those that stop answering are replaced.
- * A host that was only isolated requests to join again when it finds that it was removed.
- *
- * No learner is promoted while a voter may be lost, nor to make an even number of voters. A group of four tolerates the
- * loss of one as a group of three does. While that one is not yet removed all others are needed, and if the new one loses
- * its disk as well, the quorum ends for good; as a learner it can be replaced.
+ * none. The hosts are not configured: those that request to join are added, and those that stop answering are removed,
+ * as long as `requiredVoters` are left. A host that was only isolated requests to join again when it finds that it was
+ * removed.
  *
  * A voter that is about to stop still answers, so its successor is promoted before it is removed: the group then never
  * tolerates fewer losses than before.
  */
 export function repairedMembers(current: Members, condition: GroupCondition): Members | undefined {
-    const { joining, caughtUp, suspected, leaving, silentMs } = condition;
+    const { joining, suspected, leaving, silentMs, toleratedLosses } = condition;
     const isSilent = (id: string): boolean => (silentMs.get(id) ?? 0) >= MEMBER_SILENCE_MS;
     const isGone = (id: string): boolean => isSilent(id) || leaving.includes(id);
     if (current.learners.some(isGone)) {
@@ -62,15 +70,13 @@
     if (succeeded !== undefined) {
         return succeeded;
     }
-    const hasSuccessor = caughtUp.some(id => current.learners.includes(id));
-    const limitMs = hasSuccessor ? SUCCESSION_SILENCE_MS : MEMBER_SILENCE_MS;
+    const limitMs = current.voters.length % 2 === 0 ? SUCCESSION_SILENCE_MS : MEMBER_SILENCE_MS;
     const removable = current.voters.find(id => (silentMs.get(id) ?? 0) >= limitMs);
-    if (removable !== undefined && mayRemove(current, removable, isSilent, hasSuccessor)) {
+    if (removable !== undefined && mayRemove(current, removable, isSilent, toleratedLosses)) {
         return { voters: current.voters.filter(id => id !== removable), learners: current.learners };
     }
     const listed = [...current.voters, ...current.learners, ...joining].map(hostOfMember);
-    const promotable = suspected.length > 0 ? [] : promotableLearners(current, caughtUp);
-    return nextMembers(current, { joining, caughtUp: promotable, listed });
+    return nextMembers(current, { joining, caughtUp: promotableLearners(current, condition), listed });
 }
 
 /**
@@ -79,7 +85,7 @@
  */
 function withSuccessor(
     current: Members,
-    { caughtUp, leaving }: GroupCondition,
+    { caughtUp, leaving, toleratedLosses }: GroupCondition,
     isSilent: (id: string) => boolean,
 ): Members | undefined {
     const { voters, learners } = current;
@@ -91,7 +97,7 @@
     if (successor !== undefined && voters.length % 2 === 1) {
         return { voters: [...voters, successor], learners: learners.filter(id => id !== successor) };
     }
-    return mayRemove(current, leavingVoter, isSilent, false)
+    return mayRemove(current, leavingVoter, isSilent, toleratedLosses)
         ? { voters: voters.filter(id => id !== leavingVoter), learners }
         : undefined;
 }
@@ -104,32 +110,41 @@
     { voters, learners }: Members,
     isCommitted: boolean,
     member: string,
-    { joining, leaving }: Pick<GroupCondition, "joining" | "leaving">,
+    { joining, leaving, toleratedLosses }: Pick<GroupCondition, "joining" | "leaving" | "toleratedLosses">,
 ): LeaveState {
     const isMember = voters.includes(member) || learners.includes(member);
     if (!isMember) {
         return isCommitted ? LeaveState.Left : LeaveState.Pending;
     }
-    const isRemovable = learners.includes(member) || voters.length > MIN_VOTERS;
+    const isRemovable = learners.includes(member) || voters.length > requiredVoters(toleratedLosses);
     const hasSuccessor = [...learners, ...joining].some(id => !leaving.includes(id) && !voters.includes(id));
     return isRemovable || hasSuccessor ? LeaveState.Pending : LeaveState.Unneeded;
 }
 
-/** The learners with which the number of voters becomes odd: one or two, or none. */
-function promotableLearners({ voters, learners }: Members, caughtUp: readonly string[]): readonly string[] {
+/**
+ * The learners to promote now: those with which the number of voters becomes odd, and a successor of a lost voter. That
+ * makes an even number of voters, which needs one more of those that are left, so a short silence is waited for.
+ */
+function promotableLearners(
+    { voters, learners }: Members,
+    { caughtUp, suspected, silentMs, toleratedLosses }: GroupCondition,
+): readonly string[] {
     const ready = learners.filter(id => caughtUp.includes(id));
-    return voters.length % 2 === 0 || ready.length >= 2 ? ready : [];
+    if (voters.length % 2 === 0 || (ready.length >= 2 && suspected.length === 0)) {
+        return ready;
+    }
+    const isSettled = suspected.every(id => (silentMs.get(id) ?? 0) >= SUCCESSION_SILENCE_MS);
+    return suspected.length > 0 && isSettled && voters.length <= requiredVoters(toleratedLosses) ? ready : [];
 }
 
-/** A removal needs the votes of a majority of the remaining voters and must leave a group that tolerates a loss. */
+/** A removal needs the votes of a majority of the remaining voters and must leave a group that tolerates the losses. */
 function mayRemove(
     { voters }: Members,
     removable: string,
     isSilent: (id: string) => boolean,
-    hasSuccessor: boolean,
+    toleratedLosses: number,
 ): boolean {
     const staying = voters.filter(id => id !== removable);
     const answering = staying.filter(id => !isSilent(id));
-    const isLargeEnough = staying.length >= MIN_VOTERS || (hasSuccessor && staying.length >= MIN_VOTERS - 1);
-    return isLargeEnough && answering.length > staying.length / 2;
+    return staying.length >= requiredVoters(toleratedLosses) && answering.length > staying.length / 2;
 }
--- a/packages/control/src/index.ts
+++ b/packages/control/src/index.ts
@@ -4,7 +4,7 @@
 export { MAX_TERMS } from "./database-state.js";
 export { EndpointObserver } from "./endpoint-observer.js";
 export type { FailoverStep } from "./failover-step.js";
-export { type GroupCondition, LeaveState, leaveState, repairedMembers } from "./group-repair.js";
+export { type GroupCondition, LeaveState, leaveState, repairedMembers, requiredVoters } from "./group-repair.js";
 export { HostLease, type HostLeaseOptions } from "./host-lease.js";
 export type { LeaderEffect, LeaderEvent, LeaderOptions } from "./leader-types.js";
 export { ControlLeader } from "./leader.js";
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -65,6 +65,8 @@
     readonly seeds: readonly string[];
     /** Ids of the first members of the control group at the first start of the system; undefined on any later start. */
     readonly initialMembers: readonly string[] | undefined;
+    /** Number of control hosts that may lose their disks at the same time. */
+    readonly toleratedLosses: number;
     readonly clock: Clock;
     readonly log: Log;
     readonly meter: Meter;
@@ -159,6 +161,7 @@
             self,
             dataFolder,
             initialMembers,
+            toleratedLosses: options.toleratedLosses,
             clock,
             send: (to, envelope) => this.#links.send(to, envelope),
             unlinkedMs: host => clock.now() - (this.#controlLostAt.get(host) ?? clock.now()),
@@ -299,6 +302,11 @@
         this.#updateLinks();
     }
 
+    /** Replaces the number of control hosts that may lose their disks at the same time, after a change of settings. */
+    setToleratedLosses(toleratedLosses: number): void {
+        this.#member.setToleratedLosses(toleratedLosses);
+    }
+
     /**
      * Handles an endpoint's announcement of itself; a changed one is sent on to all linked hosts. A departure is stored
      * before it is acknowledged, since the endpoint relies on getting no new work later, also if all hosts lose power.
--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -18,6 +18,7 @@
     leaveState,
     repairedMembers,
     replacementMemberId,
+    requiredVoters,
 } from "@medlarledge/control";
 import {
     ChangeOutcome,
@@ -86,6 +87,8 @@
     readonly files?: FileSystem;
     /** Host ids of the first members at the first start of the system; undefined on any later start. */
     readonly initialMembers: readonly string[] | undefined;
+    /** Number of control hosts that may lose their disks at the same time. */
+    readonly toleratedLosses: number;
     readonly clock: Clock;
     /** Seed of the election timeouts; a random one by default, so that hosts do not start elections together. */
     readonly seed?: number;
@@ -130,6 +133,8 @@
     #store: ConsensusStore | undefined;
     #agreement: ConsensusTask | undefined;
     #memberId = "";
+    #toleratedLosses: number;
+    #isBelowTolerance = false;
     #role: Extract<ConsensusReport, { kind: "role"; }> = {
         kind: "role",
         role: "follower",
@@ -153,6 +158,7 @@
 
     constructor(options: GroupMemberOptions) {
         this.#options = options;
+        this.#toleratedLosses = options.toleratedLosses;
     }
 
     /** Id of this member; undefined while its store is not open, so that it can neither vote nor acknowledge. */
@@ -197,6 +203,8 @@
         return {
             membership: agreement === undefined ? "none" : membershipOf(this.#memberId, agreement.members),
             memberId,
+            voters: agreement?.members.voters.length ?? 0,
+            requiredVoters: requiredVoters(this.#toleratedLosses),
             term,
             leader,
             hostsIndex,
@@ -244,8 +252,17 @@
         return undefined;
     }
 
+    /** Handles a message of another member. Only the host of a member may say that its files are lost. */
     receive(envelope: ConsensusEnvelope): void {
-        this.#agreement?.receive(envelope);
+        const { from, message } = envelope;
+        if (message.kind !== "memberLost" || hostOfMember(message.member) === hostOfMember(from)) {
+            this.#agreement?.receive(envelope);
+        }
+    }
+
+    /** Sets the number of control hosts that may lose their disks at the same time, after a change of settings. */
+    setToleratedLosses(toleratedLosses: number): void {
+        this.#toleratedLosses = toleratedLosses;
     }
 
     /** Records another host's request to become a member; only the leader acts on it. */
@@ -265,7 +282,11 @@
         this.#leaveRequestedAt.set(memberId, this.#options.clock.now());
         this.#joinRequestedAt.delete(memberId);
         this.#repair(agreement);
-        const requests = { joining: [...this.#joinRequestedAt.keys()], leaving: [...this.#leaveRequestedAt.keys()] };
+        const requests = {
+            joining: [...this.#joinRequestedAt.keys()],
+            leaving: [...this.#leaveRequestedAt.keys()],
+            toleratedLosses: this.#toleratedLosses,
+        };
         return leaveState(agreement.members, agreement.membersIndex <= agreement.commitIndex, memberId, requests);
     }
 
@@ -357,7 +378,7 @@
     }
 
     #run(store: ConsensusStore, recovered: RecoveredState): void {
-        const { clock, send, seed } = this.#options;
+        const { self, clock, send, seed } = this.#options;
         this.#store = store;
         this.#memberId = recovered.memberId ?? "";
         this.#state = new ControlState();
@@ -377,6 +398,7 @@
             },
             clock,
             tickMs: TICK_MS,
+            isFormerId: id => hostOfMember(id) === self.id && id !== this.#memberId,
             send: envelope => send(hostOfMember(envelope.to), envelope),
         });
         this.#agreement = agreement;
@@ -599,10 +621,27 @@
             suspected: agreement.suspectedVoters(),
             leaving: [...this.#leaveRequestedAt.keys()],
             silentMs: this.#silentMs(agreement),
+            toleratedLosses: this.#toleratedLosses,
         });
+        this.#reportTolerance(agreement.members.voters.length);
         if (next !== undefined) {
             this.#lastRequestId += 1;
             agreement.proposeMembers(this.#lastRequestId, next);
         }
     }
+
+    /** Reports when the group starts or ceases to have too few voters; it serves all the same. */
+    #reportTolerance(voters: number): void {
+        const required = requiredVoters(this.#toleratedLosses);
+        const isBelow = voters < required;
+        if (isBelow !== this.#isBelowTolerance) {
+            this.#isBelowTolerance = isBelow;
+            const toleratedLosses = this.#toleratedLosses;
+            this.#options.events.event(isBelow ? "votersBelowTolerance" : "votersSufficient", {
+                voters,
+                required,
+                toleratedLosses,
+            });
+        }
+    }
 }
--- a/packages/fleet/src/member-status.ts
+++ b/packages/fleet/src/member-status.ts
@@ -10,6 +10,10 @@
     /** By the latest members in this host's log; `none` also while its store is not open. */
     readonly membership: Membership;
     readonly memberId: string | undefined;
+    /** Number of voters by the latest members in this host's log; 0 while its store is not open. */
+    readonly voters: number;
+    /** Number of voters that the group needs to tolerate the losses that the settings name. */
+    readonly requiredVoters: number;
     readonly term: number;
     /** Host id of the leader, while this host has one. */
     readonly leader: string | undefined;
--- a/packages/fleet/tests/control-group.ts
+++ b/packages/fleet/tests/control-group.ts
@@ -122,6 +122,7 @@
             dataFolder: "/data",
             files: disk,
             initialMembers: IDS,
+            toleratedLosses: 1,
             clock: { now: () => performance.now(), wallClock: () => Date.now() },
             send: (to, envelope) => {
                 setTimeout(() => this.members[IDS.findIndex(host => host === to)]?.receive(envelope), 1);
--- a/packages/fleet/tests/linked-hosts.ts
+++ b/packages/fleet/tests/linked-hosts.ts
@@ -110,6 +110,7 @@
         graceMs: 1_000,
         seeds: [self.id],
         initialMembers: [self.id, ...others],
+        toleratedLosses: 1,
         clock: SYSTEM_CLOCK,
         log: SILENT_LOG,
         meter: new MetricsPage(),
--- a/packages/fleet/tests/odd-records.test.ts
+++ b/packages/fleet/tests/odd-records.test.ts
@@ -105,6 +105,7 @@
         graceMs: 1_000,
         seeds: [self.id],
         initialMembers: [self.id],
+        toleratedLosses: 1,
         clock: SYSTEM_CLOCK,
         log,
         meter: new MetricsPage(),
--- /dev/null
+++ b/packages/fleet/tests/tolerated-losses.test.ts
@@ -0,0 +1,58 @@
+import { afterEach, expect, test, vi } from "vitest";
+import { MemberNetwork } from "./member-network.js";
+
+// The library of event streams keeps the clock that it finds when it is loaded.
+vi.hoisted(() => vi.useFakeTimers());
+
+/** Time within which a host that is back must serve again (`recovery_s`). */
+const RECOVERY_MS = 12_000;
+const CATCH_UP_MS = 10_000;
+const SYNC_MS = 1;
+const SEED = 1;
+
+let network: MemberNetwork | undefined;
+afterEach(() => network?.dispose());
+
+const pass = async (durationMs: number) => {
+    await vi.advanceTimersByTimeAsync(durationMs);
+};
+
+async function requireChange(hosts: MemberNetwork, number: number): Promise<void> {
+    const change = hosts.change(number, hosts.leader() ?? hosts.running()[0]!);
+    await pass(1_000);
+    expect(await change, `change ${number} is acknowledged`).toBe(true);
+}
+
+/** Requires that all running hosts have the change, and that a further one is acknowledged. */
+async function requireKept(hosts: MemberNetwork, number: number): Promise<void> {
+    await pass(RECOVERY_MS);
+    const numbers = hosts.running().map(id => hosts.member(id).configuration?.number);
+    expect(numbers).toEqual(hosts.running().map(() => number));
+    await requireChange(hosts, number + 1);
+}
+
+// Guards against a group that shrinks while hosts are down, until the losses to be borne take its majority (CONFIG;
+// docs/incidents/review-11-shrunk-control-group.md).
+test("two of six control hosts are down while two others lose their disks", async () => {
+    const hosts = network = new MemberNetwork(SYNC_MS, SEED, 2);
+    await hosts.found("a", "b", "c");
+    for (const id of ["d", "e", "f"]) {
+        await hosts.start(id);
+    }
+    await pass(CATCH_UP_MS);
+    const [, first, second, ...others] = hosts.running();
+    hosts.losePower(first!);
+    hosts.losePower(second!);
+    await pass(5_000);
+    await requireChange(hosts, 1);
+    const [third, fourth] = others;
+    hosts.loseDisk(third!);
+    hosts.loseDisk(fourth!);
+    await pass(1_000);
+    await hosts.start(third!);
+    await hosts.start(fourth!);
+    await pass(1_000);
+    await hosts.start(first!);
+    await hosts.start(second!);
+    await requireKept(hosts, 1);
+});
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -127,6 +127,16 @@
         level: "info",
         meaning: "The control group has other members; this host applied the entry of its log that says so.",
     },
+    votersBelowTolerance: {
+        level: "warn",
+        meaning:
+            "The control group has fewer voters than it needs to tolerate the losses that the settings name; it serves all the same.",
+    },
+    votersSufficient: {
+        level: "info",
+        meaning:
+            "The control group has as many voters again as it needs to tolerate the losses that the settings name.",
+    },
     memberStatus: {
         level: "info",
         meaning:
