--- a/packages/control/src/group-repair.ts
+++ b/packages/control/src/group-repair.ts
@@ -122,8 +122,11 @@
 }
 
 /**
- * The learners to promote now: those with which the number of voters becomes odd, and a successor of a lost voter. That
- * makes an even number of voters, which needs one more of those that are left, so a short silence is waited for.
+ * The learners to promote now: those with which the number of voters becomes odd, and one more than `requiredVoters`.
+ *
+ * With that one every acknowledged entry is on one disk more, and a quorum is left when another voter is gone for good at
+ * the moment of the tolerated losses: it no longer counts as one of them once its successor is ready. While a voter may
+ * be lost, an even number of voters needs one more of those that are left, so a short silence is waited for.
  */
 function promotableLearners(
     { voters, learners }: Members,
@@ -134,7 +137,7 @@
         return ready;
     }
     const isSettled = suspected.every(id => (silentMs.get(id) ?? 0) >= SUCCESSION_SILENCE_MS);
-    return suspected.length > 0 && isSettled && voters.length <= requiredVoters(toleratedLosses) ? ready : [];
+    return isSettled && voters.length <= requiredVoters(toleratedLosses) ? ready : [];
 }
 
 /** A removal needs the votes of a majority of the remaining voters and must leave a group that tolerates the losses. */
--- a/packages/control/tests/group-repair.test.ts
+++ b/packages/control/tests/group-repair.test.ts
@@ -55,6 +55,22 @@
         expect(repairedMembers(first ?? three, lost(SUCCESSION_SILENCE_MS))?.voters).toEqual(["a", "b", "d"]);
     });
 
+    // Guards against entries that only the replaced voter and the next one to lose its disk have (CONFIG;
+    // docs/incidents/review-12-gone-control-host.md).
+    it("has one voter more than the tolerated losses need, and promotes beyond that to an odd number", () => {
+        const caughtUp = ["d", "e", "f", "g"];
+        const grown = (voters: readonly string[], toleratedLosses: number) =>
+            repairedMembers(
+                { voters, learners: caughtUp.filter(id => !voters.includes(id)).slice(0, 1) },
+                condition({ caughtUp, toleratedLosses }),
+            )?.voters.length;
+        expect(grown(["a", "b", "c"], 1)).toBe(4);
+        expect(grown(["a", "b", "c", "d"], 1)).toBe(5);
+        expect(grown(["a", "b", "c", "d", "e"], 1)).toBeUndefined();
+        expect(grown(["a", "b", "c", "d", "e"], 2)).toBe(6);
+        expect(grown(["a", "b", "c", "d", "e", "f"], 2)).toBe(7);
+    });
+
     // Guards against a group that shrinks until the losses to be borne take its majority (CONFIG;
     // docs/incidents/review-11-shrunk-control-group.md).
     it("keeps as many silent voters as the tolerated losses need", () => {
--- a/packages/fleet/src/group-member.ts
+++ b/packages/fleet/src/group-member.ts
@@ -624,9 +624,11 @@
             toleratedLosses: this.#toleratedLosses,
         });
         this.#reportTolerance(agreement.members.voters.length);
-        if (next !== undefined) {
+        // After a restart only the log tells whether voters are committed, which a group with a lost voter relies on.
+        const proposed = next ?? (agreement.areVotersProven ? undefined : agreement.members);
+        if (proposed !== undefined) {
             this.#lastRequestId += 1;
-            agreement.proposeMembers(this.#lastRequestId, next);
+            agreement.proposeMembers(this.#lastRequestId, proposed);
         }
     }
 
--- a/packages/fleet/tests/tolerated-losses.test.ts
+++ b/packages/fleet/tests/tolerated-losses.test.ts
@@ -56,3 +56,42 @@
     await hosts.start(second!);
     await requireKept(hosts, 1);
 });
+
+// Guards against a group that keeps a ready successor without a vote, and cannot commit any more when the replaced host
+// goes without notice just before another one loses its disk (CONFIG;
+// docs/incidents/review-12-gone-control-host.md).
+for (const gone of ["a", "b", "c"]) {
+    for (const wipedAfterMs of [0, 500]) {
+        test(`${gone} is gone for good and b or c loses its disk ${wipedAfterMs} ms later`, async () => {
+            const hosts = network = new MemberNetwork(SYNC_MS, SEED, 1);
+            await hosts.found("a", "b", "c");
+            await hosts.start("d");
+            await pass(CATCH_UP_MS);
+            await requireChange(hosts, 1);
+            hosts.remove(gone);
+            await pass(wipedAfterMs);
+            const wiped = gone === "b" ? "c" : "b";
+            hosts.loseDisk(wiped);
+            await pass(1_000);
+            await hosts.start(wiped);
+            await requireKept(hosts, 1);
+        });
+    }
+}
+
+// Guards against a group that needs the voters from before a change after a restart, although the change was committed
+// long before (CONFIG; docs/incidents/review-12-gone-control-host.md).
+test("a host is gone for good and another one loses its disk while all others lose power", async () => {
+    const hosts = network = new MemberNetwork(SYNC_MS, SEED, 1);
+    await hosts.found("a", "b", "c");
+    await hosts.start("d");
+    await pass(CATCH_UP_MS);
+    await requireChange(hosts, 1);
+    hosts.remove("a");
+    hosts.loseDisk("b");
+    hosts.losePower("c");
+    hosts.losePower("d");
+    await pass(1_000);
+    await Promise.all(["b", "c", "d"].map(id => hosts.start(id)));
+    await requireKept(hosts, 1);
+});
