--- a/packages/control/src/primary-monitor.ts
+++ b/packages/control/src/primary-monitor.ts
@@ -1,9 +1,16 @@
-import { type EndpointRecord, EndpointRole, EndpointState, type PromotionOrder } from "@medlarledge/protocol";
+import {
+    type EndpointRecord,
+    EndpointRole,
+    EndpointState,
+    NO_ENDPOINT,
+    type PromotionOrder,
+} from "@medlarledge/protocol";
 import { DepartedReplicas } from "./departed-replicas.js";
-import { OpenOrders, type OrderOutcome } from "./open-orders.js";
+import { EndpointReadings } from "./endpoint-readings.js";
+import { OpenOrders, type OrderOutcome, PROMOTION_TIMEOUT_MS } from "./open-orders.js";
 import { type MonitorProbeResult, PrimaryCheck } from "./primary-check.js";
 import { MAX_REPORT_AGE_MS, type MonitorReport, PrimaryReports } from "./primary-reports.js";
-import { comparePositions, type ProbedPosition, safeSuccessors } from "./safe-successor.js";
+import { safeSuccessors } from "./safe-successor.js";
 
 /** Time for the other entry hosts to answer a check; their probe of the endpoint takes 250 ms. */
 export const CONFIRM_MS = 400;
@@ -14,15 +21,18 @@
 /** Pause before the endpoints are probed again when none could be chosen, and before a promotion is retried. */
 export const RETRY_INTERVAL_MS = 150;
 
-/** Time for an endpoint to become the primary after a promotion order; the platform takes up to 600 ms. */
-export const PROMOTION_TIMEOUT_MS = 2_000;
-
 /** Pause between two checks of an endpoint that most entry hosts reach. */
 export const MIN_RECHECK_INTERVAL_MS = 500;
 
 /** Interval of requests for reports on a primary that no entry host has reported as reachable. */
 export const REPORT_REQUEST_INTERVAL_MS = 1_000;
 
+/** Pause between two orders of a primary that answers, while earlier orders may promote another endpoint. */
+const CONFIRM_ORDER_INTERVAL_MS = 500;
+
+/** Time for which a leaving primary serves again when no successor could be chosen while it was suspended. */
+const RESTORED_INTERVAL_MS = 2_000;
+
 /** An endpoint whose promotion the platform refused is not promoted by that order later. */
 const REFUSAL_VALID_MS = 5_000;
 
@@ -45,7 +55,9 @@
     }
     /** The order is sent to the platform now; before, it was announced to the hosts. */
     | { readonly kind: "sent"; readonly order: PromotionOrder; }
-    | { readonly kind: "ordered"; readonly fence: number; readonly outcome: OrderOutcome; };
+    | { readonly kind: "ordered"; readonly fence: number; readonly outcome: OrderOutcome; }
+    /** The announcement of a suspension ended; `isConfirmed` if no host acknowledges commits of the group any more. */
+    | { readonly kind: "suspended"; readonly fence: number; readonly isConfirmed: boolean; };
 
 export type MonitorEffect =
     /** Requests a report on the endpoint from all entry hosts. */
@@ -53,11 +65,18 @@
     /** Probes an endpoint. `round` is set for a check of a primary that answers. */
     | { readonly kind: "read"; readonly endpoint: string; readonly round?: number; }
     | { readonly kind: "promote"; readonly order: PromotionOrder; }
-    /** Orders the present primary again, which changes nothing but makes earlier orders void. */
+    /** Announces to all hosts that they use no endpoint as the primary until the next order. */
+    | { readonly kind: "suspend"; readonly order: PromotionOrder; }
+    /** Orders an endpoint without an announcement to the hosts; for the present primary it only makes earlier orders void. */
     | { readonly kind: "confirm"; readonly order: PromotionOrder; }
     | {
         readonly kind: "event";
-        readonly name: "promotionChoosing" | "promotionWaits" | "promotionOrdered" | "promotionDone";
+        readonly name:
+            | "promotionChoosing"
+            | "primarySuspended"
+            | "promotionWaits"
+            | "promotionOrdered"
+            | "promotionDone";
         readonly fields: Readonly<Record<string, unknown>>;
     };
 
@@ -70,8 +89,8 @@
     /** Entry hosts that are connected. */
     readonly entries: readonly string[];
     /**
-     * The endpoint of the newest promotion order, which alone is used as the primary; undefined before the first order,
-     * or where endpoints themselves stop being the primary when another one is promoted.
+     * The endpoint of the newest promotion order, which alone is used as the primary, or `NO_ENDPOINT`; undefined before
+     * the first order, or where the endpoints alone decide which one is the primary.
      */
     readonly orderedPrimary: string | undefined;
     /** Whether a newer order makes earlier ones void that the platform has not carried out yet. */
@@ -105,6 +124,8 @@
         /** Since when no endpoint could be chosen from the results; results that come later still count. */
         readonly undecidedSince?: number;
     }
+    /** Waits until no host acknowledges commits of the group. */
+    | { readonly kind: "suspending"; readonly cause: Replacement; readonly fence: number; }
     /** Waits before the endpoints are probed again. */
     | { readonly kind: "pausing"; readonly cause: Replacement; readonly since: number; }
     | {
@@ -122,8 +143,6 @@
 
 const CALM: Phase = { kind: "calm" };
 
-const NO_POSITION: ProbedPosition = { term: 0, number: 0, isExact: false };
-
 /**
  * Monitors the primary of one group on the leader of the control group and replaces it when it has failed or is about
  * to leave. Has no durable state: a new leader starts with an empty monitor, and its orders have higher fencing
@@ -132,7 +151,7 @@
 export class PrimaryMonitor {
     readonly #group: string;
     readonly #reports = new PrimaryReports();
-    readonly #probeResults = new Map<string, MonitorProbeResult | undefined>();
+    readonly #readings = new EndpointReadings();
     /** Time of the last refused or timed-out promotion, by endpoint. */
     readonly #failedPromotions = new Map<string, number>();
     /** Time of the last refusal by the platform, by endpoint. */
@@ -144,6 +163,10 @@
     /** A primary that no entry host reports as reachable, and when they are asked about it. */
     #unreported: { readonly endpoint: string; readonly askAt: number; } | undefined;
     #checkedAt = Number.NEGATIVE_INFINITY;
+    /** Whether the hosts' use of the primary is suspended by an order of this monitor that all have confirmed. */
+    #isSuspensionConfirmed = false;
+    #confirmOrderedAt = Number.NEGATIVE_INFINITY;
+    #restoredAt = Number.NEGATIVE_INFINITY;
     readonly #departedReplicas = new DepartedReplicas();
     readonly #primaryCheck = new PrimaryCheck();
     readonly #openOrders: OpenOrders;
@@ -167,7 +190,7 @@
                 break;
             case "reading":
                 if (event.round === undefined) {
-                    this.#probeResults.set(event.endpoint, event.reading);
+                    this.#readings.record(event.endpoint, event.reading);
                 }
                 else {
                     this.#handleCheckResult({ ...event, round: event.round }, view, effects);
@@ -179,6 +202,9 @@
             case "ordered":
                 this.#handleOrderAnswer(event, now);
                 break;
+            case "suspended":
+                this.#handleSuspension(event, view, now, effects);
+                break;
             case "tick":
                 break;
         }
@@ -210,6 +236,8 @@
             case "choosing":
                 this.#advanceChoosing(this.#phase, view, now, effects);
                 break;
+            case "suspending":
+                break;
             case "pausing":
                 if (now - this.#phase.since >= RETRY_INTERVAL_MS) {
                     this.#choose(this.#phase.cause, view, now, effects);
@@ -229,7 +257,8 @@
             return;
         }
         this.#withoutPrimarySince = undefined;
-        if (record.state === EndpointState.Leaving && this.#successors(view, record.id).length > 0) {
+        const mayReplace = now - this.#restoredAt >= RESTORED_INTERVAL_MS;
+        if (record.state === EndpointState.Leaving && this.#successors(view, record.id).length > 0 && mayReplace) {
             const cause = { reason: "the primary leaves", suspect: undefined, leaving: record.id };
             this.#choose(cause, view, now, effects);
         }
@@ -359,17 +388,64 @@
     }
 
     #choose(cause: Replacement, view: MonitorView, now: number, effects: MonitorEffect[]): void {
-        const { reason } = cause;
+        const { reason, leaving } = cause;
+        // A primary that leaves serves until a successor is found; any other one is not usable, or may not be.
+        if (leaving === undefined && this.#needsSuspension(view)) {
+            this.#suspend(cause, view, effects);
+            return;
+        }
         this.#phase = { kind: "choosing", cause, since: now };
-        this.#probeResults.clear();
+        this.#readings.clear();
         this.#primaryCheck.end();
         const event = { group: this.#group, reason, primary: this.primary(view) };
         effects.push({ kind: "event", name: "promotionChoosing", fields: event });
-        for (const { id } of this.#candidates(view, cause)) {
+        const probed = this.#isSuspended(view) ? view.endpoints : this.#candidates(view, cause);
+        for (const { id } of probed) {
             effects.push({ kind: "read", endpoint: id });
         }
     }
 
+    /**
+     * True where the choice of a successor has to wait until no host acknowledges commits: each one that is acknowledged
+     * after the positions were read may be missing at the chosen endpoint.
+     */
+    #needsSuspension(view: MonitorView): boolean {
+        return view.syncReplicas > 0 && !this.#isSuspended(view);
+    }
+
+    #isSuspended({ orderedPrimary }: MonitorView): boolean {
+        return this.#isSuspensionConfirmed && orderedPrimary === NO_ENDPOINT;
+    }
+
+    #suspend(cause: Replacement, view: MonitorView, effects: MonitorEffect[]): void {
+        const order = { group: this.#group, endpoint: NO_ENDPOINT, fence: view.nextFencingToken() };
+        this.#isSuspensionConfirmed = false;
+        this.#phase = { kind: "suspending", cause, fence: order.fence };
+        effects.push({ kind: "suspend", order });
+        const { reason } = cause;
+        const fields = { group: this.#group, reason, primary: this.primary(view), fence: order.fence };
+        effects.push({ kind: "event", name: "primarySuspended", fields });
+    }
+
+    #handleSuspension(
+        { fence, isConfirmed }: Extract<MonitorEvent, { kind: "suspended"; }>,
+        view: MonitorView,
+        now: number,
+        effects: MonitorEffect[],
+    ): void {
+        if (this.#phase.kind !== "suspending" || this.#phase.fence !== fence) {
+            return;
+        }
+        const { cause } = this.#phase;
+        this.#isSuspensionConfirmed = isConfirmed;
+        if (isConfirmed) {
+            this.#choose(cause, view, now, effects);
+        }
+        else {
+            this.#phase = { kind: "pausing", cause, since: now };
+        }
+    }
+
     #advanceChoosing(
         phase: Extract<Phase, { kind: "choosing"; }>,
         view: MonitorView,
@@ -379,7 +455,7 @@
         const { cause, since } = phase;
         const { suspect } = cause;
         const successors = this.#candidates(view, cause);
-        const isComplete = successors.every(({ id }) => this.#probeResults.has(id));
+        const isComplete = successors.every(({ id }) => this.#readings.has(id));
         if (!isComplete && now - since < PROBE_TIMEOUT_MS) {
             return;
         }
@@ -388,11 +464,10 @@
             this.#finish("the primary is reachable again", suspect, effects);
             return;
         }
-        const currentPrimary = this.#currentPrimary(successors);
+        const currentPrimary = this.#readings.currentPrimary(successors, this.#reports.newestTerm);
         const openOrder = this.#openOrder(successors, view, now);
         if (currentPrimary !== undefined && isOtherThanOrdered(currentPrimary, view) && openOrder === undefined) {
-            // Hosts use it only after an order; the platform changes nothing.
-            this.#promote(currentPrimary, cause, view, now, effects);
+            this.#restore(currentPrimary, phase, view, now, effects);
             return;
         }
         if (currentPrimary !== undefined && openOrder === undefined) {
@@ -404,6 +479,9 @@
         if (best === undefined) {
             this.#remainUndecided(phase, successors, view, now, effects);
         }
+        else if (this.#needsSuspension(view)) {
+            this.#suspend(cause, view, effects);
+        }
         else {
             this.#promote(best, cause, view, now, effects);
         }
@@ -420,28 +498,75 @@
         const loggedCause = { ...cause, waitsSince: cause.waitsSince ?? now };
         const undecidedSince = phase.undecidedSince ?? now;
         if (now - undecidedSince >= RETRY_INTERVAL_MS) {
-            this.#choose(loggedCause, view, now, effects);
+            const former = this.#isSuspended(view)
+                ? this.#readings.currentPrimary(view.endpoints, this.#reports.newestTerm)
+                : undefined;
+            if (former === undefined || !this.#mayRestore(former, view, now, effects)) {
+                this.#choose(loggedCause, view, now, effects);
+            }
+            else {
+                this.#restoredAt = now;
+                this.#promote(former, cause, view, now, effects);
+            }
             return;
         }
         this.#phase = { kind: "choosing", cause: loggedCause, since, undecidedSince };
         if (cause.waitsSince === undefined) {
             const waitedFor = [...candidates, ...this.#departedHolders(cause, view, now)].map(({ id }) => id)
-                .filter(id => this.#probeResults.get(id)?.isExact !== true);
+                .filter(id => this.#readings.get(id)?.isExact !== true);
             const { syncReplicas } = view;
-            const fields = { group: this.#group, waitedFor, syncReplicas, positions: this.#positions() };
+            const fields = { group: this.#group, waitedFor, syncReplicas, positions: this.#readings.describe() };
             effects.push({ kind: "event", name: "promotionWaits", fields });
         }
     }
 
-    #positions(): readonly Readonly<Record<string, unknown>>[] {
-        return [...this.#probeResults].map(([id, reading]) => ({ id, ...reading }));
+    /** Lets hosts use an endpoint that leads but is not the ordered one; the platform changes nothing. */
+    #restore(
+        endpoint: string,
+        { cause, since }: Extract<Phase, { kind: "choosing"; }>,
+        view: MonitorView,
+        now: number,
+        effects: MonitorEffect[],
+    ): void {
+        if (this.#mayRestore(endpoint, view, now, effects)) {
+            this.#promote(endpoint, cause, view, now, effects);
+        }
+        else if (now - since >= RETRY_INTERVAL_MS) {
+            this.#choose(cause, view, now, effects);
+        }
+    }
+
+    /**
+     * Whether hosts may use a primary again. Where replicas acknowledge commits, no earlier order may promote another
+     * endpoint any more, which would lack what is acknowledged from now on; makes such orders void first.
+     */
+    #mayRestore(endpoint: string, view: MonitorView, now: number, effects: MonitorEffect[]): boolean {
+        if (this.#areOthersSettled(endpoint, view, now)) {
+            return true;
+        }
+        if (this.#openOrders.threaten(endpoint) && now - this.#confirmOrderedAt >= CONFIRM_ORDER_INTERVAL_MS) {
+            this.#confirmOrderedAt = now;
+            const order = { group: this.#group, endpoint, fence: view.nextFencingToken() };
+            effects.push({ kind: "confirm", order });
+        }
+        return false;
+    }
+
+    #areOthersSettled(endpoint: string, view: MonitorView, now: number): boolean {
+        return view.syncReplicas === 0 || !view.newerOrdersVoidEarlier
+            || this.#openOrders.areSettledFor(endpoint, now);
     }
 
     #promote(endpoint: string, cause: Replacement, view: MonitorView, now: number, effects: MonitorEffect[]): void {
         const order = { group: this.#group, endpoint, fence: view.nextFencingToken() };
         this.#phase = { kind: "promoting", cause, order, since: now };
-        effects.push({ kind: "promote", order });
-        effects.push({ kind: "event", name: "promotionOrdered", fields: { ...order, positions: this.#positions() } });
+        // While an earlier order may promote another endpoint after this one, hosts do not use it yet.
+        effects.push({ kind: this.#areOthersSettled(endpoint, view, now) ? "promote" : "confirm", order });
+        effects.push({
+            kind: "event",
+            name: "promotionOrdered",
+            fields: { ...order, positions: this.#readings.describe() },
+        });
     }
 
     #advancePromoting(
@@ -451,9 +576,14 @@
         effects: MonitorEffect[],
     ): void {
         const record = view.endpoints.find(({ id }) => id === order.endpoint);
-        if (record?.role === EndpointRole.Primary || this.#reports.wasSeenLeading(order.endpoint, since)) {
+        const isAnnounced = !isOtherThanOrdered(order.endpoint, view);
+        const leads = record?.role === EndpointRole.Primary || this.#reports.wasSeenLeading(order.endpoint, since);
+        if (leads && isAnnounced) {
             this.#finish("promoted", order.endpoint, effects);
         }
+        else if (leads && this.#isSuspended(view) && now - since >= RETRY_INTERVAL_MS) {
+            this.#choose({ ...cause, reason: "the ordered endpoint leads" }, view, now, effects);
+        }
         else if (record === undefined || now - since >= PROMOTION_TIMEOUT_MS) {
             this.#failedPromotions.set(order.endpoint, now);
             const reason = "the ordered endpoint did not become the primary";
@@ -470,7 +600,7 @@
     }
 
     #handleOrderAnswer({ fence, outcome }: Extract<MonitorEvent, { kind: "ordered"; }>, now: number): void {
-        this.#openOrders.answered(fence, outcome);
+        this.#openOrders.answered(fence, outcome, now);
         if (this.#phase.kind !== "promoting" || this.#phase.order.fence !== fence || outcome === "accepted") {
             return;
         }
@@ -493,36 +623,22 @@
     }
 
     /**
-     * The endpoint of the newest order, if that order may still take effect. Otherwise hosts would use another endpoint
-     * when it does. A refused order is over.
+     * The endpoint of the newest order, if that order may still take effect although a newer one is accepted. Otherwise
+     * hosts would use another endpoint when it does. A refused order is over.
      */
     #openOrder(
         successors: readonly EndpointRecord[],
-        { orderedPrimary }: MonitorView,
+        { orderedPrimary, newerOrdersVoidEarlier, syncReplicas }: MonitorView,
         now: number,
     ): string | undefined {
+        if (newerOrdersVoidEarlier && syncReplicas > 0) {
+            return undefined;
+        }
         const isRefused = now - (this.#refusedOrders.get(orderedPrimary ?? "") ?? -Infinity) < REFUSAL_VALID_MS;
-        const isUsable = successors.some(({ id }) =>
-            id === orderedPrimary && this.#probeResults.get(id)?.leads === false
-        );
+        const isUsable = successors.some(({ id }) => id === orderedPrimary && this.#readings.get(id)?.leads === false);
         return isUsable && !isRefused ? orderedPrimary : undefined;
     }
 
-    /** The probed endpoint that leads the newest known term. */
-    #currentPrimary(candidates: readonly EndpointRecord[]): string | undefined {
-        const leading = candidates.filter(({ id }) =>
-            this.#probeResults.get(id)?.leads === true && !this.#isFormerPrimary(id)
-        );
-        return leading.sort((left, right) => this.#compare(left, right))[0]?.id;
-    }
-
-    /** Returns true when an endpoint still takes itself for the primary of an older term than the newest known one. */
-    #isFormerPrimary(endpoint: string): boolean {
-        const probed = [...this.#probeResults.values()].map(result => result?.term ?? 0);
-        const reading = this.#probeResults.get(endpoint);
-        return reading?.leads === true && reading.term < Math.max(this.#reports.newestTerm, ...probed);
-    }
-
     /**
      * The endpoint with the newest log position; one that recently failed to be promoted only if there is no other.
      * Undefined while none is known to have every acknowledged commit, where replicas acknowledge them.
@@ -533,17 +649,18 @@
         view: MonitorView,
         now: number,
     ): string | undefined {
+        const { newestTerm } = this.#reports;
         const ids = candidates.map(({ id }) => id);
         const holders = [...ids, ...this.#departedHolders(cause, view, now).map(({ id }) => id)];
-        const safe = view.syncReplicas > 0 ? safeSuccessors(holders, this.#probeResults, view.syncReplicas) : ids;
+        const safe = view.syncReplicas > 0 ? safeSuccessors(holders, this.#readings.results, view.syncReplicas) : ids;
         const answered = candidates.filter(({ id }) =>
-            safe.includes(id) && this.#probeResults.get(id) !== undefined && !this.#isFormerPrimary(id)
+            safe.includes(id) && this.#readings.get(id) !== undefined && !this.#readings.isFormerPrimary(id, newestTerm)
         );
         const notRecentlyRefused = answered.filter(({ id }) =>
             now - (this.#failedPromotions.get(id) ?? -Infinity) >= PROMOTION_TIMEOUT_MS
         );
         const choice = notRecentlyRefused.length > 0 ? notRecentlyRefused : answered;
-        return [...choice].sort((left, right) => this.#compare(left, right))[0]?.id;
+        return this.#readings.sorted(choice)[0]?.id;
     }
 
     /** Replicas that have left and count in a replacement; none once their log has not come for long. */
@@ -552,16 +669,6 @@
         return isOverdue ? [] : this.#openDepartures(view);
     }
 
-    /** Sorts the newest position first. Of equal ones an endpoint that stays, and one that told it exactly, is better. */
-    #compare(left: EndpointRecord, right: EndpointRecord): number {
-        const first = this.#probeResults.get(left.id) ?? NO_POSITION;
-        const second = this.#probeResults.get(right.id) ?? NO_POSITION;
-        return comparePositions(second, first)
-            || Number(right.state === EndpointState.Active) - Number(left.state === EndpointState.Active)
-            || Number(second.isExact) - Number(first.isExact)
-            || (left.id < right.id ? -1 : 1);
-    }
-
     /**
      * Endpoints that are probed before one of them is chosen. Where replicas acknowledge commits, one that leaves may
      * be the only one that has all of them. One that leaves may also have become the primary since.
--- a/packages/control/tests/promotion-schedules.test.ts
+++ b/packages/control/tests/promotion-schedules.test.ts
@@ -20,4 +20,4 @@
         expect(schedule.commits).toBeGreaterThan(100);
     }
     expect(failures).toEqual([]);
-});
+}, 3_600_000);
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -24,6 +24,7 @@
 import { type ConfigurationReadResult, GroupMember } from "./group-member.js";
 import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
 import { HostListSchedule } from "./host-list-schedule.js";
+import { isLeasedGroup } from "./leased-groups.js";
 import { LimitAuthority } from "./limit-authority.js";
 import type { ConfigurationReader, ControlService, PromotionAuthority } from "./ports.js";
 import { PromotionAnnouncer } from "./promotion-announcer.js";
@@ -209,8 +210,7 @@
             announce: order => this.#announceOrder(order),
             leads: () => this.#member.hasQuorum,
             newerOrdersVoidEarlier: options.primariesStepDown,
-            orderedPrimary: group =>
-                options.primariesStepDown ? undefined : this.#directory.newestOrder(group)?.endpoint,
+            orderedPrimary: group => this.#isLeased(group) ? this.#directory.newestOrder(group)?.endpoint : undefined,
             event: (event, fields) => this.#promotionStep(event, fields),
         });
     }
@@ -394,13 +394,17 @@
     }
 
     #announceOrder(order: PromotionOrder): Promise<boolean> {
-        if (!this.#options.primariesStepDown) {
+        if (this.#isLeased(order.group)) {
             return this.#announcer.announce(order);
         }
         this.#ordersReceived([order]);
         return Promise.resolve(this.#member.hasQuorum);
     }
 
+    #isLeased(group: string): boolean {
+        return isLeasedGroup(this.#routing.get()?.groups.get(group), this.#options.primariesStepDown);
+    }
+
     #promotionStep(event: LogEvent, fields: LogFields): void {
         this.#options.log.event(event, fields);
         this.#options.meter.count("promotion.steps", 1, { group: String(fields["group"]), step: event });
--- a/packages/fleet/src/entry-host.ts
+++ b/packages/fleet/src/entry-host.ts
@@ -1,6 +1,6 @@
 import type { LimitAccuracy } from "@medlarledge/customers";
 import { EndpointDirectory } from "@medlarledge/directory";
-import { ElapsedClock, Gateway, UNRESTRICTED_PERMITS } from "@medlarledge/gateway";
+import { ElapsedClock, Gateway, type GroupSettings } from "@medlarledge/gateway";
 import {
     type EndpointRecord,
     type Host,
@@ -21,6 +21,7 @@
 import { FLEET_LINK_TIMING, HostLinks } from "./host-links.js";
 import { KeyLeaseHolder } from "./key-lease-holder.js";
 import { LeaseHolder } from "./lease-holder.js";
+import { isLeasedGroup } from "./leased-groups.js";
 import { HostLimits } from "./operation-limits.js";
 import type { ConfigurationReader } from "./ports.js";
 import { PrimaryReporter } from "./primary-reporter.js";
@@ -86,8 +87,8 @@
     readonly #contacts: ContactMonitor;
     readonly #loopDelay: LoopDelay;
     readonly #plans: ConnectionPlans;
-    /** The lease that this host needs to use primaries; undefined where primaries step down by themselves. */
-    readonly #lease: LeaseHolder | undefined;
+    /** The lease that this host needs to use the primaries of some groups or of all. */
+    readonly #lease: LeaseHolder;
     /** The permission to accept keys; undefined where a host may accept them without contact to control. */
     readonly #keyLease: KeyLeaseHolder | undefined;
     readonly #limits: HostLimits | undefined;
@@ -119,7 +120,7 @@
         forwardedGrant: message => this.#forwardedGrant(message),
         freshnessRequest: message => void this.#keyLease?.forward(message),
         freshnessAnswer: message => this.#freshnessAnswered(message),
-        leaseGranted: message => this.#lease?.granted(message),
+        leaseGranted: message => this.#lease.granted(message),
         tokenGrant: message => this.#limits?.granted(message),
         hostList: (message, from) => this.#hostsReceived(message, from),
         hostListWanted: (_, from) => this.#forwardHostList(from),
@@ -148,14 +149,14 @@
         this.#loopDelay = new LoopDelay(options.meter, TICK_MS);
         this.#seeds = options.seeds;
         const { self, clock, log, connector, random, meter } = options;
-        this.#lease = options.primariesStepDown
-            ? undefined
-            : new LeaseHolder({
-                self,
-                clock,
-                sendToLeader: message => this.#sendToLeader(message),
-                sendToOthers: message => this.#sendToOthers(message),
-            });
+        this.#lease = new LeaseHolder({
+            self,
+            clock,
+            sendToLeader: message => this.#sendToLeader(message),
+            sendToOthers: message => this.#sendToOthers(message),
+            isLeased: group => this.#isLeased(this.#gateway.routing.groups.get(group)),
+            isNeeded: () => !options.primariesStepDown || this.#groupSettings.some(group => this.#isLeased(group)),
+        });
         const { revocationMs, limitAccuracy } = options;
         this.#keyLease = revocationMs === undefined ? undefined : new KeyLeaseHolder({
             self,
@@ -202,7 +203,7 @@
                 reply: (host, result) => this.#links.send(host, result),
             },
             limits: this.#limits,
-            permits: this.#lease ?? UNRESTRICTED_PERMITS,
+            permits: this.#lease,
             acceptsKeys: () => this.#acceptsKeys,
             random,
             usesLoadReports: options.usesLoadReports,
@@ -216,7 +217,7 @@
      * may use primaries, and it will accept keys until the platform has redirected new callers.
      */
     get isReady(): boolean {
-        return !this.#isStopping && !this.#contacts.isIsolated && this.#lease?.isLapsed !== true
+        return !this.#isStopping && !this.#contacts.isIsolated && !this.#isLapsed
             && this.#keyLease?.endsWithin(LEAVE_ROTATION_MS) !== true && this.#gateway.routing.number > 0;
     }
 
@@ -296,7 +297,7 @@
     #tick(): void {
         const now = this.#options.clock.now();
         this.#loopDelay.tick(now);
-        this.#lease?.tick();
+        this.#lease.tick();
         this.#keyLease?.tick();
         this.#limits?.tick();
         this.#logLease();
@@ -319,7 +320,7 @@
         this.#contacts.update(now);
         // Until the platform has noticed that this host is not ready, reconnecting callers would return to it.
         const isIsolated = this.#contacts.isolatedMs(now) >= LEAVE_ROTATION_MS;
-        const isLapsed = (this.#lease?.lapsedMs ?? 0) >= LEAVE_ROTATION_MS;
+        const isLapsed = this.#isLapsed && this.#lease.lapsedMs >= LEAVE_ROTATION_MS;
         this.#gateway.closeIdleSessions(
             this.#isClosingIdleSessions ? STOPPING : isIsolated ? ISOLATED : isLapsed ? LAPSED : undefined,
         );
@@ -370,7 +371,7 @@
     }
 
     #ordersReceived(orders: readonly PromotionOrder[]): void {
-        this.#lease?.ordered(orders);
+        this.#lease.ordered(orders);
         for (const order of orders) {
             if (this.#directory.order(order)) {
                 this.#options.log.event("primaryOrdered", { ...order });
@@ -411,7 +412,7 @@
     }
 
     #leaderChanged(): void {
-        this.#lease?.leaderChanged();
+        this.#lease.leaderChanged();
         this.#keyLease?.requestNow();
         this.#limits?.leaderChanged();
         this.#reporter.clear();
@@ -474,8 +475,21 @@
         return keyed.sort((left, right) => left.key - right.key).map(({ id }) => id);
     }
 
+    get #groupSettings(): readonly GroupSettings[] {
+        return [...this.#gateway.routing.groups.values()];
+    }
+
+    #isLeased(group: GroupSettings | undefined): boolean {
+        return isLeasedGroup(group, this.#options.primariesStepDown);
+    }
+
+    /** True when the lease has lapsed and no group can be served without one. */
+    get #isLapsed(): boolean {
+        return this.#lease.isLapsed && this.#groupSettings.every(group => this.#isLeased(group));
+    }
+
     #logLease(): void {
-        const isLapsed = this.#lease?.isLapsed === true;
+        const { isLapsed } = this.#lease;
         if (isLapsed !== this.#wasLapsed) {
             this.#wasLapsed = isLapsed;
             this.#options.log.event("leaseChanged", { isLapsed, leader: this.#control.leader });
@@ -543,7 +557,7 @@
             return;
         }
         this.#ordersReceived(message.orders);
-        this.#lease?.forwardedGrant(message);
+        this.#lease.forwardedGrant(message);
     }
 
     #connectedControl(): readonly Host[] {
--- a/packages/fleet/src/lease-holder.ts
+++ b/packages/fleet/src/lease-holder.ts
@@ -17,19 +17,26 @@
     readonly sendToLeader: (message: Message) => boolean;
     /** Sends a message to other entry hosts, which send it on to the leader. */
     readonly sendToOthers: (message: Message) => void;
+    /** True for a group whose primary this host may use only with a lease and by the newest order. */
+    readonly isLeased: (group: string) => boolean;
+    /** True while there is such a group, so that this host needs a lease. */
+    readonly isNeeded: () => boolean;
 }
 
-/** Holds an entry host's lease: renews it, confirms promotion orders, and answers what the lease permits. */
+/**
+ * Holds an entry host's lease while one is needed: renews it, confirms promotion orders, and answers what the lease
+ * permits. In groups that need none everything is permitted.
+ */
 export class LeaseHolder implements PrimaryPermits {
     readonly #options: LeaseHolderOptions;
     readonly #elapsed: ElapsedClock;
     readonly #lease = new PrimaryLease(HOST_LEASE);
-    readonly #startedAt: number;
+    /** Since when a lease has been needed; undefined while none is. */
+    #neededSince: number | undefined;
 
     constructor(options: LeaseHolderOptions) {
         this.#options = options;
         this.#elapsed = new ElapsedClock(options.clock);
-        this.#startedAt = this.#elapsed.now();
     }
 
     /** True when this host has had no lease for so long that its callers are served better by other hosts. */
@@ -39,12 +46,20 @@
 
     /** Time since this host counts as having no lease, in ms; 0 while it does not. */
     get lapsedMs(): number {
-        return Math.max(0, this.#lease.lapsedMs(this.#startedAt, this.#elapsed.now()) - LAPSED_AFTER_MS);
+        if (this.#neededSince === undefined) {
+            return 0;
+        }
+        return Math.max(0, this.#lease.lapsedMs(this.#neededSince, this.#elapsed.now()) - LAPSED_AFTER_MS);
     }
 
     /** Renews the lease and confirms orders that are due; to be called about every 50 ms. */
     tick(): void {
         const now = this.#elapsed.now();
+        if (!this.#options.isNeeded()) {
+            this.#neededSince = undefined;
+            return;
+        }
+        this.#neededSince ??= now;
         const renewal = this.#lease.nextRenewal(now);
         if (renewal !== undefined) {
             this.#renew(renewal.sequence);
@@ -80,19 +95,19 @@
     }
 
     mayUse(group: string, endpoint: string): boolean {
-        return this.#lease.mayUse(group, endpoint, this.#elapsed.now());
+        return !this.#options.isLeased(group) || this.#lease.mayUse(group, endpoint, this.#elapsed.now());
     }
 
     mayAcknowledge(group: string, endpoint: string): boolean {
-        return this.#lease.mayAcknowledge(group, endpoint, this.#elapsed.now());
+        return !this.#options.isLeased(group) || this.#lease.mayAcknowledge(group, endpoint, this.#elapsed.now());
     }
 
     isSuperseded(group: string, endpoint: string): boolean {
-        return this.#lease.isSuperseded(group, endpoint);
+        return this.#options.isLeased(group) && this.#lease.isSuperseded(group, endpoint);
     }
 
     isEnded(group: string, endpoint: string): boolean {
-        return this.#lease.isEnded(group, endpoint);
+        return this.#options.isLeased(group) && this.#lease.isEnded(group, endpoint);
     }
 
     started(group: string): void {
@@ -105,7 +120,8 @@
     }
 
     #confirm(orders: readonly PromotionOrder[]): void {
-        for (const { group, fence } of orders) {
+        const leased = orders.filter(({ group }) => this.#options.isLeased(group));
+        for (const { group, fence } of leased) {
             this.#options.sendToLeader({ kind: "revoked", database: group, term: fence });
         }
     }
--- a/packages/fleet/src/promotion-manager.ts
+++ b/packages/fleet/src/promotion-manager.ts
@@ -61,6 +61,7 @@
     readonly #executors: Executors = {
         check: (group, { endpoint }) => this.#options.check(group, endpoint),
         read: (group, { endpoint, round }) => void this.#probe(group, endpoint, round),
+        suspend: (group, { order }) => void this.#suspend(group, order),
         promote: (group, { order }) => void this.#promote(group, order),
         confirm: (group, { order }) => void this.#confirm(group, order),
         event: (_, { name, fields }) => this.#options.event(name, fields),
@@ -137,6 +138,15 @@
         this.#handle(group, { kind: "reading", endpoint, reading, round });
     }
 
+    /** Announces that hosts use no primary. Nothing is given to the authority. */
+    async #suspend(group: string, order: PromotionOrder): Promise<void> {
+        const term = this.#term;
+        const isConfirmed = await this.#options.announce(order);
+        if (term === this.#term) {
+            this.#handle(group, { kind: "suspended", fence: order.fence, isConfirmed });
+        }
+    }
+
     async #promote(group: string, order: PromotionOrder): Promise<void> {
         const term = this.#term;
         const mayGive = await this.#options.announce(order) && term === this.#term;
--- a/packages/gateway/src/group-state.ts
+++ b/packages/gateway/src/group-state.ts
@@ -1,4 +1,9 @@
-import type { EndpointRecord, PrimaryPositionReport, PromotionOrder } from "@medlarledge/protocol";
+import {
+    type EndpointRecord,
+    NO_ENDPOINT,
+    type PrimaryPositionReport,
+    type PromotionOrder,
+} from "@medlarledge/protocol";
 import { type PrimaryConfirmation, PrimaryTracker, type PromotionTimes } from "@medlarledge/routing";
 import type { Clock } from "@medlarledge/runtime";
 import { type LogPosition, NotRunReason, type StatementOrderResult } from "@medlarledge/statements";
@@ -53,11 +58,13 @@
         return this.#primaryTracker.candidates(this.#options.clock.now());
     }
 
-    /** Records that control ordered the promotion of an endpoint. */
+    /** Records that control ordered the promotion of an endpoint, or that none is used as the primary for now. */
     ordered({ endpoint, fence }: PromotionOrder): void {
-        this.#primaryTracker.order(endpoint, fence);
         this.#orderedAt = this.#options.clock.now();
-        this.#awaited = endpoint;
+        if (endpoint !== NO_ENDPOINT) {
+            this.#primaryTracker.order(endpoint, fence);
+            this.#awaited = endpoint;
+        }
         const { confirmedPrimary } = this;
         const { group, permits } = this.#options;
         if (confirmedPrimary !== undefined && permits.isSuperseded(group, confirmedPrimary)) {
--- a/packages/protocol/src/endpoint-record.ts
+++ b/packages/protocol/src/endpoint-record.ts
@@ -35,9 +35,13 @@
     readonly leavingMs?: number | undefined;
 }
 
+/** Stands in an order for the endpoint when hosts use none as the primary. */
+export const NO_ENDPOINT = "";
+
 /** Order of the control hosts to promote an endpoint to the primary of its group. */
 export interface PromotionOrder {
     readonly group: string;
+    /** The endpoint that becomes the primary; `NO_ENDPOINT` if no endpoint is used as one until the next order. */
     readonly endpoint: string;
     /** Fencing token of the order; a higher one is newer. */
     readonly fence: number;
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -110,6 +110,11 @@
     },
     primaryOrdered: { level: "info", meaning: "News of an order that makes an endpoint the primary." },
     promotionChoosing: { level: "warn", meaning: "A primary is to be replaced; the other endpoints are asked." },
+    primarySuspended: {
+        level: "warn",
+        meaning:
+            "No host is to acknowledge commits of a group until the next order, so that none is missing at its next primary.",
+    },
     promotionWaits: {
         level: "warn",
         meaning:
