Suspend the use of a leaving primary again after an order that failed

Where replicas acknowledge commits, a leaving primary serves until a successor is found. After an order for another endpoint was refused, hosts may not use the leaving primary, but the monitor took it as serving: without a second successor it neither suspended nor gave it back, and the group had no primary. The use counts as suspended now whenever an order keeps hosts from it.

Measured: "suspends the use of the leaving primary again when the ordered successor does not lead" failed before (one order instead of two) and passes.

--- a/packages/control/src/primary-monitor.ts
+++ b/packages/control/src/primary-monitor.ts
@@ -67,7 +67,10 @@
     | { readonly kind: "promote"; readonly order: PromotionOrder; }
     /** Announces to all hosts that they use no endpoint as the primary until the next order. */
     | { readonly kind: "suspend"; readonly order: PromotionOrder; }
-    /** Orders an endpoint without an announcement to the hosts; for the present primary it only makes earlier orders void. */
+    /**
+     * Orders an endpoint without an announcement to the hosts. For the present primary that changes nothing but makes
+     * earlier orders void.
+     */
     | { readonly kind: "confirm"; readonly order: PromotionOrder; }
     | {
         readonly kind: "event";
@@ -165,7 +168,9 @@
     #checkedAt = Number.NEGATIVE_INFINITY;
     /** Whether the hosts' use of the primary is suspended by an order of this monitor that all have confirmed. */
     #isSuspensionConfirmed = false;
+    /** When a primary that answers was last ordered to make earlier orders void, before hosts may use it again. */
     #confirmOrderedAt = Number.NEGATIVE_INFINITY;
+    /** When hosts last got the former primary back because no successor could be chosen. */
     #restoredAt = Number.NEGATIVE_INFINITY;
     readonly #departedReplicas = new DepartedReplicas();
     readonly #primaryCheck = new PrimaryCheck();
@@ -389,8 +394,9 @@
 
     #choose(cause: Replacement, view: MonitorView, now: number, effects: MonitorEffect[]): void {
         const { reason, leaving } = cause;
-        // A primary that leaves serves until a successor is found; any other one is not usable, or may not be.
-        if (leaving === undefined && this.#needsSuspension(view)) {
+        // A primary that leaves serves until a successor is found, as long as no order keeps hosts from using it.
+        const isServing = leaving !== undefined && !isOtherThanOrdered(leaving, view);
+        if (!isServing && this.#needsSuspension(view)) {
             this.#suspend(cause, view, effects);
             return;
         }
--- a/packages/control/tests/primary-monitor.test.ts
+++ b/packages/control/tests/primary-monitor.test.ts
@@ -409,6 +409,25 @@
         expect(scene.watch.phase).toBe("calm");
     });
 
+    // Guards against a leaving primary that stays unused because the successor that was ordered is gone (RECOVER).
+    it("suspends the use of the leaving primary again when the ordered successor does not lead", () => {
+        const scene = sceneWithLeavingPrimary();
+        scene.reading("b", 100);
+        scene.reading("c", 100);
+        scene.reading("a", 121, true);
+        scene.reading("b", 100);
+        scene.reading("c", 120);
+        expect(scene.promotions()).toEqual([["c", 2]]);
+        scene.sent("c", 2);
+        scene.handle({ kind: "ordered", fence: 2, outcome: "refused" });
+        scene.advanceTime(RETRY_INTERVAL_MS);
+        scene.reading("a", 121, true);
+        scene.reading("b", 100);
+        scene.advanceTime(PROBE_TIMEOUT_MS);
+        scene.advanceTime(RETRY_INTERVAL_MS);
+        expect(scene.promotions()).toEqual([["c", 2], ["a", 4]]);
+    });
+
     // Guards against commits that are acknowledged by a primary whose successor an accepted or late order is about to
     // promote (LOST; seeds 407 and 528 of the promotion schedules before).
     it("gives hosts a primary back only when no earlier order can take effect", () => {
