--- a/packages/control/src/primary-monitor.ts
+++ b/packages/control/src/primary-monitor.ts
@@ -11,6 +11,7 @@
 import { type MonitorProbeResult, PrimaryCheck } from "./primary-check.js";
 import { MAX_REPORT_AGE_MS, type MonitorReport, PrimaryReports } from "./primary-reports.js";
 import { safeSuccessors } from "./safe-successor.js";
+import { SupersededPrimaries } from "./superseded-primaries.js";
 
 /** Time for the other entry hosts to answer a check; their probe of the endpoint takes 250 ms. */
 export const CONFIRM_MS = 400;
@@ -39,6 +40,12 @@
 /** A group without a primary gets one after this time; before, its endpoints may still be starting. */
 export const MISSING_PRIMARY_TIMEOUT_MS = 1_500;
 
+/**
+ * Time for which a replacement waits for an endpoint that has followed the newest term, while only former primaries of
+ * older terms answer. After that the commits of the newest term are given up, so that the group has a primary at all.
+ */
+export const SUPERSEDED_TIMEOUT_MS = 8_000;
+
 /** Time for which a replacement waits until the log of a replica that has left is at another endpoint. */
 export const LOG_TRANSFER_TIMEOUT_MS = 8_000;
 
@@ -155,6 +162,7 @@
     readonly #group: string;
     readonly #reports = new PrimaryReports();
     readonly #readings = new EndpointReadings();
+    readonly #superseded = new SupersededPrimaries();
     /** Time of the last refused or timed-out promotion, by endpoint. */
     readonly #failedPromotions = new Map<string, number>();
     /** Time of the last refusal by the platform, by endpoint. */
@@ -192,8 +200,10 @@
         switch (event.kind) {
             case "report":
                 this.#reports.received(event.from, event.report, view.endpoints.map(({ id }) => id), now);
+                this.#superseded.seen(event.report.endpoint, event.report.term);
                 break;
             case "reading":
+                this.#superseded.seen(event.endpoint, event.reading?.leads === true ? event.reading.term : 0);
                 if (event.round === undefined) {
                     this.#readings.record(event.endpoint, event.reading);
                 }
@@ -571,7 +581,11 @@
         effects.push({
             kind: "event",
             name: "promotionOrdered",
-            fields: { ...order, positions: this.#readings.describe() },
+            fields: {
+                ...order,
+                positions: this.#readings.describe(),
+                gaveUpTerm: this.#isSuperseded(endpoint) ? this.#superseded.newestTerm : undefined,
+            },
         });
     }
 
@@ -647,7 +661,8 @@
 
     /**
      * The endpoint with the newest log position; one that recently failed to be promoted only if there is no other.
-     * Undefined while none is known to have every acknowledged commit, where replicas acknowledge them.
+     * Undefined while none is known to have every acknowledged commit, where replicas acknowledge them, and for a limited
+     * time while only former primaries answer that later ones have superseded.
      */
     #bestSuccessor(
         candidates: readonly EndpointRecord[],
@@ -656,11 +671,13 @@
         now: number,
     ): string | undefined {
         const { newestTerm } = this.#reports;
+        const isOverdue = cause.waitsSince !== undefined && now - cause.waitsSince >= SUPERSEDED_TIMEOUT_MS;
         const ids = candidates.map(({ id }) => id);
         const holders = [...ids, ...this.#departedHolders(cause, view, now).map(({ id }) => id)];
         const safe = view.syncReplicas > 0 ? safeSuccessors(holders, this.#readings.results, view.syncReplicas) : ids;
         const answered = candidates.filter(({ id }) =>
             safe.includes(id) && this.#readings.get(id) !== undefined && !this.#readings.isFormerPrimary(id, newestTerm)
+            && (isOverdue || !this.#isSuperseded(id))
         );
         const notRecentlyRefused = answered.filter(({ id }) =>
             now - (this.#failedPromotions.get(id) ?? -Infinity) >= PROMOTION_TIMEOUT_MS
@@ -669,6 +686,11 @@
         return this.#readings.sorted(choice)[0]?.id;
     }
 
+    #isSuperseded(endpoint: string): boolean {
+        const reading = this.#readings.get(endpoint);
+        return reading !== undefined && this.#superseded.includes(endpoint, reading);
+    }
+
     /** Replicas that have left and count in a replacement; none once their log has not come for long. */
     #departedHolders({ waitsSince }: Replacement, view: MonitorView, now: number): readonly EndpointRecord[] {
         const isOverdue = waitsSince !== undefined && now - waitsSince >= LOG_TRANSFER_TIMEOUT_MS;
--- a/packages/control/tests/primary-monitor.test.ts
+++ b/packages/control/tests/primary-monitor.test.ts
@@ -14,6 +14,7 @@
     PROBE_TIMEOUT_MS,
     REPORT_REQUEST_INTERVAL_MS,
     RETRY_INTERVAL_MS,
+    SUPERSEDED_TIMEOUT_MS,
 } from "../src/primary-monitor.js";
 
 const ENTRIES = ["e1", "e2", "e3", "e4", "e5", "e6"];
@@ -340,6 +341,63 @@
     });
 });
 
+describe("where only a former primary answers that later ones have superseded", () => {
+    /** a led term 1 until it was cut off, then c led term 3, which b followed; now a is back, and the other two are gone. */
+    function sceneWithSupersededPrimary(): Scene {
+        const scene = new Scene();
+        scene.report("e1", true, "a", 1);
+        scene.endpoints = [record("a"), record("b"), record("c", { role: EndpointRole.Primary })];
+        scene.report("e1", true, "c", 3);
+        ENTRIES.forEach(host => scene.report(host, false, "c", 3));
+        scene.reading("a", 119);
+        scene.reading("b", undefined);
+        return scene;
+    }
+
+    /** Lets the monitor probe the endpoints again; of a and b only those with a number answer. */
+    function probeAgain(scene: Scene, b: number | undefined): void {
+        scene.advanceTime(PROBE_TIMEOUT_MS);
+        scene.advanceTime(RETRY_INTERVAL_MS);
+        ENTRIES.forEach(host => scene.report(host, false, "c", 3));
+        scene.reading("a", 119);
+        scene.reading("b", b, false, 3);
+    }
+
+    // Guards against commits that no later primary had and that are in the log again (STALE;
+    // docs/incidents/review-13-superseded-primary.md).
+    it("waits for an endpoint that has followed a later term", () => {
+        const scene = sceneWithSupersededPrimary();
+        probeAgain(scene, undefined);
+        expect(scene.promotions()).toEqual([]);
+        probeAgain(scene, 116);
+        expect(scene.promotions()).toEqual([["b", 1]]);
+    });
+
+    // Guards against a group without a primary for good after the loss of all that followed the later terms (RECOVER).
+    it("promotes the former primary when none comes, and says which term it gives up", () => {
+        const scene = sceneWithSupersededPrimary();
+        const endAt = scene.now + SUPERSEDED_TIMEOUT_MS;
+        while (scene.now < endAt) {
+            expect(scene.promotions()).toEqual([]);
+            probeAgain(scene, undefined);
+        }
+        probeAgain(scene, undefined);
+        expect(scene.promotions()).toEqual([["a", 1]]);
+        const ordered = scene.effects.find(effect => effect.kind === "event" && effect.name === "promotionOrdered");
+        expect(ordered).toMatchObject({ fields: { endpoint: "a", gaveUpTerm: 3 } });
+    });
+
+    it("takes a former primary that has followed a later term since for any other replica", () => {
+        const scene = sceneWithSupersededPrimary();
+        scene.advanceTime(PROBE_TIMEOUT_MS);
+        scene.advanceTime(RETRY_INTERVAL_MS);
+        ENTRIES.forEach(host => scene.report(host, false, "c", 3));
+        scene.reading("a", 130, false, 3);
+        scene.reading("b", undefined);
+        expect(scene.promotions()).toEqual([["a", 1]]);
+    });
+});
+
 describe("where a replica receives each commit before it is acknowledged", () => {
     function sceneWithFailedPrimary(): Scene {
         const scene = new Scene();
