Commit at a lost voter in the handler of the message itself

handleMemberLost covers candidates and leaders, so the table of handlers names it like the others. No change of behaviour: the 60 tests of packages/agreement and those of lost disks pass.

--- a/packages/agreement/src/consensus-member.ts
+++ b/packages/agreement/src/consensus-member.ts
@@ -48,10 +48,7 @@
     appendReply: handleAppendReply,
     snapshotChunk: handleSnapshotChunk,
     snapshotReply: handleSnapshotReply,
-    memberLost: (state, from, message, now) => {
-        handleMemberLost(state, from, message, now);
-        advanceCommit(state);
-    },
+    memberLost: handleMemberLost,
 };
 
 const EVENT_HANDLERS: EventHandlers = {
--- a/packages/agreement/src/election.ts
+++ b/packages/agreement/src/election.ts
@@ -1,6 +1,6 @@
 import type { MemberLost, PreVote, PreVoteReply, Vote, VoteReply } from "@medlarledge/protocol";
 import type { ConsensusState } from "./consensus-state.js";
-import { startLeading } from "./replication.js";
+import { advanceCommit, startLeading } from "./replication.js";
 
 /** Makes this member a follower in the given term; the leader is unknown until it sends an append. */
 export function becomeFollower(state: ConsensusState, term: number, now: number): void {
@@ -97,6 +97,7 @@
     else if (state.role === "candidate") {
         startVoteAtQuorum(state, now);
     }
+    advanceCommit(state);
 }
 
 function startVoteAtQuorum(state: ConsensusState, now: number): void {
--- a/packages/control/tests/group-repair.test.ts
+++ b/packages/control/tests/group-repair.test.ts
@@ -75,10 +75,10 @@
     // docs/incidents/review-11-shrunk-control-group.md).
     it("keeps as many silent voters as the tolerated losses need", () => {
         const six = ["a", "b", "c", "d", "e", "f"];
-        const condition2 = condition({ silentMs: new Map([["e", 60_000], ["f", 60_000]]), toleratedLosses: 2 });
-        const first = repairedMembers({ voters: six, learners: [] }, condition2);
+        const twoSilent = condition({ silentMs: new Map([["e", 60_000], ["f", 60_000]]), toleratedLosses: 2 });
+        const first = repairedMembers({ voters: six, learners: [] }, twoSilent);
         expect(first?.voters).toEqual(["a", "b", "c", "d", "f"]);
-        expect(repairedMembers(first ?? three, condition2)).toBeUndefined();
+        expect(repairedMembers(first ?? three, twoSilent)).toBeUndefined();
         const leaving = condition({ leaving: ["a"], toleratedLosses: 2 });
         expect(repairedMembers({ voters: six, learners: [] }, leaving)?.voters.length).toBe(5);
         expect(
