Read the clock at the end of a statement only while an order waits

Since all hosts have a LeaseHolder, each statement for a primary read the elapsed clock at its end to look for orders to confirm, also where no lease is needed. It does so now only while there is one.

--- a/packages/control/src/primary-lease.ts
+++ b/packages/control/src/primary-lease.ts
@@ -94,6 +94,11 @@
         this.#outstanding.set(group, Math.max(0, (this.#outstanding.get(group) ?? 0) - 1));
     }
 
+    /** True while an order is known that is to be confirmed. */
+    get hasUnconfirmed(): boolean {
+        return this.#unconfirmed.size > 0;
+    }
+
     /**
      * Returns the orders to confirm to the leader. From this call on, answers of the former primaries are not passed on.
      */
--- a/packages/fleet/src/lease-holder.ts
+++ b/packages/fleet/src/lease-holder.ts
@@ -116,7 +116,9 @@
 
     ended(group: string): void {
         this.#lease.ended(group);
-        this.#confirm(this.#lease.takeConfirmations(this.#elapsed.now()));
+        if (this.#lease.hasUnconfirmed) {
+            this.#confirm(this.#lease.takeConfirmations(this.#elapsed.now()));
+        }
     }
 
     #confirm(orders: readonly PromotionOrder[]): void {
