Name orders that hosts are not told of, and split the primary monitor

An order for another endpoint that hosts are not told of was the same effect as one that confirms the present primary, and was logged as primaryConfirmed. It is a promotion with isAnnounced false now, and is logged as one. The types of the monitor and the question when hosts may use a primary (PrimarySuspension) are files of their own.

--- a/packages/agreement/src/log.ts
+++ b/packages/agreement/src/log.ts
@@ -1,4 +1,5 @@
 import type { LogEntry, Members } from "@medlarledge/protocol";
+import type { VoterSets } from "./quorum.js";
 import type { Snapshot } from "./types.js";
 
 const NO_MEMBERS: Members = { voters: [], learners: [] };
@@ -54,7 +55,7 @@
      * once the ones before are committed, so any later members in the log prove that.
      * @param commitIndex index of the last entry known to be committed
      */
-    voterSets(commitIndex: number): readonly (readonly string[])[] {
+    voterSets(commitIndex: number): VoterSets {
         const { voters } = this.members;
         const firstAt = this.#members.findLastIndex(at => !haveSameVoters(at.members, this.members)) + 1;
         const isProven = firstAt < this.#members.length - 1;
--- a/packages/control/src/group-repair.ts
+++ b/packages/control/src/group-repair.ts
@@ -14,6 +14,9 @@
 /** The group does not shrink below this number of voters: a group of two does not tolerate the loss of one. */
 export const MIN_VOTERS = 3;
 
+/** Losses that are tolerated where the settings name no number. */
+export const DEFAULT_TOLERATED_LOSSES = 1;
+
 export interface GroupCondition {
     /** Member ids that asked to join. */
     readonly joining: readonly string[];
--- a/packages/control/src/open-orders.ts
+++ b/packages/control/src/open-orders.ts
@@ -1,4 +1,4 @@
-import type { PromotionOrder } from "@medlarledge/protocol";
+import { NO_ENDPOINT, type PromotionOrder } from "@medlarledge/protocol";
 
 /** Time from the acceptance of an order to its effect, at most, in ms; the platform takes up to 600 ms. */
 export const PROMOTION_TIMEOUT_MS = 2_000;
@@ -33,7 +33,7 @@
             this.#endpoints.delete(fence);
         }
         else if (outcome === "accepted") {
-            const endpoint = this.#endpoints.get(fence) ?? "";
+            const endpoint = this.#endpoints.get(fence) ?? NO_ENDPOINT;
             if (this.#accepted !== undefined && this.#accepted.endpoint !== endpoint) {
                 this.#othersUntil = Math.max(this.#othersUntil, this.#accepted.until);
             }
--- a/packages/control/src/primary-monitor.ts
+++ b/packages/control/src/primary-monitor.ts
@@ -7,9 +7,11 @@
 } from "@medlarledge/protocol";
 import { DepartedReplicas } from "./departed-replicas.js";
 import { EndpointReadings } from "./endpoint-readings.js";
-import { OpenOrders, type OrderOutcome, PROMOTION_TIMEOUT_MS } from "./open-orders.js";
+import type { MonitorEffect, MonitorEvent, MonitorView } from "./monitor-types.js";
+import { OpenOrders, PROMOTION_TIMEOUT_MS } from "./open-orders.js";
 import { type MonitorProbeResult, PrimaryCheck } from "./primary-check.js";
-import { MAX_REPORT_AGE_MS, type MonitorReport, PrimaryReports } from "./primary-reports.js";
+import { MAX_REPORT_AGE_MS, PrimaryReports } from "./primary-reports.js";
+import { PrimarySuspension } from "./primary-suspension.js";
 import { safeSuccessors } from "./safe-successor.js";
 import { SupersededPrimaries } from "./superseded-primaries.js";
 
@@ -28,9 +30,6 @@
 /** Interval of requests for reports on a primary that no entry host has reported as reachable. */
 export const REPORT_REQUEST_INTERVAL_MS = 1_000;
 
-/** Pause between two orders of a primary that answers, while earlier orders may promote another endpoint. */
-const CONFIRM_ORDER_INTERVAL_MS = 500;
-
 /** Time for which a leaving primary serves again when no successor could be chosen while it was suspended. */
 const RESTORED_INTERVAL_MS = 2_000;
 
@@ -49,70 +48,6 @@
 /** Time for which a replacement waits until the log of a replica that has left is at another endpoint. */
 export const LOG_TRANSFER_TIMEOUT_MS = 8_000;
 
-export type MonitorEvent =
-    | { readonly kind: "tick"; }
-    /** An entry host reported on the primary that it uses. */
-    | { readonly kind: "report"; readonly from: string; readonly report: MonitorReport; }
-    | {
-        readonly kind: "reading";
-        readonly endpoint: string;
-        readonly reading: MonitorProbeResult | undefined;
-        /** The round of the effect that caused the probe. */
-        readonly round?: number | undefined;
-    }
-    /** The order is sent to the platform now; before, it was announced to the hosts. */
-    | { readonly kind: "sent"; readonly order: PromotionOrder; }
-    | { readonly kind: "ordered"; readonly fence: number; readonly outcome: OrderOutcome; }
-    /** The announcement of a suspension ended; `isConfirmed` if no host acknowledges commits of the group any more. */
-    | { readonly kind: "suspended"; readonly fence: number; readonly isConfirmed: boolean; };
-
-export type MonitorEffect =
-    /** Requests a report on the endpoint from all entry hosts. */
-    | { readonly kind: "check"; readonly endpoint: string; }
-    /** Probes an endpoint. `round` is set for a check of a primary that answers. */
-    | { readonly kind: "read"; readonly endpoint: string; readonly round?: number; }
-    | { readonly kind: "promote"; readonly order: PromotionOrder; }
-    /** Announces to all hosts that they use no endpoint as the primary until the next order. */
-    | { readonly kind: "suspend"; readonly order: PromotionOrder; }
-    /**
-     * Orders an endpoint without an announcement to the hosts. For the present primary that changes nothing but makes
-     * earlier orders void.
-     */
-    | { readonly kind: "confirm"; readonly order: PromotionOrder; }
-    | {
-        readonly kind: "event";
-        readonly name:
-            | "promotionChoosing"
-            | "primarySuspended"
-            | "promotionWaits"
-            | "promotionOrdered"
-            | "promotionDone";
-        readonly fields: Readonly<Record<string, unknown>>;
-    };
-
-/** State of the group that the monitor reads when it handles an event. */
-export interface MonitorView {
-    /** Endpoints of the group that have not left. */
-    readonly endpoints: readonly EndpointRecord[];
-    /** Endpoints of the group that have left and have no successor at their address. */
-    readonly departed: readonly EndpointRecord[];
-    /** Entry hosts that are connected. */
-    readonly entries: readonly string[];
-    /**
-     * The endpoint of the newest promotion order, which alone is used as the primary, or `NO_ENDPOINT`; undefined before
-     * the first order, or where the endpoints alone decide which one is the primary.
-     */
-    readonly orderedPrimary: string | undefined;
-    /** Whether a newer order makes earlier ones void that the platform has not carried out yet. */
-    readonly newerOrdersVoidEarlier: boolean;
-    /** Number of replicas that receive a commit before it is acknowledged. */
-    readonly syncReplicas: number;
-    /** Returns the next fencing token; each call returns a higher one. */
-    readonly nextFencingToken: () => number;
-    /** Returns true if a primary that answers may be probed now, which limits these probes over all groups. */
-    readonly takePrimaryCheck: () => boolean;
-}
-
 /** Why a primary is replaced. */
 interface Replacement {
     readonly reason: string;
@@ -174,20 +109,18 @@
     /** A primary that no entry host reports as reachable, and when they are asked about it. */
     #unreported: { readonly endpoint: string; readonly askAt: number; } | undefined;
     #checkedAt = Number.NEGATIVE_INFINITY;
-    /** Whether the hosts' use of the primary is suspended by an order of this monitor that all have confirmed. */
-    #isSuspensionConfirmed = false;
-    /** When a primary that answers was last ordered to make earlier orders void, before hosts may use it again. */
-    #confirmOrderedAt = Number.NEGATIVE_INFINITY;
     /** When hosts last got the former primary back because no successor could be chosen. */
     #restoredAt = Number.NEGATIVE_INFINITY;
     readonly #departedReplicas = new DepartedReplicas();
     readonly #primaryCheck = new PrimaryCheck();
     readonly #openOrders: OpenOrders;
+    readonly #suspension: PrimarySuspension;
 
     /** @param mayHaveEarlierOrders whether earlier leaders may have given orders for the group */
     constructor(group: string, mayHaveEarlierOrders: boolean) {
         this.#group = group;
         this.#openOrders = new OpenOrders(mayHaveEarlierOrders);
+        this.#suspension = new PrimarySuspension(this.#openOrders);
     }
 
     get phase(): Phase["kind"] {
@@ -406,7 +339,7 @@
         const { reason, leaving } = cause;
         // A primary that leaves serves until a successor is found, as long as no order keeps hosts from using it.
         const isServing = leaving !== undefined && !isOtherThanOrdered(leaving, view);
-        if (!isServing && this.#needsSuspension(view)) {
+        if (!isServing && this.#suspension.isNeeded(view)) {
             this.#suspend(cause, view, effects);
             return;
         }
@@ -415,27 +348,15 @@
         this.#primaryCheck.end();
         const event = { group: this.#group, reason, primary: this.primary(view) };
         effects.push({ kind: "event", name: "promotionChoosing", fields: event });
-        const probed = this.#isSuspended(view) ? view.endpoints : this.#candidates(view, cause);
+        const probed = this.#suspension.isInForce(view) ? view.endpoints : this.#candidates(view, cause);
         for (const { id } of probed) {
             effects.push({ kind: "read", endpoint: id });
         }
     }
 
-    /**
-     * True where the choice of a successor has to wait until no host acknowledges commits: each one that is acknowledged
-     * after the positions were read may be missing at the chosen endpoint.
-     */
-    #needsSuspension(view: MonitorView): boolean {
-        return view.syncReplicas > 0 && !this.#isSuspended(view);
-    }
-
-    #isSuspended({ orderedPrimary }: MonitorView): boolean {
-        return this.#isSuspensionConfirmed && orderedPrimary === NO_ENDPOINT;
-    }
-
     #suspend(cause: Replacement, view: MonitorView, effects: MonitorEffect[]): void {
         const order = { group: this.#group, endpoint: NO_ENDPOINT, fence: view.nextFencingToken() };
-        this.#isSuspensionConfirmed = false;
+        this.#suspension.announced();
         this.#phase = { kind: "suspending", cause, fence: order.fence };
         effects.push({ kind: "suspend", order });
         const { reason } = cause;
@@ -453,7 +374,7 @@
             return;
         }
         const { cause } = this.#phase;
-        this.#isSuspensionConfirmed = isConfirmed;
+        this.#suspension.ended(isConfirmed);
         if (isConfirmed) {
             this.#choose(cause, view, now, effects);
         }
@@ -495,7 +416,7 @@
         if (best === undefined) {
             this.#remainUndecided(phase, successors, view, now, effects);
         }
-        else if (this.#needsSuspension(view)) {
+        else if (this.#suspension.isNeeded(view)) {
             this.#suspend(cause, view, effects);
         }
         else {
@@ -514,7 +435,7 @@
         const loggedCause = { ...cause, waitsSince: cause.waitsSince ?? now };
         const undecidedSince = phase.undecidedSince ?? now;
         if (now - undecidedSince >= RETRY_INTERVAL_MS) {
-            const former = this.#isSuspended(view)
+            const former = this.#suspension.isInForce(view)
                 ? this.#readings.currentPrimary(view.endpoints, this.#reports.newestTerm)
                 : undefined;
             if (former === undefined || !this.#mayRestore(former, view, now, effects)) {
@@ -557,27 +478,20 @@
      * endpoint any more, which would lack what is acknowledged from now on; makes such orders void first.
      */
     #mayRestore(endpoint: string, view: MonitorView, now: number, effects: MonitorEffect[]): boolean {
-        if (this.#areOthersSettled(endpoint, view, now)) {
+        if (this.#suspension.mayEnd(endpoint, view, now)) {
             return true;
         }
-        if (this.#openOrders.threaten(endpoint) && now - this.#confirmOrderedAt >= CONFIRM_ORDER_INTERVAL_MS) {
-            this.#confirmOrderedAt = now;
+        if (this.#suspension.takeConfirmingOrder(endpoint, now)) {
             const order = { group: this.#group, endpoint, fence: view.nextFencingToken() };
             effects.push({ kind: "confirm", order });
         }
         return false;
     }
 
-    #areOthersSettled(endpoint: string, view: MonitorView, now: number): boolean {
-        return view.syncReplicas === 0 || !view.newerOrdersVoidEarlier
-            || this.#openOrders.areSettledFor(endpoint, now);
-    }
-
     #promote(endpoint: string, cause: Replacement, view: MonitorView, now: number, effects: MonitorEffect[]): void {
         const order = { group: this.#group, endpoint, fence: view.nextFencingToken() };
         this.#phase = { kind: "promoting", cause, order, since: now };
-        // While an earlier order may promote another endpoint after this one, hosts do not use it yet.
-        effects.push({ kind: this.#areOthersSettled(endpoint, view, now) ? "promote" : "confirm", order });
+        effects.push({ kind: "promote", order, isAnnounced: this.#suspension.mayEnd(endpoint, view, now) });
         effects.push({
             kind: "event",
             name: "promotionOrdered",
@@ -601,7 +515,7 @@
         if (leads && isAnnounced) {
             this.#finish("promoted", order.endpoint, effects);
         }
-        else if (leads && this.#isSuspended(view) && now - since >= RETRY_INTERVAL_MS) {
+        else if (leads && this.#suspension.isInForce(view) && now - since >= RETRY_INTERVAL_MS) {
             this.#choose({ ...cause, reason: "the ordered endpoint leads" }, view, now, effects);
         }
         else if (record === undefined || now - since >= PROMOTION_TIMEOUT_MS) {
--- a/packages/control/tests/group-repair.test.ts
+++ b/packages/control/tests/group-repair.test.ts
@@ -1,11 +1,13 @@
 import type { Members } from "@medlarledge/protocol";
 import { describe, expect, it } from "vitest";
 import {
+    DEFAULT_TOLERATED_LOSSES,
     type GroupCondition,
     LeaveState,
     leaveState,
     MEMBER_SILENCE_MS,
     repairedMembers,
+    requiredVoters,
     SUCCESSION_SILENCE_MS,
 } from "../src/group-repair.js";
 
@@ -87,6 +89,10 @@
             .toBeUndefined();
     });
 
+    it("keeps three voters where the settings name no losses", () => {
+        expect(requiredVoters(DEFAULT_TOLERATED_LOSSES)).toBe(3);
+    });
+
     // Guards against a wiped host that stays without a vote for as long as another one is down.
     it("promotes a learner to an odd number of voters although a voter may be lost", () => {
         const four: Members = { voters: ["a", "b", "c", "d"], learners: ["e"] };
--- a/packages/control/tests/promotion-schedules.ts
+++ b/packages/control/tests/promotion-schedules.ts
@@ -1,8 +1,9 @@
 import { type EndpointRecord, EndpointRole, EndpointState, type PromotionOrder } from "@medlarledge/protocol";
 import { uniformInt } from "pure-rand/distribution/uniformInt";
 import { xoroshiro128plus } from "pure-rand/generator/xoroshiro128plus";
+import type { MonitorEffect, MonitorEvent } from "../src/monitor-types.js";
 import type { OrderOutcome } from "../src/open-orders.js";
-import { type MonitorEffect, type MonitorEvent, PrimaryMonitor } from "../src/primary-monitor.js";
+import { PrimaryMonitor } from "../src/primary-monitor.js";
 import type { MonitorReport } from "../src/primary-reports.js";
 
 const STEP_MS = 10;
@@ -241,6 +242,10 @@
                 });
                 break;
             case "promote":
+                if (!effect.isAnnounced) {
+                    this.#give(effect.order, answer);
+                    break;
+                }
                 // A former leader may still give an order that all hosts have confirmed.
                 this.#announce(effect.order, () => {
                     if (this.#ordered === effect.order) {
--- a/packages/fleet/src/control-host.ts
+++ b/packages/fleet/src/control-host.ts
@@ -1,4 +1,4 @@
-import { hostOfMember, LeaveState } from "@medlarledge/control";
+import { DEFAULT_TOLERATED_LOSSES, hostOfMember, LeaveState } from "@medlarledge/control";
 import type { LimitAccuracy } from "@medlarledge/customers";
 import { EndpointDirectory } from "@medlarledge/directory";
 import type { GroupSettings } from "@medlarledge/gateway";
@@ -66,8 +66,8 @@
     readonly seeds: readonly string[];
     /** Ids of the first members of the control group at the first start of the system; undefined on any later start. */
     readonly initialMembers: readonly string[] | undefined;
-    /** Number of control hosts that may lose their disks at the same time. */
-    readonly toleratedLosses: number;
+    /** Number of control hosts that may lose their disks at the same time; undefined for the default. */
+    readonly toleratedLosses: number | undefined;
     readonly clock: Clock;
     readonly log: Log;
     readonly meter: Meter;
@@ -162,7 +162,7 @@
             self,
             dataFolder,
             initialMembers,
-            toleratedLosses: options.toleratedLosses,
+            toleratedLosses: options.toleratedLosses ?? DEFAULT_TOLERATED_LOSSES,
             clock,
             send: (to, envelope) => this.#links.send(to, envelope),
             unlinkedMs: host => clock.now() - (this.#controlLostAt.get(host) ?? clock.now()),
@@ -303,8 +303,8 @@
     }
 
     /** Replaces the number of control hosts that may lose their disks at the same time, after a change of settings. */
-    setToleratedLosses(toleratedLosses: number): void {
-        this.#member.setToleratedLosses(toleratedLosses);
+    setToleratedLosses(toleratedLosses: number | undefined): void {
+        this.#member.setToleratedLosses(toleratedLosses ?? DEFAULT_TOLERATED_LOSSES);
     }
 
     /**
--- a/packages/fleet/src/promotion-manager.ts
+++ b/packages/fleet/src/promotion-manager.ts
@@ -62,7 +62,7 @@
         check: (group, { endpoint }) => this.#options.check(group, endpoint),
         read: (group, { endpoint, round }) => void this.#probe(group, endpoint, round),
         suspend: (group, { order }) => void this.#suspend(group, order),
-        promote: (group, { order }) => void this.#promote(group, order),
+        promote: (group, { order, isAnnounced }) => void this.#promote(group, order, isAnnounced),
         confirm: (group, { order }) => void this.#confirm(group, order),
         event: (_, { name, fields }) => this.#options.event(name, fields),
     };
@@ -147,9 +147,10 @@
         }
     }
 
-    async #promote(group: string, order: PromotionOrder): Promise<void> {
+    async #promote(group: string, order: PromotionOrder, isAnnounced: boolean): Promise<void> {
         const term = this.#term;
-        const mayGive = await this.#options.announce(order) && term === this.#term;
+        const { announce, leads } = this.#options;
+        const mayGive = (isAnnounced ? await announce(order) : leads()) && term === this.#term;
         await this.#give(group, order, mayGive, "promotionAnswered");
     }
 
--- a/packages/telemetry/src/log-event.ts
+++ b/packages/telemetry/src/log-event.ts
@@ -140,7 +140,7 @@
     votersSufficient: {
         level: "info",
         meaning:
-            "The control group has as many voters again as it needs to tolerate the losses that the settings name.",
+            "The control group again has as many voters as it needs to tolerate the losses that the settings name.",
     },
     memberStatus: {
         level: "info",
