--- a/packages/fleet/tests/tolerated-losses.test.ts
+++ b/packages/fleet/tests/tolerated-losses.test.ts
@@ -9,6 +9,8 @@
 const CATCH_UP_MS = 10_000;
 const SYNC_MS = 1;
 const SEED = 1;
+/** Committed entries between two snapshots, as in `GroupMember`. */
+const SNAPSHOT_INTERVAL_ENTRIES = 64;
 
 let network: MemberNetwork | undefined;
 afterEach(() => network?.dispose());
@@ -95,3 +97,41 @@
     await Promise.all(["b", "c", "d"].map(id => hosts.start(id)));
     await requireKept(hosts, 1);
 });
+
+// Guards against a group without a quorum when another host loses its disk while a vote is handed over (CONFIG).
+for (const wipedAfterMs of [0, 5, 20, 60, 200]) {
+    test(`a host loses its disk ${wipedAfterMs} ms after another one has begun to hand over its vote`, async () => {
+        const hosts = network = new MemberNetwork(SYNC_MS, SEED, 1);
+        await hosts.found("a", "b", "c");
+        await hosts.start("d");
+        await pass(CATCH_UP_MS);
+        await requireChange(hosts, 1);
+        const stopped = hosts.stop("a", 3_000);
+        await pass(wipedAfterMs);
+        hosts.loseDisk("b");
+        await pass(1_000);
+        await hosts.start("b");
+        await pass(3_000);
+        await stopped;
+        await requireKept(hosts, 1);
+    });
+}
+
+// Guards against a group without a quorum when a host loses its disk while its successor receives a snapshot (CONFIG).
+for (const wipedAfterMs of [0, 20, 100, 400]) {
+    test(`a host loses its disk ${wipedAfterMs} ms after another one that needs a snapshot has started`, async () => {
+        const hosts = network = new MemberNetwork(SYNC_MS, SEED, 1);
+        await hosts.found("a", "b", "c");
+        const changes = 2 * SNAPSHOT_INTERVAL_ENTRIES;
+        for (let number = 1; number <= changes; number += 1) {
+            void hosts.change(number, hosts.leader()!);
+            await pass(10);
+        }
+        await hosts.start("d");
+        await pass(wipedAfterMs);
+        hosts.loseDisk("b");
+        await pass(1_000);
+        await hosts.start("b");
+        await requireKept(hosts, changes);
+    });
+}
